--- /dev/null
+++ b/internal/manifest/resolver/manifest.go
@@ -0,0 +1,170 @@
+// Package resolver holds the immutable manifest and member list with their rules and look-ups.
+package resolver
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"apricotflow/internal/wire/encoder"
+)
+
+// Target is a target with the service and the target group that it belongs to.
+type Target struct {
+	encoder.Target
+	// Service names the service that lists the target.
+	Service string
+	// Group names the target group: the service's targets in one failure domain.
+	Group string
+}
+
+// Group is the unit of ownership: the targets of one service in one failure domain.
+type Group struct {
+	// Name is unique in a manifest.
+	Name          string
+	Service       string
+	FailureDomain string
+	// Targets are names in the order of the manifest.
+	Targets []string
+}
+
+// Manifest is a valid manifest; it never changes.
+type Manifest struct {
+	wire   encoder.Manifest
+	digest string
+	// domains, targets, classes and indexes hold every name of the manifest once.
+	domains map[string]encoder.FailureDomain
+	targets map[string]Target
+	classes map[string]encoder.QueryClass
+	indexes map[string]encoder.Index
+	// groups are sorted by name.
+	groups []Group
+}
+
+// New checks the rules of a manifest and returns it, or every problem found.
+func New(wire encoder.Manifest, digest string) (*Manifest, []Problem) {
+	if problems := check(wire); len(problems) > 0 {
+		return nil, problems
+	}
+	m := &Manifest{
+		wire:    wire,
+		digest:  digest,
+		domains: make(map[string]encoder.FailureDomain, len(wire.FailureDomains)),
+		targets: make(map[string]Target),
+		classes: make(map[string]encoder.QueryClass, len(wire.QueryClasses)),
+		indexes: make(map[string]encoder.Index, len(wire.Indexes)),
+	}
+	for _, d := range wire.FailureDomains {
+		m.domains[d.Name] = d
+	}
+	for _, c := range wire.QueryClasses {
+		m.classes[c.Name] = c
+	}
+	for _, x := range wire.Indexes {
+		x.Versions = slices.Clone(x.Versions)
+		slices.SortFunc(x.Versions, func(a, b encoder.IndexVersion) int { return cmp.Compare(a.Version, b.Version) })
+		m.indexes[x.Name] = x
+	}
+	m.addTargets()
+	return m, nil
+}
+
+// Generation returns the generation, which only rises.
+func (m *Manifest) Generation() int {
+	return m.wire.Generation
+}
+
+// Digest identifies the raw manifest.
+func (m *Manifest) Digest() string {
+	return m.digest
+}
+
+// Deployment returns the name of the deployment.
+func (m *Manifest) Deployment() string {
+	return m.wire.Deployment
+}
+
+// Newer reports whether m replaces o; o may be nil. Manifests are ordered by generation, then digest,
+// so that instances that see two manifests of one generation end up with the same one.
+func (m *Manifest) Newer(o *Manifest) bool {
+	if o == nil {
+		return true
+	}
+	if m.wire.Generation != o.wire.Generation {
+		return m.wire.Generation > o.wire.Generation
+	}
+	return m.digest > o.digest
+}
+
+// Target finds a target by name.
+func (m *Manifest) Target(name string) (Target, bool) {
+	t, found := m.targets[name]
+	return t, found
+}
+
+// Targets returns all targets sorted by name.
+func (m *Manifest) Targets() []Target {
+	return slices.SortedFunc(maps.Values(m.targets), func(a, b Target) int { return cmp.Compare(a.Name, b.Name) })
+}
+
+// QueryClass finds a query class by name.
+func (m *Manifest) QueryClass(name string) (encoder.QueryClass, bool) {
+	c, found := m.classes[name]
+	return c, found
+}
+
+// QueryClasses returns the query classes in the order of the manifest.
+func (m *Manifest) QueryClasses() []encoder.QueryClass {
+	return slices.Clone(m.wire.QueryClasses)
+}
+
+// Index finds an index by name; its versions are in rising order.
+func (m *Manifest) Index(name string) (encoder.Index, bool) {
+	x, found := m.indexes[name]
+	return x, found
+}
+
+// FailureDomains returns the failure domains in the order of the manifest.
+func (m *Manifest) FailureDomains() []encoder.FailureDomain {
+	return slices.Clone(m.wire.FailureDomains)
+}
+
+// DomainOpen reports whether the failure domain is known and not taken out.
+func (m *Manifest) DomainOpen(name string) bool {
+	return m.domains[name].State == encoder.FailureDomainStateOpen
+}
+
+// Serving reports whether the manifest allows new work for the target.
+func (m *Manifest) Serving(name string) bool {
+	t, found := m.targets[name]
+	return found && t.State == encoder.TargetStateServing && m.DomainOpen(t.FailureDomain)
+}
+
+// Groups returns the target groups sorted by name; callers must not change it.
+func (m *Manifest) Groups() []Group {
+	return m.groups
+}
+
+// Limits returns the limits over the whole deployment.
+func (m *Manifest) Limits() encoder.Limits {
+	return m.wire.Limits
+}
+
+func (m *Manifest) addTargets() {
+	groups := make(map[string]*Group)
+	for _, s := range m.wire.Services {
+		for _, t := range s.Targets {
+			name := s.Name + "@" + t.FailureDomain
+			m.targets[t.Name] = Target{Target: t, Service: s.Name, Group: name}
+			g, found := groups[name]
+			if !found {
+				g = &Group{Name: name, Service: s.Name, FailureDomain: t.FailureDomain}
+				groups[name] = g
+			}
+			g.Targets = append(g.Targets, t.Name)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(groups)) {
+		m.groups = append(m.groups, *groups[name])
+	}
+}
--- /dev/null
+++ b/internal/manifest/resolver/members.go
@@ -0,0 +1,61 @@
+package resolver
+
+import (
+	"cmp"
+	"slices"
+
+	"apricotflow/internal/wire/encoder"
+)
+
+// Members is the platform's list of instances and targets; it never changes.
+type Members struct {
+	revision int
+	// live holds the live instances sorted by name.
+	live []encoder.MemberInstance
+	// instances holds live and leaving instances by name.
+	instances map[string]encoder.MemberInstance
+	leaving   map[string]bool
+}
+
+// NewMembers builds the look-ups of a member list.
+func NewMembers(wire encoder.MemberList) *Members {
+	m := &Members{
+		revision:  wire.Revision,
+		instances: make(map[string]encoder.MemberInstance, len(wire.Instances)),
+		leaving:   make(map[string]bool),
+	}
+	for _, n := range wire.Instances {
+		m.instances[n.Name] = n
+		if n.State == encoder.MemberInstanceStateLive {
+			m.live = append(m.live, n)
+		}
+	}
+	slices.SortFunc(m.live, func(a, b encoder.MemberInstance) int { return cmp.Compare(a.Name, b.Name) })
+	for _, t := range wire.Targets {
+		if t.State == encoder.MemberTargetStateLeaving {
+			m.leaving[t.Name] = true
+		}
+	}
+	return m
+}
+
+// Revision returns the revision, which only rises.
+func (m *Members) Revision() int {
+	return m.revision
+}
+
+// Instances returns the live instances sorted by name; callers must not change it.
+func (m *Members) Instances() []encoder.MemberInstance {
+	return m.live
+}
+
+// Instance finds a live or leaving instance by name.
+func (m *Members) Instance(name string) (encoder.MemberInstance, bool) {
+	n, found := m.instances[name]
+	return n, found
+}
+
+// TargetLeaving reports whether the platform lists the target as leaving.
+func (m *Members) TargetLeaving(name string) bool {
+	return m.leaving[name]
+}
--- /dev/null
+++ b/internal/operator/reporter/reporter.go
@@ -0,0 +1,51 @@
+// Package reporter counts through tally and keeps the totals for the metrics page and the status.
+package reporter
+
+import (
+	"io"
+	"maps"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// reportInterval is how often tally adds its counts to the totals.
+const reportInterval = 250 * time.Millisecond
+
+// Reporter owns the root scope of an instance and the totals it reports into.
+type Reporter struct {
+	scope  tally.Scope
+	closer io.Closer
+	totals *totals
+}
+
+// New creates a reporter. Names of counters are in kebab case.
+func New() *Reporter {
+	t := newTotals()
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{Reporter: t, Separator: "-", OmitCardinalityMetrics: true}, reportInterval)
+	return &Reporter{scope: scope, closer: closer, totals: t}
+}
+
+// Scope returns the scope that all parts of the instance count in.
+func (r *Reporter) Scope() tally.Scope {
+	return r.scope
+}
+
+// Counters returns the totals of all counters by name, at most reportInterval old.
+func (r *Reporter) Counters() map[string]int {
+	r.totals.mu.Lock()
+	defer r.totals.mu.Unlock()
+	return maps.Clone(r.totals.counters)
+}
+
+// Gauges returns the latest value of all gauges by name.
+func (r *Reporter) Gauges() map[string]float64 {
+	r.totals.mu.Lock()
+	defer r.totals.mu.Unlock()
+	return maps.Clone(r.totals.gauges)
+}
+
+// Close stops reporting.
+func (r *Reporter) Close() error {
+	return r.closer.Close()
+}
--- /dev/null
+++ b/internal/operator/reporter/totals.go
@@ -0,0 +1,62 @@
+package reporter
+
+import (
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// totals is the tally reporter that adds up counters and keeps the latest gauges.
+type totals struct {
+	mu       sync.Mutex
+	counters map[string]int
+	gauges   map[string]float64
+}
+
+func newTotals() *totals {
+	return &totals{counters: make(map[string]int), gauges: make(map[string]float64)}
+}
+
+// ReportCounter adds the count since the last report.
+func (t *totals) ReportCounter(name string, _ map[string]string, value int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.counters[name] += int(value)
+}
+
+// ReportGauge replaces the value.
+func (t *totals) ReportGauge(name string, _ map[string]string, value float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.gauges[name] = value
+}
+
+// ReportTimer is unused: latencies are kept in HDR histograms.
+func (t *totals) ReportTimer(string, map[string]string, time.Duration) {}
+
+// ReportHistogramValueSamples is unused: latencies are kept in HDR histograms.
+func (t *totals) ReportHistogramValueSamples(string, map[string]string, tally.Buckets, float64, float64, int64) {
+}
+
+// ReportHistogramDurationSamples is unused: latencies are kept in HDR histograms.
+func (t *totals) ReportHistogramDurationSamples(string, map[string]string, tally.Buckets, time.Duration, time.Duration, int64) {
+}
+
+// Capabilities returns the totals themselves.
+func (t *totals) Capabilities() tally.Capabilities {
+	return t
+}
+
+// Reporting is always on.
+func (t *totals) Reporting() bool {
+	return true
+}
+
+// Tagging is off: totals are kept by name.
+func (t *totals) Tagging() bool {
+	return false
+}
+
+// Flush does nothing, since totals are up to date.
+func (t *totals) Flush() {}
