--- /dev/null
+++ b/internal/operator/commander/health.go
@@ -0,0 +1,209 @@
+package commander
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+
+	"apricotflow/internal/operator/collector"
+	"apricotflow/internal/wire/encoder"
+)
+
+// platformSilenceMs is the age of the platform's last answer to any instance above which it counts as lost. A watch
+// is answered after its wait time at the latest, which is well below a minute.
+const platformSilenceMs = 60_000
+
+// States of a target in a status reply, the most severe first. Targets in other states are healthy.
+const (
+	targetDown     = "down"
+	targetDraining = "draining"
+	targetCold     = "cold"
+)
+
+var targetSeverity = []string{targetDown, targetDraining, targetCold}
+
+// health is the state of a whole deployment, as far as its instances answered.
+type health struct {
+	Healthy bool `json:"healthy"`
+	// Reasons is empty if the deployment is healthy.
+	Reasons        []string              `json:"reasons"`
+	Configurations []configuration       `json:"configurations"`
+	PlatformAgeMs  int                   `json:"platform-age-ms"`
+	Targets        []targetHealth        `json:"targets"`
+	Counters       map[string]int        `json:"counters"`
+	Unanswered     []unanswered          `json:"unanswered"`
+	Statuses       []encoder.StatusReply `json:"instances"`
+}
+
+// configuration is one manifest with the instances on which it is in force.
+type configuration struct {
+	Generation int    `json:"generation"`
+	Digest     string `json:"digest"`
+	// OldestMs is the longest time for which it has been in force on one of them.
+	OldestMs  int      `json:"oldest-ms"`
+	Instances []string `json:"instances"`
+}
+
+// targetHealth adds up what the owners of a target report.
+type targetHealth struct {
+	Target        string   `json:"target"`
+	FailureDomain string   `json:"failure-domain"`
+	State         string   `json:"state"`
+	Limit         int      `json:"limit"`
+	InFlight      int      `json:"in-flight"`
+	Queued        int      `json:"queued"`
+	Connections   int      `json:"connections"`
+	LimitReached  bool     `json:"limit-reached"`
+	Owners        []string `json:"owners"`
+}
+
+type unanswered struct {
+	Instance     string `json:"instance"`
+	AdminAddress string `json:"admin-address"`
+	Cause        string `json:"cause"`
+}
+
+// assess derives the health from the replies.
+func assess(statuses collector.Statuses) health {
+	h := health{
+		Reasons:        []string{},
+		Configurations: configurations(statuses.Replies),
+		PlatformAgeMs:  platformAge(statuses.Replies),
+		Targets:        targets(statuses.Replies),
+		Counters:       sumCounters(statuses.Replies),
+		Unanswered:     []unanswered{},
+		Statuses:       statuses.Replies,
+	}
+	for _, f := range statuses.Failures {
+		h.Unanswered = append(h.Unanswered, unanswered{Instance: f.Instance.Name, AdminAddress: f.Instance.AdminAddress, Cause: f.Cause.Error()})
+		h.blame("instance %s did not answer: %v", f.Instance, f.Cause)
+	}
+	h.judgeInstances()
+	h.judgeConfiguration()
+	h.judgeTargets()
+	h.judgeCounters()
+	h.Healthy = len(h.Reasons) == 0
+	return h
+}
+
+func (h *health) blame(format string, arguments ...any) {
+	h.Reasons = append(h.Reasons, printable(fmt.Sprintf(format, arguments...)))
+}
+
+func (h *health) judgeInstances() {
+	for _, s := range h.Statuses {
+		if !s.Ready {
+			h.blame("instance %s is not ready", s.Instance)
+		}
+		for _, m := range s.Members {
+			if !m.Reachable && m.Instance != s.Instance {
+				h.blame("instance %s cannot reach instance %s (%s)", s.Instance, m.Instance, m.State)
+			}
+		}
+	}
+}
+
+func (h *health) judgeConfiguration() {
+	for i, c := range h.Configurations {
+		if i > 0 {
+			h.blame("generation %d is still in force on %s", c.Generation, strings.Join(c.Instances, ", "))
+		}
+	}
+	if len(h.Statuses) > 0 && h.PlatformAgeMs > platformSilenceMs {
+		h.blame("the platform has answered no instance for %s", age(h.PlatformAgeMs))
+	}
+}
+
+func (h *health) judgeTargets() {
+	for _, t := range h.Targets {
+		if t.State == targetDown {
+			h.blame("target %s is down, says %s", t.Target, strings.Join(t.Owners, ", "))
+		}
+	}
+}
+
+func (h *health) judgeCounters() {
+	for name, value := range h.Counters {
+		if value > 0 && strings.Contains(name, "violat") {
+			h.blame("counter %s is %d: an invariant was violated", name, value)
+		}
+	}
+}
+
+// configurations groups the instances by manifest, the newest first.
+func configurations(replies []encoder.StatusReply) []configuration {
+	groups := []configuration{}
+	for _, s := range replies {
+		i := slices.IndexFunc(groups, func(c configuration) bool { return c.Generation == s.Generation && c.Digest == s.Digest })
+		if i < 0 {
+			i = len(groups)
+			groups = append(groups, configuration{Generation: s.Generation, Digest: s.Digest})
+		}
+		groups[i].OldestMs = max(groups[i].OldestMs, s.ConfigurationAgeMs)
+		groups[i].Instances = append(groups[i].Instances, s.Instance)
+	}
+	slices.SortFunc(groups, func(a, b configuration) int {
+		return cmp.Or(cmp.Compare(b.Generation, a.Generation), cmp.Compare(b.Digest, a.Digest))
+	})
+	return groups
+}
+
+// platformAge returns the time since the platform answered any instance: only a few instances watch it.
+func platformAge(replies []encoder.StatusReply) int {
+	if len(replies) == 0 {
+		return 0
+	}
+	return slices.MinFunc(replies, func(a, b encoder.StatusReply) int { return cmp.Compare(a.PlatformAgeMs, b.PlatformAgeMs) }).PlatformAgeMs
+}
+
+// targets merges what the owners report: the most severe state and the sums. They are sorted by severity and name.
+func targets(replies []encoder.StatusReply) []targetHealth {
+	places := make(map[string]int)
+	merged := []targetHealth{}
+	for _, s := range replies {
+		for _, t := range s.Targets {
+			i, found := places[t.Target]
+			if !found {
+				i = len(merged)
+				places[t.Target] = i
+				merged = append(merged, targetHealth{Target: t.Target, FailureDomain: t.FailureDomain, State: t.State})
+			}
+			merged[i].add(s.Instance, t)
+		}
+	}
+	slices.SortFunc(merged, func(a, b targetHealth) int {
+		return cmp.Or(cmp.Compare(severity(a.State), severity(b.State)), cmp.Compare(a.Target, b.Target))
+	})
+	return merged
+}
+
+func (t *targetHealth) add(instance string, s encoder.TargetStatus) {
+	if severity(s.State) < severity(t.State) {
+		t.State = s.State
+	}
+	t.Limit += s.Limit
+	t.InFlight += s.InFlight
+	t.Queued += s.Queued
+	t.Connections += s.Connections
+	t.LimitReached = t.LimitReached || s.Queued > 0 || (s.Limit > 0 && s.InFlight >= s.Limit)
+	t.Owners = append(t.Owners, instance)
+}
+
+func severity(state string) int {
+	i := slices.Index(targetSeverity, state)
+	if i < 0 {
+		return len(targetSeverity)
+	}
+	return i
+}
+
+func sumCounters(replies []encoder.StatusReply) map[string]int {
+	sums := make(map[string]int)
+	for _, s := range replies {
+		for name, value := range s.Counters {
+			sums[name] += value
+		}
+	}
+	return sums
+}
--- /dev/null
+++ b/internal/operator/commander/instances.go
@@ -0,0 +1,60 @@
+package commander
+
+import (
+	"context"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"apricotflow/internal/operator/collector"
+)
+
+const defaultInstanceTimeout = 3 * time.Second
+
+// instanceFlags select the instances to ask.
+func instanceFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "platform", Usage: "`IP:PORT` of the configuration service, whose member list names the instances"},
+		&cli.StringSliceFlag{Name: "instances", Usage: "admin addresses `IP:PORT,...` of the instances"},
+		&cli.DurationFlag{Name: "timeout", Value: defaultInstanceTimeout, Usage: "time in which each instance must answer, as a `DURATION`"},
+	}
+}
+
+// findInstances returns the instances to ask and the collector that asks them.
+func findInstances(ctx context.Context, command *cli.Command) (*collector.Collector, []collector.Instance, error) {
+	if command.IsSet("platform") == command.IsSet("instances") {
+		return nil, nil, usageError("%s needs either --platform or --instances", command.Name)
+	}
+	if command.Duration("timeout") <= 0 {
+		return nil, nil, usageError("--timeout must be above 0")
+	}
+	c := collector.New(collector.WithTimeout(command.Duration("timeout")))
+	if command.IsSet("instances") {
+		instances, err := parseInstances(command.StringSlice("instances"))
+		return c, instances, err
+	}
+	platform, err := parseAddress("--platform", command.String("platform"))
+	if err != nil {
+		return nil, nil, err
+	}
+	instances, err := c.Members(ctx, platform)
+	if err != nil {
+		return nil, nil, exit(ExitFailed, "%v; use --instances to ask the instances without the platform", err)
+	}
+	if len(instances) == 0 {
+		return nil, nil, exit(ExitFailed, "the member list of the platform names no instance")
+	}
+	return c, instances, nil
+}
+
+func parseInstances(texts []string) ([]collector.Instance, error) {
+	instances := make([]collector.Instance, 0, len(texts))
+	for _, text := range texts {
+		address, err := parseAddress("--instances", text)
+		if err != nil {
+			return nil, err
+		}
+		instances = append(instances, collector.Instance{AdminAddress: address})
+	}
+	return instances, nil
+}
--- /dev/null
+++ b/internal/operator/commander/printer.go
@@ -0,0 +1,52 @@
+package commander
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+	"unicode"
+)
+
+// printable quotes text with control characters, which could otherwise change what the terminal shows.
+func printable(text string) string {
+	if strings.ContainsFunc(text, func(r rune) bool { return !unicode.IsPrint(r) }) {
+		return strconv.Quote(text)
+	}
+	return text
+}
+
+func percent(part, whole int) string {
+	if whole == 0 {
+		return "no documents"
+	}
+	return fmt.Sprintf("%.1f %%", 100*float64(part)/float64(whole))
+}
+
+// printJSON writes the value as one line.
+func printJSON[T any](w io.Writer, value T) {
+	// The values hold only strings, numbers, booleans, lists and maps of them, and a failed write has no reader.
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+func parseAddress(flag, text string) (string, error) {
+	address, err := netip.ParseAddrPort(strings.TrimSpace(text))
+	if err != nil || address.Port() == 0 {
+		return "", usageError("%s must be an IP address with a port, such as 127.0.0.1:7001, not %q", flag, text)
+	}
+	return address.String(), nil
+}
+
+// age renders milliseconds in a unit that fits.
+func age(ms int) string {
+	d := time.Duration(ms) * time.Millisecond
+	switch {
+	case d < time.Minute:
+		return d.Round(100 * time.Millisecond).String()
+	default:
+		return d.Round(time.Second).String()
+	}
+}
--- /dev/null
+++ b/internal/operator/commander/status.go
@@ -0,0 +1,174 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/urfave/cli/v3"
+)
+
+// maxRows bounds each part of the screen.
+const maxRows = 12
+
+// shownCounters are parts of the names of the counters that describe coverage, extra load and refused work.
+var shownCounters = []string{"coverage", "partial", "extra", "hedge", "retr", "budget", "sub-quer", "shed", "not-run", "unknown", "violat"}
+
+func newStatusCommand(now func() time.Time) *cli.Command {
+	return &cli.Command{
+		Name:  "status",
+		Usage: "show the state of a deployment on one screen",
+		Description: `Asks all instances for their status and shows whether the deployment is healthy and, if not, why; which
+configuration is in force where and for how long; targets that are down, draining or cold; limits that are reached;
+and the counters of coverage and extra load, added up over the instances.
+
+Unhealthy means that an instance does not answer, is not ready or cannot reach another one, that instances use
+different manifests, that a target is down, that the platform is silent, or that an invariant was violated. The exit
+code is then 4. --json prints everything that the instances reported.
+
+Examples:
+  apricotflow status --platform 127.0.0.1:7900
+  apricotflow status --instances 127.0.0.1:7201,127.0.0.1:7202 --json`,
+		Flags: append(instanceFlags(), jsonFlag("print the state as one JSON object")),
+		Action: withoutArguments(func(ctx context.Context, command *cli.Command) error {
+			c, instances, err := findInstances(ctx, command)
+			if err != nil {
+				return err
+			}
+			h := assess(c.Status(ctx, instances))
+			if command.Bool("json") {
+				printJSON(command.Root().Writer, h)
+			} else {
+				newScreen(command.Root().Writer).show(h, now())
+			}
+			if !h.Healthy {
+				return exit(ExitUnhealthy, "")
+			}
+			return nil
+		}),
+	}
+}
+
+// screen renders the health as text.
+type screen struct {
+	w io.Writer
+}
+
+func newScreen(w io.Writer) *screen {
+	return &screen{w: w}
+}
+
+func (s *screen) show(h health, now time.Time) {
+	s.summary(h, now)
+	s.configurations(h)
+	s.instances(h)
+	s.targets(h)
+	s.limits(h)
+	s.counters(h)
+}
+
+func (s *screen) summary(h health, now time.Time) {
+	state := "HEALTHY"
+	if !h.Healthy {
+		state = "UNHEALTHY"
+	}
+	s.line("%s  %s  %d of %s answered", state, now.UTC().Format(time.RFC3339), len(h.Statuses), count(len(h.Statuses)+len(h.Unanswered), "instance"))
+	rows(s, h.Reasons, func(reason string) { s.line("  - %s", reason) })
+}
+
+func (s *screen) configurations(h health) {
+	s.line("\nCONFIGURATION  platform last answered %s ago", age(h.PlatformAgeMs))
+	rows(s, h.Configurations, func(c configuration) {
+		if c.Generation == 0 {
+			s.line("  none on %s", strings.Join(c.Instances, ", "))
+			return
+		}
+		s.line("  generation %d, digest %s, for up to %s, on %s", c.Generation, printable(c.Digest), age(c.OldestMs), names(c.Instances))
+	})
+}
+
+func (s *screen) instances(h health) {
+	s.line("\nINSTANCES")
+	table := tabwriter.NewWriter(s.w, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(table, "  name\tfailure domain\tready\tgeneration\tin force for\tversion")
+	for _, r := range h.Statuses[:min(len(h.Statuses), maxRows)] {
+		_, _ = fmt.Fprintf(table, "  %s\t%s\t%t\t%d\t%s\t%s\n", printable(r.Instance), printable(r.FailureDomain), r.Ready, r.Generation, age(r.ConfigurationAgeMs), printable(r.Version))
+	}
+	_ = table.Flush()
+	s.more(len(h.Statuses))
+}
+
+func (s *screen) targets(h health) {
+	states := make(map[string]int)
+	for _, t := range h.Targets {
+		states[t.State]++
+	}
+	var texts []string
+	for _, state := range slices.Sorted(maps.Keys(states)) {
+		texts = append(texts, fmt.Sprintf("%d %s", states[state], printable(state)))
+	}
+	s.line("\nTARGETS  %d owned: %s", len(h.Targets), strings.Join(texts, ", "))
+	affected := slices.DeleteFunc(slices.Clone(h.Targets), func(t targetHealth) bool { return severity(t.State) == len(targetSeverity) })
+	rows(s, affected, func(t targetHealth) {
+		s.line("  %-8s  %s in %s, owned by %s", t.State, printable(t.Target), printable(t.FailureDomain), names(t.Owners))
+	})
+}
+
+func (s *screen) limits(h health) {
+	reached := slices.DeleteFunc(slices.Clone(h.Targets), func(t targetHealth) bool { return !t.LimitReached })
+	slices.SortStableFunc(reached, func(a, b targetHealth) int { return b.Queued - a.Queued })
+	s.line("\nLIMITS REACHED  %s", count(len(reached), "target"))
+	rows(s, reached, func(t targetHealth) {
+		s.line("  %s: %d of %d in flight, %d queued, %d connections", printable(t.Target), t.InFlight, t.Limit, t.Queued, t.Connections)
+	})
+}
+
+func (s *screen) counters(h health) {
+	s.line("\nCOVERAGE AND EXTRA LOAD  since each instance started")
+	var shown []string
+	for _, name := range slices.Sorted(maps.Keys(h.Counters)) {
+		if slices.ContainsFunc(shownCounters, func(part string) bool { return strings.Contains(name, part) }) {
+			shown = append(shown, name)
+		}
+	}
+	table := tabwriter.NewWriter(s.w, 0, 0, 2, ' ', 0)
+	for _, name := range shown {
+		_, _ = fmt.Fprintf(table, "  %s\t%d\n", printable(name), h.Counters[name])
+	}
+	_ = table.Flush()
+}
+
+func (s *screen) line(format string, arguments ...any) {
+	_, _ = fmt.Fprintf(s.w, format+"\n", arguments...)
+}
+
+// more tells how many rows were left out.
+func (s *screen) more(total int) {
+	if total > maxRows {
+		s.line("  and %d more; --json shows all", total-maxRows)
+	}
+}
+
+// rows shows the first rows and how many were left out.
+func rows[T any](s *screen, items []T, show func(T)) {
+	for _, item := range items[:min(len(items), maxRows)] {
+		show(item)
+	}
+	s.more(len(items))
+}
+
+// maxNames bounds a list of names on one line.
+const maxNames = 8
+
+func names(list []string) string {
+	text := printable(strings.Join(list[:min(len(list), maxNames)], ", "))
+	if len(list) > maxNames {
+		text += fmt.Sprintf(" and %d more", len(list)-maxNames)
+	}
+	return text
+}
--- /dev/null
+++ b/internal/operator/commander/timeline.go
@@ -0,0 +1,118 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"apricotflow/internal/operator/collector"
+	"apricotflow/internal/operator/timekeeper"
+	"apricotflow/internal/wire/encoder"
+)
+
+func newTimelineCommand(now func() time.Time) *cli.Command {
+	return &cli.Command{
+		Name:  "timeline",
+		Usage: "print the events of all instances in one order",
+		Description: `Asks all instances for their events and merges them by hybrid logical clock: an event that could have caused
+another one comes first, even if the clocks of the machines differ. Each line shows the time in UTC, the instance,
+the kind of event, its subject (a target, group, peer or failure domain), the query and further text.
+
+Each instance keeps its latest 8,192 events in memory only. Instances that did not answer are named at the end;
+the exit code is then 5.
+
+Examples:
+  apricotflow timeline --platform 127.0.0.1:7900 --since 10m
+  apricotflow timeline --instances 127.0.0.1:7201,127.0.0.1:7202 --target leaf-3 --kind target-cold --json`,
+		Flags: append(instanceFlags(),
+			&cli.StringFlag{Name: "since", Usage: "only events after `TIME`: an age such as 10m, or a time such as 2026-01-31T12:00:00Z"},
+			&cli.StringSliceFlag{Name: "kind", Usage: "only events of these `KINDS`, such as target-cold,target-warm"},
+			&cli.StringSliceFlag{Name: "subject", Aliases: []string{"target"}, Usage: "only events about these `SUBJECTS`"},
+			&cli.StringFlag{Name: "query", Usage: "only events of the query with this `ID`"},
+			jsonFlag("print each event as one JSON object a line"),
+		),
+		Action: withoutArguments(func(ctx context.Context, command *cli.Command) error {
+			return runTimeline(ctx, command, now())
+		}),
+	}
+}
+
+func runTimeline(ctx context.Context, command *cli.Command, now time.Time) error {
+	after, err := parseSince(command.String("since"), now)
+	if err != nil {
+		return err
+	}
+	c, instances, err := findInstances(ctx, command)
+	if err != nil {
+		return err
+	}
+	timeline := c.Events(ctx, instances, collector.Filter{
+		After:    after,
+		Kinds:    command.StringSlice("kind"),
+		Subjects: command.StringSlice("subject"),
+		Query:    command.String("query"),
+	})
+	printEvents(command.Root().Writer, timeline.Events, command.Bool("json"))
+	printDropped(command.Root().ErrWriter, timeline.Dropped)
+	printFailures(command.Root().ErrWriter, timeline.Failures)
+	if len(timeline.Failures) > 0 {
+		return exit(ExitIncomplete, "%d of %s did not answer", len(timeline.Failures), count(len(instances), "instance"))
+	}
+	return nil
+}
+
+// parseSince returns the clock value after which events are wanted.
+func parseSince(text string, now time.Time) (int, error) {
+	if text == "" {
+		return 0, nil
+	}
+	if d, err := time.ParseDuration(text); err == nil && d >= 0 {
+		return timekeeper.ValueAt(now.Add(-d)), nil
+	}
+	if t, err := time.Parse(time.RFC3339, text); err == nil {
+		return timekeeper.ValueAt(t), nil
+	}
+	return 0, usageError("--since must be an age such as 10m or a time such as 2026-01-31T12:00:00Z, not %q", text)
+}
+
+func printEvents(w io.Writer, events []encoder.Event, asJSON bool) {
+	if asJSON {
+		for _, e := range events {
+			printJSON(w, e)
+		}
+		return
+	}
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	for _, e := range events {
+		at := timekeeper.WallTime(e.Clock).UTC().Format("2006-01-02T15:04:05.000Z")
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%s\t%s\t%s\t%s\n", at, printable(e.Instance), printable(e.Kind), orDash(e.Subject), orDash(e.Query), printable(e.Detail))
+	}
+	_ = table.Flush()
+}
+
+func printDropped(w io.Writer, dropped map[string]int) {
+	for _, name := range slices.Sorted(maps.Keys(dropped)) {
+		if dropped[name] > 0 {
+			printError(w, fmt.Sprintf("instance %s: %s no longer kept", printable(name), count(dropped[name], "older event")))
+		}
+	}
+}
+
+func printFailures(w io.Writer, failures []collector.Failure) {
+	for _, f := range failures {
+		printError(w, fmt.Sprintf("instance %s did not answer: %s", f.Instance, printable(f.Cause.Error())))
+	}
+}
+
+func orDash(text string) string {
+	if text == "" {
+		return "-"
+	}
+	return printable(text)
+}
