--- a/internal/manifest/parser/explainer.go
+++ b/internal/manifest/parser/explainer.go
@@ -16,16 +16,22 @@
 	"apricotflow/internal/manifest/resolver"
 )
 
-// explain turns the leaves of a validation error into problems with JSON paths, sorted by path.
+// explain turns a validation error into problems with JSON paths. They are sorted, because the validation visits the
+// fields of an object in random order.
 func explain(err *jsonschema.ValidationError, document any) []resolver.Problem {
-	var problems []resolver.Problem
+	problems := explainLeaves(err, document)
+	slices.SortStableFunc(problems, func(a, b resolver.Problem) int { return cmp.Compare(a.Path, b.Path) })
+	return problems
+}
+
+func explainLeaves(err *jsonschema.ValidationError, document any) []resolver.Problem {
 	if len(err.Causes) == 0 {
-		problems = explainLeaf(err, jsonPath(err.InstanceLocation, document))
+		return explainLeaf(err, jsonPath(err.InstanceLocation, document))
 	}
+	var problems []resolver.Problem
 	for _, cause := range err.Causes {
-		problems = append(problems, explain(cause, document)...)
+		problems = append(problems, explainLeaves(cause, document)...)
 	}
-	slices.SortStableFunc(problems, func(a, b resolver.Problem) int { return cmp.Compare(a.Path, b.Path) })
 	return problems
 }
 
--- a/internal/manifest/parser/parser.go
+++ b/internal/manifest/parser/parser.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"strings"
 	"sync"
 
 	"apricotflow/internal/manifest/resolver"
@@ -31,11 +30,7 @@
 }
 
 func (e *InvalidError) Error() string {
-	texts := make([]string, len(e.Problems))
-	for i, p := range e.Problems {
-		texts[i] = p.String()
-	}
-	return fmt.Sprintf("parser: %s refused with %d problems: %s", e.Subject, len(e.Problems), strings.Join(texts, "; "))
+	return fmt.Sprintf("parser: %s refused with %d problems: %s", e.Subject, len(e.Problems), resolver.Summarize(e.Problems))
 }
 
 // Parse checks a raw manifest; the error is an *InvalidError with every problem.
--- a/internal/manifest/parser/scanner.go
+++ b/internal/manifest/parser/scanner.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"regexp"
 	"strconv"
@@ -16,6 +17,9 @@
 // plainKey matches the keys that are written into a path without quotes.
 var plainKey = regexp.MustCompile(`^[A-Za-z_][A-Za-z0-9_-]*$`)
 
+// errTooDeep ends a scan at maxDepth.
+var errTooDeep = errors.New("nested too deep")
+
 // scanner walks the tokens of a document and collects what the schema cannot see.
 type scanner struct {
 	decoder  *json.Decoder
@@ -29,7 +33,7 @@
 	s := &scanner{decoder: json.NewDecoder(bytes.NewReader(raw)), stopped: "$"}
 	s.decoder.UseNumber()
 	err := s.value("$", 0)
-	if s.stopped == "" {
+	if errors.Is(err, errTooDeep) {
 		return s.problems, false
 	}
 	if err != nil || !json.Valid(raw) {
@@ -56,8 +60,7 @@
 func (s *scanner) container(open json.Delim, path string, depth int) error {
 	if depth == maxDepth {
 		s.add(path, "is nested deeper than %d levels", maxDepth)
-		s.stopped = ""
-		return &json.SyntaxError{}
+		return errTooDeep
 	}
 	if open == '{' {
 		return s.object(path, depth)
@@ -72,10 +75,8 @@
 		if err != nil {
 			return err
 		}
-		key, isString := token.(string)
-		if !isString {
-			return &json.SyntaxError{}
-		}
+		// The decoder accepts only strings as keys.
+		key, _ := token.(string)
 		if seen[key] {
 			s.add(path+field(key), "is a duplicate key")
 		}
--- a/internal/manifest/parser/schema.go
+++ b/internal/manifest/parser/schema.go
@@ -42,7 +42,7 @@
 	return &Schema{compiled: compiler.MustCompile(schemaBase + location)}
 }
 
-// Check returns every violation of strict JSON and of the schema, in the order of the document.
+// Check returns every violation of strict JSON and of the schema, each with its JSON path.
 func (s *Schema) Check(raw []byte) []resolver.Problem {
 	if len(raw) > MaxBytes {
 		return root("has %d bytes, which is above the limit of %d bytes", len(raw), MaxBytes)
@@ -113,6 +113,6 @@
 	}
 	before := string(raw[:min(int(syntax.Offset), len(raw))])
 	line := strings.Count(before, "\n") + 1
-	column := len(before) - (strings.LastIndex(before, "\n") + 1)
+	column := max(len(before)-(strings.LastIndex(before, "\n")+1), 1)
 	return resolver.Problem{Path: at, Message: fmt.Sprintf("is not valid JSON at line %d, column %d: %v", line, column, syntax)}
 }
--- a/internal/manifest/resolver/rules.go
+++ b/internal/manifest/resolver/rules.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"strings"
 
 	"apricotflow/internal/wire/encoder"
 )
@@ -18,6 +19,21 @@
 	return p.Path + ": " + p.Message
 }
 
+// maxSummarized bounds the problems in one error message.
+const maxSummarized = 20
+
+// Summarize joins the first problems for an error message.
+func Summarize(problems []Problem) string {
+	texts := make([]string, 0, maxSummarized+1)
+	for _, p := range problems[:min(len(problems), maxSummarized)] {
+		texts = append(texts, p.String())
+	}
+	if len(problems) > maxSummarized {
+		texts = append(texts, fmt.Sprintf("and %d more", len(problems)-maxSummarized))
+	}
+	return strings.Join(texts, "; ")
+}
+
 // maxDocuments is the largest number that every JSON implementation keeps exactly (2^53 - 1). Coverage is computed
 // from sums of documents.
 const maxDocuments = 1<<53 - 1
@@ -89,12 +105,10 @@
 
 // checkAddress reports an address that cannot be connected to and a duplicate; different spellings are equal.
 func (r *rules) checkAddress(addresses map[netip.AddrPort]bool, path, text string) {
-	address, err := netip.ParseAddrPort(text)
-	if err != nil || address.Port() == 0 || address.Addr().IsUnspecified() {
-		r.add(path, "%q is not an IP address with a port", text)
+	address, valid := r.parseAddress(path, text)
+	if !valid {
 		return
 	}
-	address = netip.AddrPortFrom(address.Addr().Unmap(), address.Port())
 	if addresses[address] {
 		r.add(path, "duplicate address %q", text)
 	}
@@ -165,6 +179,16 @@
 	}
 }
 
+// parseAddress reports an address that cannot be connected to.
+func (r *rules) parseAddress(path, text string) (netip.AddrPort, bool) {
+	address, err := netip.ParseAddrPort(text)
+	if err != nil || address.Port() == 0 || address.Addr().IsUnspecified() {
+		r.add(path, "%q is not an IP address and port that can be connected to", text)
+		return netip.AddrPort{}, false
+	}
+	return netip.AddrPortFrom(address.Addr().Unmap(), address.Port()), true
+}
+
 // checkTickets reports query classes whose ticket, with the kept answer, may expire before the deadline.
 func (r *rules) checkTickets(classes []encoder.QueryClass, limits encoder.Limits) {
 	if limits.TicketMs == 0 {
@@ -177,17 +201,18 @@
 	}
 }
 
-// CheckMembers returns every broken rule of a member list.
+// CheckMembers returns every broken rule of a member list. Addresses may occur twice: a list that is updated with a
+// delay names an instance and its replacement at the same address for a while.
 func CheckMembers(wire encoder.MemberList) []Problem {
 	r := &rules{}
-	names, targets, addresses := make(map[string]bool), make(map[string]bool), make(map[netip.AddrPort]bool)
+	names, targets := make(map[string]bool), make(map[string]bool)
 	for i, n := range wire.Instances {
 		path := fmt.Sprintf("$.instances[%d]", i)
 		r.checkName(path+".name", n.Name)
 		r.unique(names, path, "instance", n.Name)
 		r.checkName(path+".failure-domain", n.FailureDomain)
-		r.checkAddress(addresses, path+".peer-address", n.PeerAddress)
-		r.checkAddress(addresses, path+".admin-address", n.AdminAddress)
+		r.parseAddress(path+".peer-address", n.PeerAddress)
+		r.parseAddress(path+".admin-address", n.AdminAddress)
 	}
 	for i, t := range wire.Targets {
 		path := fmt.Sprintf("$.targets[%d]", i)
--- /dev/null
+++ b/internal/operator/commander/commander_test.go
@@ -0,0 +1,284 @@
+package commander_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"apricotflow/internal/operator/commander"
+	"apricotflow/internal/operator/loader"
+	"apricotflow/internal/operator/recorder"
+	"apricotflow/internal/operator/server"
+	"apricotflow/internal/operator/timekeeper"
+	"apricotflow/internal/wire/encoder"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+const (
+	settingsJSON = `{"instance": "a", "failure-domain": "west", "caller-address": "127.0.0.1:7001",
+ "peer-address": "127.0.0.1:7101", "admin-address": "127.0.0.1:7201", "platform-address": "127.0.0.1:7900"}`
+	manifestJSON = `{"generation": 7, "deployment": "test", "failure-domains": [{"name": "west", "region": "r", "state": "open"}],
+ "services": [{"name": "s", "targets": [{"name": "t1", "address": "127.0.0.1:1001", "failure-domain": "west", "state": "serving", "slots": 2, "connections": 25, "cold-limit": 1}]}],
+ "indexes": [{"name": "x", "versions": [{"version": 4, "shards": [{"name": "s1", "documents": 10, "replicas": ["t1"]}]}]}],
+ "query-classes": [{"name": "q", "index": "x", "priority": "urgent", "idempotent": true, "routing": "all", "deadline-ms": 500}],
+ "limits": {"extra-load-percent": 2, "hedge-quantile-percent": 95, "owners": 2, "lease-ms": 3000, "ticket-ms": 60000}}`
+)
+
+type result struct {
+	code        commander.ExitCode
+	out, errOut string
+}
+
+func run(serve commander.Serve, arguments ...string) result {
+	var out, errOut bytes.Buffer
+	code := commander.Run(context.Background(), append([]string{"apricotflow"}, arguments...), &out, &errOut, serve)
+	return result{code: commander.ExitCode(code), out: out.String(), errOut: errOut.String()}
+}
+
+func file(t *testing.T, content string) string {
+	t.Helper()
+	name := filepath.Join(t.TempDir(), "file.json")
+	assert.NilError(t, os.WriteFile(name, []byte(content), 0o600))
+	return name
+}
+
+// A check that passes a faulty file would let it be published; one that stops early would need many rounds.
+func TestCheck(t *testing.T) {
+	settings, manifest := file(t, settingsJSON), file(t, manifestJSON)
+	older := file(t, strings.Replace(manifestJSON, `"generation": 7`, `"generation": 6`, 1))
+	faulty := file(t, strings.NewReplacer(`"slots": 2`, `"slots": 0`, `"index": "x"`, `"index": "y"`).Replace(manifestJSON))
+	elsewhere := file(t, strings.Replace(settingsJSON, `west`, `east`, 1))
+	cases := []struct {
+		name      string
+		arguments []string
+		code      commander.ExitCode
+		errors    []string
+	}{
+		{"valid files", []string{"--settings", settings, "--manifest", manifest, "--previous", older}, commander.ExitSuccess, nil},
+		{"generation goes down", []string{"--manifest", older, "--previous", manifest}, commander.ExitInvalid, []string{older + ": $.generation: "}},
+		{"faulty manifest", []string{"--manifest", faulty}, commander.ExitInvalid, []string{"$.services[0].targets[0].slots", "$.query-classes[0].index"}},
+		{"faults in two files", []string{"--settings", manifest, "--manifest", faulty}, commander.ExitInvalid, []string{"$.caller-address", "$.query-classes[0].index"}},
+		{"unknown failure domain", []string{"--settings", elsewhere, "--manifest", manifest}, commander.ExitInvalid, []string{elsewhere + ": $.failure-domain"}},
+		{"missing file", []string{"--manifest", "does-not-exist.json"}, commander.ExitFailed, []string{"does-not-exist.json"}},
+		{"no file", nil, commander.ExitUsage, []string{"--manifest"}},
+		{"previous alone", []string{"--previous", manifest, "--settings", settings}, commander.ExitUsage, []string{"--manifest"}},
+		{"unknown flag", []string{"--manifests", manifest}, commander.ExitUsage, []string{"manifests"}},
+		{"positional argument", []string{manifest}, commander.ExitUsage, []string{"unexpected argument"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := run(nil, append([]string{"check"}, c.arguments...)...)
+			assert.Equal(t, r.code, c.code, "%s", r.errOut)
+			for _, text := range c.errors {
+				assert.Assert(t, strings.Contains(r.errOut, text), "%s", r.errOut)
+			}
+		})
+	}
+}
+
+// The example files must stay valid, since users start from them.
+func TestExamplesAreValid(t *testing.T) {
+	files, err := filepath.Glob("../../../examples/*.json")
+	assert.NilError(t, err)
+	for _, name := range files {
+		raw, err := os.ReadFile(name)
+		assert.NilError(t, err)
+		flag := "--settings"
+		if bytes.Contains(raw, []byte(`"generation"`)) {
+			flag = "--manifest"
+		}
+		r := run(nil, "check", flag, name)
+		assert.Equal(t, r.code, commander.ExitSuccess, "%s", r.errOut)
+	}
+}
+
+// An instance must not start with refused settings, and its failure must reach the exit code.
+func TestServe(t *testing.T) {
+	var started []string
+	serve := func(_ context.Context, s loader.Settings) error {
+		started = append(started, s.Instance())
+		return errors.New("port in use")
+	}
+	r := run(serve, "serve", "--settings", file(t, settingsJSON))
+	assert.Equal(t, r.code, commander.ExitFailed)
+	assert.Assert(t, strings.Contains(r.errOut, "port in use"))
+	r = run(serve, "serve", "--settings", file(t, `{}`))
+	assert.Equal(t, r.code, commander.ExitInvalid)
+	assert.Assert(t, strings.Contains(r.errOut, "$.instance: is required"))
+	assert.DeepEqual(t, started, []string{"a"})
+}
+
+// A newcomer must find a description, the flags and an example for each command.
+func TestHelpIsComplete(t *testing.T) {
+	commands := []string{"serve", "check", "query", "status", "timeline", "version"}
+	r := run(nil, "--help")
+	for _, name := range commands {
+		assert.Assert(t, strings.Contains(r.out, "\n   "+name+" "))
+		help := run(nil, name, "--help")
+		assert.Equal(t, help.code, commander.ExitSuccess)
+		assert.Assert(t, strings.Contains(help.out, "DESCRIPTION"), name)
+		assert.Assert(t, strings.Contains(help.out, "Example"), name)
+		assert.Assert(t, strings.Contains(help.out, "apricotflow "+name), name)
+	}
+	assert.Assert(t, strings.Contains(r.out, "Exit codes"))
+	assert.Equal(t, run(nil, "unknown").code, commander.ExitUsage)
+}
+
+// callerAPI answers queries of a class that needs tickets.
+type callerAPI struct {
+	tickets, queries atomic.Int32
+	outcome          encoder.QueryOutcome
+}
+
+func (a *callerAPI) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/v1/tickets" {
+		a.tickets.Add(1)
+		_, _ = w.Write(encoder.Encode(encoder.TicketReply{Ticket: "ticket-1", ExpiresInMs: 1000}))
+		return
+	}
+	a.queries.Add(1)
+	var request encoder.QueryRequest
+	if json.NewDecoder(r.Body).Decode(&request) != nil || request.Ticket == nil {
+		w.WriteHeader(http.StatusBadRequest)
+		_, _ = w.Write(encoder.Encode(encoder.ErrorReply{Code: "ticket-required", Message: "take a ticket", Outcome: "not-run"}))
+		return
+	}
+	if a.outcome == encoder.QueryOutcomeUnknown {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = w.Write(encoder.Encode(encoder.QueryReply{
+		Query: "a.1.1", Instance: "a", Outcome: a.outcome, Snapshot: encoder.Snapshot{Generation: 7, Index: "x", Version: 4},
+		Coverage: encoder.Coverage{Shards: 2, ShardsAnswered: 1, Documents: 20, DocumentsAnswered: 5},
+		Hits:     []encoder.Hit{{Document: "doc\x1b[2J", Score: 1, Shard: "s1"}},
+		Missing:  []encoder.MissingShard{{Shard: "s2", Outcome: "not-run", Reason: "target-down"}},
+	}))
+}
+
+// The exit code and the text must tell what happened to the request: a wrong "not-run" leads to a double order.
+func TestQuery(t *testing.T) {
+	cases := []struct {
+		name    string
+		outcome encoder.QueryOutcome
+		code    commander.ExitCode
+		texts   []string
+	}{
+		{"complete", "complete", commander.ExitSuccess, []string{"outcome   complete", "generation 7", "25.0 %"}},
+		{"partial", "partial", commander.ExitIncomplete, []string{"1 of 2 shards", "shard s2: not-run, target-down"}},
+		{"reply lost", "unknown", commander.ExitUnknown, []string{"--ticket ticket-1"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			api := &callerAPI{outcome: c.outcome}
+			s := httptest.NewServer(api)
+			defer s.Close()
+			r := run(nil, "query", "--address", s.Listener.Addr().String(), "--class", "q", "--text", "x")
+			assert.Equal(t, r.code, c.code, "%s", r.errOut)
+			assert.Equal(t, api.tickets.Load(), int32(1))
+			assert.Equal(t, api.queries.Load(), int32(2))
+			for _, text := range c.texts {
+				assert.Assert(t, strings.Contains(r.out+r.errOut, text), "%s%s", r.out, r.errOut)
+			}
+			assert.Assert(t, !strings.Contains(r.out, "\x1b"))
+		})
+	}
+	s := httptest.NewServer(&callerAPI{})
+	address := s.Listener.Addr().String()
+	s.Close()
+	assert.Equal(t, run(nil, "query", "--address", address, "--class", "q").code, commander.ExitNotRun)
+	assert.Equal(t, run(nil, "query", "--address", "localhost:1", "--class", "q").code, commander.ExitUsage)
+}
+
+type totals map[string]int
+
+func (t totals) Counters() map[string]int { return t }
+func (totals) Gauges() map[string]float64 { return nil }
+
+// startInstance serves the admin API of an instance and returns its address with its recorder.
+func startInstance(t *testing.T, name string, generation int, counters totals, targets ...encoder.TargetStatus) (string, *recorder.Recorder) {
+	t.Helper()
+	clock := timekeeper.NewHybridClock(time.Now)
+	r := recorder.New(name, clock, 100)
+	s := server.New(server.Identity{Instance: name, FailureDomain: "west"}, r, counters, clock,
+		server.WithReady(func() bool { return true }),
+		server.WithConfiguration(func() server.Configuration {
+			return server.Configuration{Generation: generation, Digest: "d", Age: 90 * time.Second}
+		}),
+		server.WithTargets(func() []encoder.TargetStatus { return targets }))
+	api := httptest.NewServer(s.Handler())
+	t.Cleanup(api.Close)
+	return api.Listener.Addr().String(), r
+}
+
+// Operators must learn why a deployment is unhealthy from the screen alone.
+func TestStatus(t *testing.T) {
+	cold := encoder.TargetStatus{Target: "t-cold", FailureDomain: "west", State: "cold", Limit: 1, InFlight: 1, Queued: 3}
+	down := encoder.TargetStatus{Target: "t-down", FailureDomain: "west", State: "down", Limit: 2}
+	a, _ := startInstance(t, "a", 7, totals{"queries-partial": 1, "other": 9}, cold)
+	b, _ := startInstance(t, "b", 7, totals{"queries-partial": 2}, encoder.TargetStatus{Target: "t-down", State: "warm"})
+	c, _ := startInstance(t, "c", 6, totals{"invariants-violated": 1}, down)
+
+	r := run(nil, "status", "--instances", a+","+b)
+	assert.Equal(t, r.code, commander.ExitSuccess, "%s", r.out)
+	for _, text := range []string{"HEALTHY", "generation 7, digest d, for up to 1m30s, on a, b", "cold      t-cold", "t-cold: 1 of 1 in flight, 3 queued", "queries-partial  3"} {
+		assert.Assert(t, strings.Contains(r.out, text), "%s", r.out)
+	}
+	assert.Assert(t, !strings.Contains(r.out, "other"))
+
+	r = run(nil, "status", "--instances", a+","+b+","+c+",127.0.0.1:1")
+	assert.Equal(t, r.code, commander.ExitUnhealthy)
+	for _, text := range []string{"UNHEALTHY", "3 of 4 instances answered", "instance 127.0.0.1:1 did not answer", "generation 6 is still in force on c", "target t-down is down, says b, c", "an invariant was violated"} {
+		assert.Assert(t, strings.Contains(r.out, text), "%s", r.out)
+	}
+
+	r = run(nil, "status", "--json", "--instances", c)
+	assert.Equal(t, r.code, commander.ExitUnhealthy)
+	var state struct {
+		Healthy bool     `json:"healthy"`
+		Reasons []string `json:"reasons"`
+	}
+	assert.NilError(t, json.Unmarshal([]byte(r.out), &state))
+	assert.Equal(t, len(state.Reasons), 2)
+	assert.Equal(t, run(nil, "status").code, commander.ExitUsage)
+}
+
+// Two instances with different manifests and a time line without the missing instances would mislead an operator.
+func TestTimeline(t *testing.T) {
+	a, ra := startInstance(t, "a", 7, nil)
+	b, rb := startInstance(t, "b", 7, nil)
+	ra.Record(recorder.KindTargetCold, "t1", "", "restarted\nnow")
+	rb.Record(recorder.KindTargetWarm, "t1", "", "")
+	ra.Record(recorder.KindQueryHedged, "t2", "q1", "")
+
+	r := run(nil, "timeline", "--instances", a+","+b, "--since", "10m", "--target", "t1")
+	assert.Equal(t, r.code, commander.ExitSuccess, "%s", r.errOut)
+	lines := strings.Split(strings.TrimSpace(r.out), "\n")
+	assert.Equal(t, len(lines), 2, "%s", r.out)
+	assert.Assert(t, strings.Contains(lines[0], "target-cold") && strings.Contains(lines[0], `restarted\nnow`))
+	assert.Assert(t, strings.Contains(lines[1], "target-warm"))
+
+	r = run(nil, "timeline", "--instances", a+",127.0.0.1:1", "--json", "--query", "q1")
+	assert.Equal(t, r.code, commander.ExitIncomplete)
+	assert.Assert(t, strings.Contains(r.errOut, "127.0.0.1:1 did not answer"))
+	event, err := encoder.Decode[encoder.Event]([]byte(strings.TrimSpace(r.out)))
+	assert.NilError(t, err)
+	assert.Equal(t, event.Kind, "query-hedged")
+
+	later := time.Now().Add(time.Hour).UTC().Format(time.RFC3339)
+	assert.Equal(t, run(nil, "timeline", "--instances", a, "--since", later).out, "")
+	assert.Equal(t, run(nil, "timeline", "--instances", a, "--since", "soon").code, commander.ExitUsage)
+}
--- a/internal/operator/commander/status.go
+++ b/internal/operator/commander/status.go
@@ -108,7 +108,7 @@
 	for _, t := range h.Targets {
 		states[t.State]++
 	}
-	var texts []string
+	texts := make([]string, 0, len(states))
 	for _, state := range slices.Sorted(maps.Keys(states)) {
 		texts = append(texts, fmt.Sprintf("%d %s", states[state], printable(state)))
 	}
--- a/internal/operator/loader/loader.go
+++ b/internal/operator/loader/loader.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"os"
-	"strings"
 	"sync"
 
 	"apricotflow/internal/manifest/parser"
@@ -37,11 +36,7 @@
 }
 
 func (e *InvalidError) Error() string {
-	texts := make([]string, len(e.Problems))
-	for i, p := range e.Problems {
-		texts[i] = p.String()
-	}
-	return fmt.Sprintf("loader: settings refused with %d problems: %s", len(e.Problems), strings.Join(texts, "; "))
+	return fmt.Sprintf("loader: settings refused with %d problems: %s", len(e.Problems), resolver.Summarize(e.Problems))
 }
 
 // Load reads a settings file; the error is a *ReadError or an *InvalidError.
--- /dev/null
+++ b/internal/operator/loader/loader_test.go
@@ -0,0 +1,118 @@
+package loader_test
+
+import (
+	"errors"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"apricotflow/internal/operator/loader"
+	"apricotflow/internal/wire/encoder"
+)
+
+const validSettings = `{"instance": "a", "failure-domain": "west",
+ "caller-address": "0.0.0.0:7001", "peer-address": "10.0.0.1:7101", "admin-address": "127.0.0.1:7201",
+ "platform-address": "10.0.0.9:7900", "seeds": ["10.0.0.1:7101", "10.0.0.2:7101"]}`
+
+// A missing field must get the documented default instead of the zero value, which would mean no queries at all.
+func TestParseAppliesDefaults(t *testing.T) {
+	s, err := loader.Parse([]byte(validSettings))
+	assert.NilError(t, err)
+	assert.Equal(t, s.Instance(), "a")
+	assert.Equal(t, s.BalancerDelay(), 2*time.Second)
+	assert.Equal(t, s.ShutdownTimeout(), 30*time.Second)
+	assert.Equal(t, s.Concurrency(), 256)
+	assert.Equal(t, s.StrictInvariants(), false)
+	assert.Equal(t, s.LogLevel(), encoder.SettingsLogLevelInfo)
+	assert.Equal(t, s.Policy(), loader.Policy{Routing: "owned", Selection: "least-loaded", ColdLimit: "lease", Hedging: true})
+	assert.Equal(t, s.PlatformAddress(), netip.MustParseAddrPort("10.0.0.9:7900"))
+	assert.Equal(t, len(s.Seeds()), 2)
+}
+
+// An explicit value must win over the default, also where it is the zero value.
+func TestParseKeepsExplicitValues(t *testing.T) {
+	raw := strings.Replace(validSettings, `{`, `{"balancer-ms": 0, "policy": {"hedging": false, "routing": "direct"}, `, 1)
+	s, err := loader.Parse([]byte(raw))
+	assert.NilError(t, err)
+	assert.Equal(t, s.BalancerDelay(), time.Duration(0))
+	assert.Equal(t, s.Policy(), loader.Policy{Routing: "direct", Selection: "least-loaded", ColdLimit: "lease", Hedging: false})
+}
+
+// Wrong settings must be refused at the start with their path, not fail later.
+func TestParseRefusesFaults(t *testing.T) {
+	cases := []struct{ name, old, replacement, path string }{
+		{"unknown field", `"instance": "a"`, `"instance": "a", "node": "b"`, "$.node"},
+		{"unknown policy field", `{"instance"`, `{"policy": {"hedge": true}, "instance"`, "$.policy.hedge"},
+		{"unknown policy", `{"instance"`, `{"policy": {"routing": "any"}, "instance"`, "$.policy.routing"},
+		{"missing field", `"failure-domain": "west",`, ``, "$.failure-domain"},
+		{"duplicate key", `"instance": "a"`, `"instance": "a", "instance": "b"`, "$.instance"},
+		{"concurrency of zero", `{"instance"`, `{"concurrency": 0, "instance"`, "$.concurrency"},
+		{"shutdown of zero", `{"instance"`, `{"shutdown-ms": 0, "instance"`, "$.shutdown-ms"},
+		{"wrong type", `"instance": "a"`, `"instance": 1`, "$.instance"},
+		{"host name", `127.0.0.1:7201`, `localhost:7201`, "$.admin-address"},
+		{"no port", `127.0.0.1:7201`, `127.0.0.1`, "$.admin-address"},
+		{"port of zero", `127.0.0.1:7201`, `127.0.0.1:0`, "$.admin-address"},
+		{"IP out of range", `127.0.0.1:7201`, `127.0.0.999:7201`, "$.admin-address"},
+		{"peer address for all interfaces", `"peer-address": "10.0.0.1:7101"`, `"peer-address": "0.0.0.0:7101"`, "$.peer-address"},
+		{"duplicate address", `127.0.0.1:7201`, `10.0.0.1:7101`, "$.admin-address"},
+		{"duplicate port on all interfaces", `127.0.0.1:7201`, `127.0.0.1:7001`, "$.admin-address"},
+		{"duplicate seed", `"10.0.0.2:7101"`, `"10.0.0.2:7101", "10.0.0.2:7101"`, "$.seeds[2]"},
+		{"seed is the platform", `"10.0.0.2:7101"`, `"10.0.0.9:7900"`, "$.seeds[1]"},
+		{"not JSON", `}`, ``, "$"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			assert.Assert(t, strings.Contains(validSettings, c.old))
+			_, err := loader.Parse([]byte(strings.Replace(validSettings, c.old, c.replacement, 1)))
+			assert.Assert(t, slices.Contains(paths(t, err), c.path), "%v", err)
+		})
+	}
+}
+
+// Every fault must be shown at once and only once.
+func TestParseReportsEveryProblemOnce(t *testing.T) {
+	_, err := loader.Parse([]byte(`{"instance": "A", "caller-address": "x", "peer-address": "1.1.1.1:1", "admin-address": "1.1.1.1:1", "platform-address": "2.2.2.2:2"}`))
+	got := paths(t, err)
+	slices.Sort(got)
+	assert.DeepEqual(t, got, []string{"$.admin-address", "$.caller-address", "$.failure-domain", "$.instance"})
+}
+
+// A file that cannot be read must be told from one that is wrong.
+func TestLoadReportsAMissingFile(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "settings.json")
+	_, err := loader.Load(file)
+	var unread *loader.ReadError
+	assert.Assert(t, errors.As(err, &unread))
+	assert.NilError(t, os.WriteFile(file, []byte(validSettings), 0o600))
+	_, err = loader.Load(file)
+	assert.NilError(t, err)
+}
+
+// A change through With or a returned slice must not reach the settings that others use.
+func TestSettingsNeverChange(t *testing.T) {
+	s, err := loader.Parse([]byte(validSettings))
+	assert.NilError(t, err)
+	s.Seeds()[0] = netip.AddrPort{}
+	other := s.WithSeeds().WithStrictInvariants(true).WithStop(0, time.Second)
+	assert.Equal(t, s.Seeds()[0], netip.MustParseAddrPort("10.0.0.1:7101"))
+	assert.Equal(t, s.StrictInvariants(), false)
+	assert.Equal(t, s.BalancerDelay(), 2*time.Second)
+	assert.Equal(t, len(other.Seeds()), 0)
+}
+
+func paths(t *testing.T, err error) []string {
+	t.Helper()
+	var invalid *loader.InvalidError
+	assert.Assert(t, errors.As(err, &invalid), "%v", err)
+	paths := make([]string, 0, len(invalid.Problems))
+	for _, p := range invalid.Problems {
+		paths = append(paths, p.Path)
+	}
+	return paths
+}
--- a/internal/operator/server/server.go
+++ b/internal/operator/server/server.go
@@ -20,7 +20,8 @@
 	idleTimeout  = 60 * time.Second
 )
 
-// Events provides the recorded events after a clock value, oldest first, and the number of those dropped so far.
+// Events provides a copy of the recorded events after a clock value, oldest first, and the number of those dropped
+// so far.
 type Events interface {
 	Events(after int) ([]encoder.Event, int)
 }
