--- a/internal/operator/commander/commander_test.go
+++ b/internal/operator/commander/commander_test.go
@@ -228,13 +228,13 @@
 func TestStatus(t *testing.T) {
 	cold := encoder.TargetStatus{Target: "t-cold", FailureDomain: "west", State: "cold", Limit: 1, InFlight: 1, Queued: 3}
 	down := encoder.TargetStatus{Target: "t-down", FailureDomain: "west", State: "down", Limit: 2}
-	a, _ := startInstance(t, "a", 7, totals{"queries-partial": 1, "other": 9}, cold)
+	a, _ := startInstance(t, "a", 7, totals{"queries-partial": 1, "queries-complete": 5, "sub-queries-needed": 100, "sub-queries-sent": 102, "other": 9}, cold)
 	b, _ := startInstance(t, "b", 7, totals{"queries-partial": 2}, encoder.TargetStatus{Target: "t-down", State: "warm"})
 	c, _ := startInstance(t, "c", 6, totals{"invariants-violated": 1}, down)
 
 	r := run(nil, "status", "--instances", a+","+b)
 	assert.Equal(t, r.code, commander.ExitSuccess, "%s", r.out)
-	for _, text := range []string{"HEALTHY", "generation 7, digest d, for up to 1m30s, on a, b", "cold      t-cold", "t-cold: 1 of 1 in flight, 3 queued", "queries-partial  3"} {
+	for _, text := range []string{"HEALTHY", "generation 7, digest d, for up to 1m30s, on a, b", "cold      t-cold", "t-cold: 1 of 1 in flight, 3 queued", "complete answers: 62.500 % of 8", "extra load: 1.0200", "queries-partial     3"} {
 		assert.Assert(t, strings.Contains(r.out, text), "%s", r.out)
 	}
 	assert.Assert(t, !strings.Contains(r.out, "other"))
--- a/internal/operator/commander/status.go
+++ b/internal/operator/commander/status.go
@@ -17,7 +17,15 @@
 const maxRows = 12
 
 // shownCounters are parts of the names of the counters that describe coverage, extra load and refused work.
-var shownCounters = []string{"coverage", "partial", "extra", "hedge", "retr", "budget", "sub-quer", "shed", "not-run", "unknown", "violat"}
+var shownCounters = []string{"coverage", "partial", "complete", "restarted", "extra", "hedge", "retr", "budget", "sub-quer", "shed", "not-run", "unknown", "violat"}
+
+// Counters from which the share of complete answers and the extra load are computed.
+const (
+	counterComplete = "queries-complete"
+	counterPartial  = "queries-partial"
+	counterNeeded   = "sub-queries-needed"
+	counterSent     = "sub-queries-sent"
+)
 
 func newStatusCommand(now func() time.Time) *cli.Command {
 	return &cli.Command{
@@ -130,6 +138,12 @@
 
 func (s *screen) counters(h health) {
 	s.line("\nCOVERAGE AND EXTRA LOAD  since each instance started")
+	if answers := h.Counters[counterComplete] + h.Counters[counterPartial]; answers > 0 {
+		s.line("  complete answers: %.3f %% of %d", 100*float64(h.Counters[counterComplete])/float64(answers), answers)
+	}
+	if needed := h.Counters[counterNeeded]; needed > 0 {
+		s.line("  extra load: %.4f sub-queries sent per sub-query needed", float64(h.Counters[counterSent])/float64(needed))
+	}
 	var shown []string
 	for _, name := range slices.Sorted(maps.Keys(h.Counters)) {
 		if slices.ContainsFunc(shownCounters, func(part string) bool { return strings.Contains(name, part) }) {
