Do not report leaving instances as failures in status

Cause: an instance that the member list names as leaving may already be gone, and a planned restart showed as unhealthy. Ruled out: leaving such instances out of the list, because they still hold the events of their shutdown. Change: the collector marks them, and status lists them as unanswered without a reason.

--- a/internal/operator/collector/collector.go
+++ b/internal/operator/collector/collector.go
@@ -28,6 +28,8 @@
 	Name string
 	// AdminAddress is an IP address and port.
 	AdminAddress string
+	// Leaving is set if the platform lists the instance as leaving, so that it may be gone.
+	Leaving bool
 }
 
 // String returns the name with the address.
@@ -107,7 +109,8 @@
 	}
 	var instances []Instance
 	for _, n := range slices.Concat(members.Instances(), members.Leaving()) {
-		instances = append(instances, Instance{Name: n.Name, AdminAddress: n.AdminAddress})
+		leaving := n.State == encoder.MemberInstanceStateLeaving
+		instances = append(instances, Instance{Name: n.Name, AdminAddress: n.AdminAddress, Leaving: leaving})
 	}
 	return instances, nil
 }
--- a/internal/operator/commander/commander_test.go
+++ b/internal/operator/commander/commander_test.go
@@ -256,7 +256,22 @@
 	assert.Equal(t, run(nil, "status").code, commander.ExitUsage)
 }
 
-// Two instances with different manifests and a time line without the missing instances would mislead an operator.
+// A planned restart must not be reported as a failure, and the member list must name the instances to ask.
+func TestStatusAllowsLeavingInstances(t *testing.T) {
+	a, _ := startInstance(t, "a", 7, nil)
+	list := encoder.MemberList{Targets: []encoder.MemberTarget{}, Instances: []encoder.MemberInstance{
+		{Name: "a", FailureDomain: "west", PeerAddress: a, AdminAddress: a, State: "live"},
+		{Name: "b", FailureDomain: "west", PeerAddress: "127.0.0.1:1", AdminAddress: "127.0.0.1:1", State: "leaving"},
+	}}
+	platform := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(encoder.Encode(list)) }))
+	defer platform.Close()
+	r := run(nil, "status", "--platform", platform.Listener.Addr().String())
+	assert.Equal(t, r.code, commander.ExitSuccess, "%s", r.out)
+	assert.Assert(t, strings.Contains(r.out, "1 of 2 instances answered"))
+	assert.Equal(t, run(nil, "status", "--platform", "127.0.0.1:1").code, commander.ExitFailed)
+}
+
+// A time line without the instances that did not answer would mislead an operator.
 func TestTimeline(t *testing.T) {
 	a, ra := startInstance(t, "a", 7, nil)
 	b, rb := startInstance(t, "b", 7, nil)
--- a/internal/operator/commander/health.go
+++ b/internal/operator/commander/health.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 
@@ -14,6 +15,9 @@
 // is answered after its wait time at the latest, which is well below a minute.
 const platformSilenceMs = 60_000
 
+// memberLeaving is the state of an instance that is expected to become unreachable.
+const memberLeaving = string(encoder.MemberInstanceStateLeaving)
+
 // States of a target in a status reply, the most severe first. Targets in other states are healthy.
 const (
 	targetDown     = "down"
@@ -77,7 +81,9 @@
 	}
 	for _, f := range statuses.Failures {
 		h.Unanswered = append(h.Unanswered, unanswered{Instance: f.Instance.Name, AdminAddress: f.Instance.AdminAddress, Cause: f.Cause.Error()})
-		h.blame("instance %s did not answer: %v", f.Instance, f.Cause)
+		if !f.Instance.Leaving {
+			h.blame("instance %s did not answer: %v", f.Instance, f.Cause)
+		}
 	}
 	h.judgeInstances()
 	h.judgeConfiguration()
@@ -97,7 +103,7 @@
 			h.blame("instance %s is not ready", s.Instance)
 		}
 		for _, m := range s.Members {
-			if !m.Reachable && m.Instance != s.Instance {
+			if !m.Reachable && m.Instance != s.Instance && m.State != memberLeaving {
 				h.blame("instance %s cannot reach instance %s (%s)", s.Instance, m.Instance, m.State)
 			}
 		}
@@ -124,7 +130,8 @@
 }
 
 func (h *health) judgeCounters() {
-	for name, value := range h.Counters {
+	for _, name := range slices.Sorted(maps.Keys(h.Counters)) {
+		value := h.Counters[name]
 		if value > 0 && strings.Contains(name, "violat") {
 			h.blame("counter %s is %d: an invariant was violated", name, value)
 		}
--- a/internal/operator/commander/status.go
+++ b/internal/operator/commander/status.go
@@ -36,8 +36,8 @@
 and the counters of coverage and extra load, added up over the instances.
 
 Unhealthy means that an instance does not answer, is not ready or cannot reach another one, that instances use
-different manifests, that a target is down, that the platform is silent, or that an invariant was violated. The exit
-code is then 4. --json prints everything that the instances reported.
+different manifests, that a target is down, that the platform has answered no instance for a minute, or that an
+invariant was violated. The exit code is then 4. An instance that is listed as leaving may be gone. --json prints everything that the instances reported.
 
 Examples:
   apricotflow status --platform 127.0.0.1:7900
@@ -118,7 +118,7 @@
 	}
 	texts := make([]string, 0, len(states))
 	for _, state := range slices.Sorted(maps.Keys(states)) {
-		texts = append(texts, fmt.Sprintf("%d %s", states[state], printable(state)))
+		texts = append(texts, fmt.Sprintf("%d %s", states[state], orDash(state)))
 	}
 	s.line("\nTARGETS  %d owned: %s", len(h.Targets), strings.Join(texts, ", "))
 	affected := slices.DeleteFunc(slices.Clone(h.Targets), func(t targetHealth) bool { return severity(t.State) == len(targetSeverity) })
