Add load driver, manifests, launcher and demo of the stand-ins

Cause: the product's tests need whole deployments as processes, load that verifies each answer, and one command that shows both deployments. Change: deployer generates the two deployments at any scale; launcher starts platform, targets, instances and links and publishes changes; driver sends open-loop load and recomputes answers; demonstrator and make demo. Ruled out: one member list for each failure domain to separate link directions, because instances exchange the list among themselves; links find the source of a connection by its socket instead. Conclusion: demo is not run against the product, which does not exist yet.

--- a/Makefile
+++ b/Makefile
@@ -22,3 +22,6 @@
 
 test: lint build
 	go test -race -timeout 15m ./...
+
+demo: build
+	bin/standin demo
--- /dev/null
+++ b/internal/standin/driver/verify.go
@@ -0,0 +1,148 @@
+package driver
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+
+	"apricotflow/internal/standin/hasher"
+	"apricotflow/internal/wire/encoder"
+)
+
+// shardMaps hold the shards of every version that any manifest has listed.
+type shardMaps struct {
+	mu     sync.Mutex
+	shards map[encoder.HeldVersion]map[string]encoder.Shard
+	// keyed holds the shard that answered for each key of a version.
+	keyed map[keyedShard]string
+}
+
+type keyedShard struct {
+	version encoder.HeldVersion
+	key     string
+}
+
+func newShardMaps() *shardMaps {
+	return &shardMaps{
+		shards: make(map[encoder.HeldVersion]map[string]encoder.Shard),
+		keyed:  make(map[keyedShard]string),
+	}
+}
+
+func (s *shardMaps) add(m encoder.Manifest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, x := range m.Indexes {
+		for _, v := range x.Versions {
+			shards := make(map[string]encoder.Shard, len(v.Shards))
+			for _, shard := range v.Shards {
+				shards[shard.Name] = shard
+			}
+			s.shards[encoder.HeldVersion{Index: x.Name, Version: v.Version}] = shards
+		}
+	}
+}
+
+// needed returns the number of sub-queries that a query needs; reply may be nil.
+func (s *shardMaps) needed(n intent, reply *encoder.QueryReply) int {
+	if reply != nil {
+		return reply.Coverage.Shards
+	}
+	if n.class.Routing == encoder.QueryClassRoutingKey {
+		return 1
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	newest, count := 0, 0
+	for v, shards := range s.shards {
+		if v.Index == n.class.Index && v.Version > newest {
+			newest, count = v.Version, len(shards)
+		}
+	}
+	return count
+}
+
+// verification collects the violations of one answer.
+type verification struct {
+	query      string
+	violations []Violation
+}
+
+func (v *verification) expect(ok bool, kind, format string, arguments ...any) {
+	if !ok {
+		v.violations = append(v.violations, Violation{Kind: kind, Detail: v.query + ": " + fmt.Sprintf(format, arguments...)})
+	}
+}
+
+// verify recomputes an answer from its snapshot and the shards that it does not report as missing.
+func (s *shardMaps) verify(n intent, r encoder.QueryReply) []Violation {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v := &verification{query: fmt.Sprintf("%s from %s (%s)", r.Query, r.Instance, n.class.Name)}
+	version := encoder.HeldVersion{Index: r.Snapshot.Index, Version: r.Snapshot.Version}
+	shards, found := s.shards[version]
+	v.expect(found && version.Index == n.class.Index, "unknown-snapshot", "%+v", r.Snapshot)
+	if len(v.violations) > 0 {
+		return v.violations
+	}
+	if n.class.Routing == encoder.QueryClassRoutingKey {
+		shards = s.keyedMap(v, n, version, shards, r)
+	}
+	answered := answeredShards(v, shards, r)
+	checkCoverage(v, shards, answered, r)
+	checkHits(v, n, version, answered, r)
+	return v.violations
+}
+
+// keyedMap returns the one shard that a keyed query was sent to, by its hits or its missing shard.
+func (s *shardMaps) keyedMap(
+	v *verification, n intent, version encoder.HeldVersion, shards map[string]encoder.Shard, r encoder.QueryReply,
+) map[string]encoder.Shard {
+	name := ""
+	if len(r.Missing) > 0 {
+		name = r.Missing[0].Shard
+	}
+	if len(r.Hits) > 0 {
+		name = r.Hits[0].Shard
+	}
+	shard, found := shards[name]
+	v.expect(found, "unknown-shard", "shard %q", name)
+	known, seen := s.keyed[keyedShard{version, n.key}]
+	v.expect(!seen || known == name, "key-moved", "%q in shard %s and %s of one version", n.key, known, name)
+	s.keyed[keyedShard{version, n.key}] = name
+	return map[string]encoder.Shard{name: shard}
+}
+
+func answeredShards(v *verification, shards map[string]encoder.Shard, r encoder.QueryReply) []string {
+	missing := make(map[string]bool)
+	for _, m := range r.Missing {
+		_, found := shards[m.Shard]
+		v.expect(found && !missing[m.Shard], "false-coverage", "missing shard %q is unknown or listed twice", m.Shard)
+		missing[m.Shard] = true
+	}
+	var answered []string
+	for name := range shards {
+		if !missing[name] {
+			answered = append(answered, name)
+		}
+	}
+	return answered
+}
+
+func checkCoverage(v *verification, shards map[string]encoder.Shard, answered []string, r encoder.QueryReply) {
+	want := encoder.Coverage{Shards: len(shards), ShardsAnswered: len(answered)}
+	for _, s := range shards {
+		want.Documents += s.Documents
+	}
+	for _, name := range answered {
+		want.DocumentsAnswered += shards[name].Documents
+	}
+	v.expect(r.Coverage == want, "false-coverage", "%+v instead of %+v", r.Coverage, want)
+	complete := r.Outcome == encoder.QueryOutcomeComplete
+	v.expect(complete == (len(r.Missing) == 0), "false-outcome", "%s with %d missing shards", r.Outcome, len(r.Missing))
+}
+
+func checkHits(v *verification, n intent, version encoder.HeldVersion, answered []string, r encoder.QueryReply) {
+	want := hasher.Merge(version.Index, version.Version, answered, n.text, hitLimit)
+	v.expect(slices.Equal(r.Hits, want), "false-hits", "%v instead of %v", r.Hits, want)
+}
--- a/internal/standin/forwarder/forwarder_test.go
+++ b/internal/standin/forwarder/forwarder_test.go
@@ -61,7 +61,13 @@
 	assert.NilError(t, echo(t, open, time.Second))
 	f.Control(forwarder.Control{Mode: forwarder.ModeCut})
 	assert.Assert(t, echo(t, open, time.Second) != nil)
-	assert.Assert(t, echo(t, dial(t, f), time.Second) != nil)
+	// The reset may arrive before the dial returns.
+	late, err := net.Dial("tcp", f.Address())
+	if err == nil {
+		defer func() { _ = late.Close() }()
+		err = echo(t, late, time.Second)
+	}
+	assert.Assert(t, err != nil)
 	f.Control(forwarder.Control{Mode: forwarder.ModeNormal})
 	assert.NilError(t, echo(t, dial(t, f), time.Second))
 }
--- /dev/null
+++ b/internal/standin/launcher/launcher_test.go
@@ -0,0 +1,220 @@
+package launcher_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"os/signal"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"apricotflow/internal/standin/commander"
+	"apricotflow/internal/standin/deployer"
+	"apricotflow/internal/standin/forwarder"
+	"apricotflow/internal/standin/launcher"
+	"apricotflow/internal/standin/replier"
+	"apricotflow/internal/standin/responder"
+	"apricotflow/internal/wire/encoder"
+)
+
+// childVariable makes the test program act as the programs that a launcher starts.
+const childVariable = "APRICOTFLOW_TEST_CHILD"
+
+// directoryVariable names the directory of the deployment that the test program starts as a parent.
+const directoryVariable = "APRICOTFLOW_TEST_DIRECTORY"
+
+func TestMain(m *testing.M) {
+	switch {
+	case os.Getenv(childVariable) == "":
+		os.Exit(m.Run())
+	case os.Args[1] == "serve":
+		serve(os.Args[3])
+	case os.Args[1] == "parent":
+		parent()
+	default:
+		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+		defer stop()
+		if err := commander.New().Run(ctx, os.Args); err != nil {
+			panic(err)
+		}
+	}
+}
+
+// serve acts as an instance: it is ready at once, and its admin address proxies a report of the first target.
+func serve(file string) {
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		panic(err)
+	}
+	s, err := encoder.Decode[encoder.Settings](raw)
+	if err != nil {
+		panic(err)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	defer stop()
+	router := http.NewServeMux()
+	router.HandleFunc("/v1/ready", func(http.ResponseWriter, *http.Request) {})
+	router.HandleFunc("/v1/reach", func(w http.ResponseWriter, r *http.Request) {
+		ctx, stop := context.WithTimeout(r.Context(), 500*time.Millisecond)
+		defer stop()
+		if _, err := replier.Get[any](ctx, "http://"+r.URL.Query().Get("address")+"/v1/report"); err != nil {
+			http.Error(w, err.Error(), http.StatusBadGateway)
+		}
+	})
+	l, err := net.Listen("tcp", s.CallerAddress)
+	if err != nil {
+		panic(err)
+	}
+	replier.Serve(l, &http.Server{Handler: router})
+	<-ctx.Done()
+}
+
+// parent starts a deployment, prints the platform's address and waits to be killed.
+func parent() {
+	s := settings(0)
+	s.Directory = os.Getenv(directoryVariable)
+	l, err := launcher.Start(context.Background(), s)
+	if err != nil {
+		panic(err)
+	}
+	_, _ = os.Stdout.WriteString(l.Platform() + "\n")
+	select {}
+}
+
+func settings(instances int) launcher.Settings {
+	plan, err := deployer.New(deployer.DarEsSalaam, 30, launcher.FreeAddress)
+	if err != nil {
+		panic(err)
+	}
+	own, err := os.Executable()
+	if err != nil {
+		panic(err)
+	}
+	return launcher.Settings{
+		Standin: own, Apricotflow: own, Environment: []string{childVariable + "=1"}, Plan: plan, Instances: instances,
+	}
+}
+
+func start(t *testing.T, s launcher.Settings) *launcher.Launcher {
+	t.Helper()
+	l, err := launcher.Start(t.Context(), s)
+	assert.NilError(t, err)
+	t.Cleanup(l.Close)
+	assert.NilError(t, l.WaitReady(t.Context(), 10*time.Second))
+	return l
+}
+
+func value[T any](t *testing.T, l *launcher.Launcher, key string) T {
+	t.Helper()
+	v, err := replier.Get[T](t.Context(), "http://"+l.Platform()+"/v1/values/"+key)
+	assert.NilError(t, err)
+	return v
+}
+
+// Guards against changes of manifest or members that do not reach the platform, or versions that no target holds.
+func TestPublishesChanges(t *testing.T) {
+	l := start(t, settings(3))
+	first := l.Manifest().Services[0].Targets[0]
+	assert.NilError(t, l.WithDomain(t.Context(), first.FailureDomain, encoder.FailureDomainStateClosed))
+	assert.NilError(t, l.NewVersion(t.Context(), "buyer-portal"))
+	assert.NilError(t, l.Repartition(t.Context(), "buyer-portal"))
+	assert.NilError(t, l.Leaving(t.Context(), first.Name, true))
+	m := value[encoder.Manifest](t, l, "manifest")
+	assert.Equal(t, m.Generation, 4)
+	assert.Equal(t, m.FailureDomains[0].State, encoder.FailureDomainStateClosed)
+	report, err := replier.Get[encoder.TargetReport](t.Context(), "http://"+first.Address+"/v1/report")
+	assert.NilError(t, err)
+	assert.Assert(t, len(report.Versions) >= 2, "%v", report.Versions)
+	members := value[encoder.MemberList](t, l, "members")
+	assert.Equal(t, len(members.Instances), 3)
+	assert.Equal(t, members.Targets[0].Name, first.Name)
+	code, err := l.RemoveInstance(t.Context(), "instance-2", 10*time.Second)
+	assert.NilError(t, err)
+	assert.Equal(t, code, 0)
+	assert.Equal(t, len(value[encoder.MemberList](t, l, "members").Instances), 2)
+	assert.Equal(t, len(l.Callers()), 2)
+}
+
+// Guards against signals that reach no process, and against a restart at another address.
+func TestControlsProcesses(t *testing.T) {
+	l := start(t, settings(1))
+	target := l.Manifest().Services[0].Targets[0]
+	before, err := l.ControlTarget(t.Context(), target.Name, responder.Control{})
+	assert.NilError(t, err)
+	assert.NilError(t, l.Stop(target.Name))
+	limited, stop := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer stop()
+	_, err = l.ControlTarget(limited, target.Name, responder.Control{})
+	assert.Assert(t, err != nil, "a stopped target must not answer")
+	assert.NilError(t, l.Continue(target.Name))
+	_, err = l.ControlTarget(t.Context(), target.Name, responder.Control{})
+	assert.NilError(t, err)
+	assert.NilError(t, l.Kill(target.Name))
+	assert.NilError(t, l.Restart(target.Name))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		after, err := l.ControlTarget(t.Context(), target.Name, responder.Control{})
+		if err != nil || after.Incarnation == before.Incarnation {
+			return poll.Continue("no new incarnation: %v", err)
+		}
+		return poll.Success()
+	})
+}
+
+// Guards against a partition that stops other domains, or that leaves the two domains connected.
+func TestPartition(t *testing.T) {
+	s := settings(3)
+	s.Links = true
+	l := start(t, s)
+	target := l.Manifest().Services[0].Targets[0]
+	reach := func(domain string) bool {
+		for _, n := range l.Instances() {
+			if n.FailureDomain == domain {
+				_, err := replier.Get[any](t.Context(), "http://"+n.Caller+"/v1/reach?address="+target.Address)
+				return err == nil
+			}
+		}
+		t.Fatalf("no instance in %s", domain)
+		return false
+	}
+	near, far, third := "dar-es-salaam-a", "dar-es-salaam-b", "dar-es-salaam-c"
+	assert.Equal(t, target.FailureDomain, near)
+	assert.Assert(t, reach(near) && reach(far) && reach(third))
+	l.Partition(near, far, forwarder.ModeSilentAll)
+	assert.Assert(t, reach(near))
+	assert.Assert(t, !reach(far))
+	assert.Assert(t, reach(third))
+	l.Partition(near, far, forwarder.ModeNormal)
+	assert.Assert(t, reach(far))
+}
+
+// Guards against children that survive the process that started them.
+func TestChildrenEndWithParent(t *testing.T) {
+	own, err := os.Executable()
+	assert.NilError(t, err)
+	command := exec.Command(own, "parent")
+	command.Env = append(os.Environ(), childVariable+"=1", directoryVariable+"="+t.TempDir())
+	out, err := command.StdoutPipe()
+	assert.NilError(t, err)
+	assert.NilError(t, command.Start())
+	buffer := make([]byte, 100)
+	n, err := out.Read(buffer)
+	assert.NilError(t, err)
+	address := strings.TrimSpace(string(buffer[:n]))
+	_, err = replier.Get[any](t.Context(), "http://"+address+"/v1/statistics")
+	assert.NilError(t, err)
+	assert.NilError(t, command.Process.Kill())
+	_ = command.Wait()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if _, err := net.DialTimeout("tcp", address, time.Second); err != nil {
+			return poll.Success()
+		}
+		return poll.Continue("the platform at %s still listens", address)
+	})
+}
--- /dev/null
+++ b/internal/standin/launcher/process.go
@@ -0,0 +1,133 @@
+// Package launcher starts the processes of a whole deployment on loopback ports and controls them.
+package launcher
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"os/exec"
+	"runtime"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Ports are taken below the ephemeral range, so that no outgoing connection takes one between the choice and the
+// listen call.
+const firstPort, lastPort = 20000, 32000
+
+// reserved holds the addresses given out by this process.
+var reserved sync.Map
+
+// FreeAddress returns a loopback address that nothing listens on and that this process has not returned before.
+func FreeAddress() string {
+	for {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		if _, taken := reserved.LoadOrStore(address, true); taken {
+			continue
+		}
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		return address
+	}
+}
+
+// UnknownProcessError reports a name that the launcher has not started.
+type UnknownProcessError struct {
+	Name string
+}
+
+func (e *UnknownProcessError) Error() string {
+	return fmt.Sprintf("launcher: no process %q", e.Name)
+}
+
+// ExitTimeoutError reports a process that is still running.
+type ExitTimeoutError struct {
+	Name string
+	Wait time.Duration
+}
+
+func (e *ExitTimeoutError) Error() string {
+	return fmt.Sprintf("launcher: %s still runs after %s", e.Name, e.Wait)
+}
+
+// process is a child process with its output in a file.
+type process struct {
+	name    string
+	domain  string
+	command *exec.Cmd
+	exited  chan struct{}
+}
+
+// starts carries the start calls to one locked thread: the kernel sends the parent-death signal when the thread
+// that started the child ends, and Go may end an unlocked thread at any time.
+var starts = sync.OnceValue(func() chan func() {
+	calls := make(chan func())
+	go func() {
+		runtime.LockOSThread()
+		for call := range calls {
+			call()
+		}
+	}()
+	return calls
+})
+
+// startProcess runs a program whose output goes to a file; it is killed when this process ends.
+func startProcess(name, domain, output, program string, arguments, environment []string) (*process, error) {
+	file, err := os.OpenFile(output, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("launcher: output of %s: %w", name, err)
+	}
+	defer func() { _ = file.Close() }()
+	p := &process{name: name, domain: domain, command: exec.Command(program, arguments...), exited: make(chan struct{})}
+	p.command.Stdout, p.command.Stderr = file, file
+	p.command.Env = append(os.Environ(), environment...)
+	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	started := make(chan error)
+	starts() <- func() { started <- p.command.Start() }
+	if err := <-started; err != nil {
+		return nil, fmt.Errorf("launcher: start %s: %w", name, err)
+	}
+	go func() {
+		_ = p.command.Wait()
+		close(p.exited)
+	}()
+	return p, nil
+}
+
+func (p *process) pid() int {
+	return p.command.Process.Pid
+}
+
+// signal fails after the process has exited, so that it never reaches another process with the same id.
+func (p *process) signal(s os.Signal) error {
+	if err := p.command.Process.Signal(s); err != nil {
+		return fmt.Errorf("launcher: signal %s: %w", p.name, err)
+	}
+	return nil
+}
+
+// kill ends the process and waits for it.
+func (p *process) kill() error {
+	err := p.signal(syscall.SIGKILL)
+	<-p.exited
+	if errors.Is(err, os.ErrProcessDone) {
+		return nil
+	}
+	return err
+}
+
+// wait returns the exit code, or -1 after a signal.
+func (p *process) wait(limit time.Duration) (int, error) {
+	select {
+	case <-p.exited:
+		return p.command.ProcessState.ExitCode(), nil
+	case <-time.After(limit):
+		return 0, &ExitTimeoutError{Name: p.name, Wait: limit}
+	}
+}
