Verify the demo end to end and fail early when an instance exits

Cause: the demo had no run behind it, and waited 30 s for an instance that had already exited. The load driver knew only the versions of its first manifest, so answers after a new version would have been violations.

Ruled out: a deliberately slow start as the cause of the failing demo; the product's main is still empty and exits with code 0. Conclusion: make demo fails until the product serves; that is intended.

--- a/internal/standin/demonstrator/demonstrator.go
+++ b/internal/standin/demonstrator/demonstrator.go
@@ -84,7 +84,7 @@
 		return driver.Result{}, err
 	}
 	return driver.New(driver.Settings{
-		Manifest: l.Manifest(), Entries: l.Callers(), Targets: l.Controls(), Admins: l.Admins(),
+		Manifest: l.Manifest(), Newest: l.Manifest, Entries: l.Callers(), Targets: l.Controls(), Admins: l.Admins(),
 		Rate: s.Rate, Duration: s.Duration, Seed: s.Seed, ResendPercent: resendPercent, Latency: plan.ClientLatency,
 	}).Run(ctx), nil
 }
--- a/internal/standin/driver/result.go
+++ b/internal/standin/driver/result.go
@@ -39,6 +39,8 @@
 	CoverageMean    float64                      `json:"coverage-mean"`
 	CoverageMinimum float64                      `json:"coverage-minimum"`
 	Outcomes        map[encoder.QueryOutcome]int `json:"outcomes"`
+	// Late counts queries without a reply within the deadline of their class.
+	Late int `json:"late"`
 	// Codes counts error replies by code.
 	Codes   map[string]int         `json:"codes"`
 	Classes map[string]ClassResult `json:"classes"`
--- a/internal/standin/driver/verify.go
+++ b/internal/standin/driver/verify.go
@@ -43,6 +43,13 @@
 	}
 }
 
+func (s *shardMaps) known(snapshot encoder.Snapshot) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, found := s.shards[encoder.HeldVersion{Index: snapshot.Index, Version: snapshot.Version}]
+	return found
+}
+
 // needed returns the number of sub-queries that a query needs; reply may be nil.
 func (s *shardMaps) needed(n intent, reply *encoder.QueryReply) int {
 	if reply != nil {
--- a/internal/standin/launcher/process.go
+++ b/internal/standin/launcher/process.go
@@ -46,6 +46,15 @@
 	return fmt.Sprintf("launcher: no process %q", e.Name)
 }
 
+// ExitedError reports a process that ended before it was ready.
+type ExitedError struct {
+	Name string
+}
+
+func (e *ExitedError) Error() string {
+	return fmt.Sprintf("launcher: %s has exited", e.Name)
+}
+
 // ExitTimeoutError reports a process that is still running.
 type ExitTimeoutError struct {
 	Name string
@@ -124,6 +133,11 @@
 
 // wait returns the exit code, or -1 after a signal.
 func (p *process) wait(limit time.Duration) (int, error) {
+	select {
+	case <-p.exited:
+		return p.command.ProcessState.ExitCode(), nil
+	default:
+	}
 	select {
 	case <-p.exited:
 		return p.command.ProcessState.ExitCode(), nil
--- a/internal/standin/responder/responder.go
+++ b/internal/standin/responder/responder.go
@@ -60,7 +60,7 @@
 	HangNone Hang = "none"
 	// HangOpen silences the connections that are open now for good; new ones work.
 	HangOpen Hang = "open"
-	// HangAll silences all connections with a request until it is set to another value.
+	// HangAll silences every connection that has a request while it is set; such a connection stays silent.
 	HangAll Hang = "all"
 )
 
