Let the launcher restart the platform

Cause: tests of an unavailable platform kill its process, and the launcher could start only targets and instances again. Change: Restart takes a context, starts the platform at its address and publishes manifest and member list again. Ruled out: keeping values in a file of the platform; the launcher holds them. Conclusion: the launcher can start, kill and restart every process.

--- a/internal/standin/launcher/launcher.go
+++ b/internal/standin/launcher/launcher.go
@@ -111,10 +111,7 @@
 
 func (l *Launcher) startAll(ctx context.Context) error {
 	l.platform = FreeAddress()
-	if err := l.run(PlatformName, "", l.settings.Standin, "platform", "--address", l.platform); err != nil {
-		return err
-	}
-	if err := l.await(ctx, startLimit, func() bool { return answers(ctx, l.platform, "/v1/statistics") }); err != nil {
+	if err := l.startPlatform(ctx); err != nil {
 		return err
 	}
 	if err := l.startTargets(ctx); err != nil {
@@ -131,6 +128,13 @@
 	return nil
 }
 
+func (l *Launcher) startPlatform(ctx context.Context) error {
+	if err := l.run(PlatformName, "", l.settings.Standin, "platform", "--address", l.platform); err != nil {
+		return err
+	}
+	return l.await(ctx, startLimit, func() bool { return answers(ctx, l.platform, "/v1/statistics") })
+}
+
 func (l *Launcher) startTargets(ctx context.Context) error {
 	m, err := encoder.Decode[encoder.Manifest](encoder.Encode(l.manifest))
 	if err != nil {
@@ -273,8 +277,11 @@
 	})
 }
 
-// Restart starts a target or an instance again, at the same addresses, after it has exited.
-func (l *Launcher) Restart(name string) error {
+// Restart starts a process again, at the same addresses, after it has exited. The platform gets its values back.
+func (l *Launcher) Restart(ctx context.Context, name string) error {
+	if name == PlatformName {
+		return errors.Join(l.startPlatform(ctx), l.publish(ctx))
+	}
 	l.mu.Lock()
 	n, found := l.instances[name]
 	l.mu.Unlock()
--- a/internal/standin/launcher/launcher_test.go
+++ b/internal/standin/launcher/launcher_test.go
@@ -167,7 +167,7 @@
 	_, err = l.ControlTarget(t.Context(), target.Name, responder.Control{})
 	assert.NilError(t, err)
 	assert.NilError(t, l.Kill(target.Name))
-	assert.NilError(t, l.Restart(target.Name))
+	assert.NilError(t, l.Restart(t.Context(), target.Name))
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		after, err := l.ControlTarget(t.Context(), target.Name, responder.Control{})
 		if err != nil || after.Incarnation == before.Incarnation {
@@ -177,6 +177,15 @@
 	})
 }
 
+// Guards against a platform that loses its values with a restart.
+func TestRestartsPlatform(t *testing.T) {
+	l := start(t, settings(0))
+	assert.NilError(t, l.Kill(launcher.PlatformName))
+	assert.Assert(t, l.NewVersion(t.Context(), "payments") != nil, "a dead platform takes no values")
+	assert.NilError(t, l.Restart(t.Context(), launcher.PlatformName))
+	assert.Equal(t, value[encoder.Manifest](t, l, "manifest").Generation, 2)
+}
+
 // Guards against a partition that stops other domains, or that leaves the two domains connected.
 func TestPartition(t *testing.T) {
 	s := settings(3)
