--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 .PHONY: build tools generate format lint test demo bench soak
 
 build:
-	go build -o bin/ . ./cmd/standin
+	go build -o out/ . ./cmd/standin
 
 tools:
 	./tools/install
@@ -22,3 +22,6 @@
 
 test: lint build
 	go test -race -timeout 15m ./...
+
+demo: build
+	out/standin demo
