--- /dev/null
+++ b/internal/target/connector/connector.go
@@ -0,0 +1,483 @@
+// Package connector holds the connections to one target, each bound to an incarnation, and sends sub-queries on them.
+package connector
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
+
+	"apricotflow/internal/operator/recorder"
+	"apricotflow/internal/wire/encoder"
+)
+
+const (
+	// idleTimeout is how long an unused connection is kept.
+	idleTimeout = 30 * time.Second
+	// openTimeout bounds a new connection with its first report; a target needs about 6 ms.
+	openTimeout = 500 * time.Millisecond
+	// controlTimeout bounds a report or cancellation.
+	controlTimeout = 500 * time.Millisecond
+	// cancelTimeout is how long a cancelled attempt may take to reply before its connection is closed.
+	cancelTimeout = 50 * time.Millisecond
+	// probeMin and probeMax bound the backoff of the probes of a target that is down.
+	probeMin = 50 * time.Millisecond
+	probeMax = 2 * time.Second
+	// openAttempts is the number of new connections that must fail before a target is down.
+	openAttempts = 2
+)
+
+// Events records changes of state.
+type Events interface {
+	Record(kind recorder.Kind, subject, query, detail string)
+}
+
+// Option changes a connector.
+type Option func(*Connector)
+
+// WithLogger sets the logger for changes of state.
+func WithLogger(logger *log.Logger) Option {
+	return func(c *Connector) { c.logger = logger }
+}
+
+// WithScope sets the scope for counters.
+func WithScope(scope tally.Scope) Option {
+	return func(c *Connector) { c.scope = scope }
+}
+
+// WithOnReset sets a function that is called when the other side ends a connection.
+func WithOnReset(f func(incarnation string)) Option {
+	return func(c *Connector) { c.onReset = f }
+}
+
+// Connector opens and keeps the connections to one target.
+type Connector struct {
+	target  string
+	events  Events
+	logger  *log.Logger
+	scope   tally.Scope
+	onReset func(incarnation string)
+	// ctx ends when the connector is closed.
+	ctx    context.Context
+	cancel context.CancelFunc
+	tasks  sync.WaitGroup
+
+	mu      sync.Mutex
+	address string
+	// share bounds the connections for sub-queries: open and being opened.
+	share int
+	// open counts connections for sub-queries, including those being opened.
+	open    int
+	opening int
+	// generation rises when all idle connections are dropped; older connections are not kept on release.
+	generation int
+	// known holds every usable connection for sub-queries with its generation.
+	known map[*Connection]int
+	idle  []*Connection
+	// changed is closed and replaced when a waiter may go on.
+	changed chan struct{}
+	down    bool
+	cause   error
+	closed  bool
+
+	// control is the connection for control requests, protected by mu; controlMu is held during one of them.
+	control   *Connection
+	controlMu sync.Mutex
+}
+
+// New creates a connector without connections; SetShare allows them.
+func New(target, address string, events Events, opts ...Option) *Connector {
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &Connector{
+		target: target, address: address, events: events, scope: tally.NoopScope,
+		logger: log.New(io.Discard), onReset: func(string) {}, ctx: ctx, cancel: cancel,
+		known: make(map[*Connection]int), changed: make(chan struct{}),
+	}
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
+}
+
+// Configure sets the address and the share of slots; a changed address drops the idle connections.
+func (c *Connector) Configure(address string, share int) {
+	c.mu.Lock()
+	c.share = share
+	moved := c.address != address
+	c.address = address
+	c.wake()
+	c.mu.Unlock()
+	if moved {
+		c.dropIdle()
+		c.dropControl()
+	}
+}
+
+// Acquire returns an unused connection, opening one when there is none. Nothing has been sent when it fails.
+func (c *Connector) Acquire(ctx context.Context) (*Connection, error) {
+	for {
+		connection, changed, err := c.take()
+		if connection != nil || err != nil {
+			return connection, err
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// take returns an idle connection, an error, or the channel to wait on.
+func (c *Connector) take() (*Connection, <-chan struct{}, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.closed:
+		return nil, nil, &ClosedError{Target: c.target}
+	case c.down:
+		return nil, nil, &DownError{Target: c.target, Cause: c.cause}
+	}
+	for len(c.idle) > 0 {
+		connection := c.idle[len(c.idle)-1]
+		c.idle = c.idle[:len(c.idle)-1]
+		if !connection.Alive() {
+			continue
+		}
+		c.openAhead()
+		return connection, nil, nil
+	}
+	c.openAhead()
+	return nil, c.changed, nil
+}
+
+// openAhead opens a connection in the background when none is idle or being opened and the share allows it.
+func (c *Connector) openAhead() {
+	if c.closed || c.down || len(c.idle) > 0 || c.opening > 0 || c.open >= c.share {
+		return
+	}
+	c.open++
+	c.opening++
+	c.tasks.Go(c.openOne)
+}
+
+// Prepare opens a connection ahead of need when none is idle.
+func (c *Connector) Prepare() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.openAhead()
+}
+
+func (c *Connector) openOne() {
+	var connection *Connection
+	var err error
+	for range openAttempts {
+		connection, err = c.dial(c.ctx, c.lost)
+		if err == nil {
+			break
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.opening--
+	if err != nil {
+		c.open--
+		c.markDown(err)
+		c.wake()
+		return
+	}
+	if c.closed {
+		c.open--
+		go connection.close()
+		return
+	}
+	c.known[connection] = c.generation
+	c.keep(connection)
+}
+
+// keep adds a connection to the idle ones; a connection that has already ended is forgotten.
+func (c *Connector) keep(connection *Connection) {
+	if !connection.Alive() {
+		c.forget(connection)
+		return
+	}
+	connection.idleSince = time.Now()
+	c.idle = append(c.idle, connection)
+	c.wake()
+}
+
+// forget removes a connection that has ended from the counts, once.
+func (c *Connector) forget(connection *Connection) {
+	if _, found := c.known[connection]; !found {
+		return
+	}
+	delete(c.known, connection)
+	c.open--
+	for i := range c.idle {
+		if c.idle[i] == connection {
+			c.idle = append(c.idle[:i], c.idle[i+1:]...)
+			break
+		}
+	}
+	c.wake()
+}
+
+// lost is called once for every connection for sub-queries that ended.
+func (c *Connector) lost(connection *Connection) {
+	c.mu.Lock()
+	c.forget(connection)
+	c.mu.Unlock()
+	if connection.remote.Load() && connection.Incarnation() != "" {
+		c.scope.Counter("target-connections-reset").Inc(1)
+		c.onReset(connection.Incarnation())
+	}
+}
+
+func (c *Connector) wake() {
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// dial opens a connection and binds it to the incarnation in its first report.
+func (c *Connector) dial(ctx context.Context, onClose func(*Connection)) (*Connection, error) {
+	c.mu.Lock()
+	address := c.address
+	c.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, openTimeout)
+	defer cancel()
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	c.scope.Counter("target-connections-opened").Inc(1)
+	connection := newConnection(conn, onClose)
+	if err := connection.bind(ctx, c.target); err != nil {
+		connection.close()
+		return nil, err
+	}
+	return connection, nil
+}
+
+// Release returns a connection after its sub-query; one that must not be used again is closed.
+func (c *Connector) Release(connection *Connection) {
+	c.mu.Lock()
+	generation, found := c.known[connection]
+	if found && generation == c.generation && c.open <= c.share && !c.closed {
+		c.keep(connection)
+		c.mu.Unlock()
+		return
+	}
+	c.mu.Unlock()
+	connection.close()
+}
+
+// Discard closes a connection from Acquire that leads to an incarnation that has ended.
+func (c *Connector) Discard(connection *Connection) {
+	connection.close()
+}
+
+// Sweep closes connections that have been idle for too long.
+func (c *Connector) Sweep() {
+	c.mu.Lock()
+	var old []*Connection
+	kept := c.idle[:0]
+	for _, connection := range c.idle {
+		if time.Since(connection.idleSince) > idleTimeout || c.open-len(old) > c.share {
+			old = append(old, connection)
+			continue
+		}
+		kept = append(kept, connection)
+	}
+	c.idle = kept
+	c.mu.Unlock()
+	for _, connection := range old {
+		connection.close()
+	}
+}
+
+// Open returns the number of open connections.
+func (c *Connector) Open() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.open
+}
+
+// Down reports whether new connections fail.
+func (c *Connector) Down() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.down
+}
+
+// dropIdle closes all idle connections and keeps no connection opened before now.
+func (c *Connector) dropIdle() {
+	c.mu.Lock()
+	idle := c.idle
+	c.idle = nil
+	c.generation++
+	c.mu.Unlock()
+	for _, connection := range idle {
+		connection.close()
+	}
+}
+
+// handleSilence drops the idle connections and tries a new connection; the target is down when that fails too.
+// It cancels the attempt on the new connection and reports whether that succeeded.
+func (c *Connector) handleSilence(attempt string) bool {
+	c.scope.Counter("target-connections-silent").Inc(1)
+	c.events.Record(recorder.KindConnectionSilent, c.target, "", "attempt "+attempt)
+	c.dropIdle()
+	c.dropControl()
+	var err error
+	for range openAttempts {
+		if err = c.Cancel(c.ctx, []string{attempt}); err == nil {
+			return true
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.markDown(err)
+	c.wake()
+	return false
+}
+
+// markDown starts the probes of a target; the caller holds the mutex.
+func (c *Connector) markDown(cause error) {
+	if c.down || c.closed {
+		return
+	}
+	c.down = true
+	c.cause = cause
+	c.scope.Counter("targets-down").Inc(1)
+	c.events.Record(recorder.KindTargetDown, c.target, "", cause.Error())
+	c.logger.Warn("target is down", "target", c.target, "cause", cause)
+	c.tasks.Go(c.probe)
+}
+
+// probe tries new connections with backoff until one succeeds.
+func (c *Connector) probe() {
+	delay := probeMin
+	for {
+		jittered := delay/2 + rand.N(delay)
+		select {
+		case <-c.ctx.Done():
+			return
+		case <-time.After(jittered):
+		}
+		connection, err := c.dial(c.ctx, nil)
+		if err == nil {
+			connection.close()
+			c.markUp()
+			return
+		}
+		delay = min(delay*2, probeMax)
+	}
+}
+
+func (c *Connector) markUp() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.down = false
+	c.cause = nil
+	c.events.Record(recorder.KindTargetUp, c.target, "", "")
+	c.logger.Info("target is up", "target", c.target)
+	c.openAhead()
+	c.wake()
+}
+
+// Report asks for the report of the target on the control connection.
+func (c *Connector) Report(ctx context.Context) (encoder.TargetReport, error) {
+	var report encoder.TargetReport
+	err := c.withControl(ctx, "report", func(ctx context.Context, connection *Connection) error {
+		var err error
+		report, err = connection.report(ctx, c.target)
+		return err
+	})
+	return report, err
+}
+
+// Cancel tells the target that the results of the attempts no longer matter.
+func (c *Connector) Cancel(ctx context.Context, attempts []string) error {
+	body := encoder.Encode(encoder.CancelRequest{Attempts: attempts})
+	return c.withControl(ctx, "cancel", func(ctx context.Context, connection *Connection) error {
+		_, err := connection.roundTrip(ctx, http.MethodPost, "/v1/cancel", body)
+		return err
+	})
+}
+
+// withControl runs one control request; a failed one costs the connection.
+func (c *Connector) withControl(ctx context.Context, request string, f func(context.Context, *Connection) error) error {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	c.controlMu.Lock()
+	defer c.controlMu.Unlock()
+	if c.ctx.Err() != nil {
+		return &ClosedError{Target: c.target}
+	}
+	connection, err := c.controlConnection(ctx)
+	if err != nil {
+		return &ControlError{Target: c.target, Request: request, Cause: err}
+	}
+	if err := f(ctx, connection); err != nil {
+		connection.close()
+		return &ControlError{Target: c.target, Request: request, Cause: err}
+	}
+	return nil
+}
+
+// controlConnection returns the open control connection or a new one; the caller holds controlMu.
+func (c *Connector) controlConnection(ctx context.Context) (*Connection, error) {
+	c.mu.Lock()
+	connection := c.control
+	c.mu.Unlock()
+	if connection != nil && connection.Alive() {
+		return connection, nil
+	}
+	connection, err := c.dial(ctx, c.lost)
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.control = connection
+	return connection, nil
+}
+
+// dropControl closes the control connection, which ends a request on it.
+func (c *Connector) dropControl() {
+	c.mu.Lock()
+	connection := c.control
+	c.control = nil
+	c.mu.Unlock()
+	if connection != nil {
+		connection.close()
+	}
+}
+
+// Close closes all connections and stops the probes. Callers finish their sub-queries first.
+func (c *Connector) Close() {
+	c.mu.Lock()
+	c.closed = true
+	c.wake()
+	connections := make([]*Connection, 0, len(c.known))
+	for connection := range c.known {
+		connections = append(connections, connection)
+	}
+	c.mu.Unlock()
+	c.cancel()
+	for _, connection := range connections {
+		connection.close()
+	}
+	c.dropControl()
+	c.tasks.Wait()
+	// A control request that was opening its connection may have set it after the first call.
+	c.controlMu.Lock()
+	defer c.controlMu.Unlock()
+	c.dropControl()
+}
--- /dev/null
+++ b/internal/target/dispatcher/dispatcher.go
@@ -0,0 +1,287 @@
+// Package dispatcher runs sub-queries on the targets that this instance owns.
+package dispatcher
+
+import (
+	"context"
+	"io"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
+
+	"apricotflow/internal/manifest/resolver"
+	"apricotflow/internal/operator/checker"
+	"apricotflow/internal/operator/recorder"
+	"apricotflow/internal/target/limiter"
+	"apricotflow/internal/wire/encoder"
+)
+
+// Share is the part of the slots of a target that one owner may use.
+type Share struct {
+	Instance string
+	Slots    int
+	// Rank is 0 for the first owner.
+	Rank int
+}
+
+// Configuration provides the current manifest and member list.
+type Configuration interface {
+	Manifest() *resolver.Manifest
+	Members() *resolver.Members
+}
+
+// Owners returns the owners of a target in order.
+type Owners func(target string) []Share
+
+// Events records changes of state.
+type Events interface {
+	Record(kind recorder.Kind, subject, query, detail string)
+}
+
+// Checks records violated invariants.
+type Checks interface {
+	Check(ok bool, invariant checker.Invariant, subject, detail string) bool
+}
+
+// Option changes a dispatcher.
+type Option func(*Dispatcher)
+
+// WithLogger sets the logger for changes of state.
+func WithLogger(logger *log.Logger) Option {
+	return func(d *Dispatcher) { d.logger = logger }
+}
+
+// WithScope sets the scope for counters.
+func WithScope(scope tally.Scope) Option {
+	return func(d *Dispatcher) { d.scope = scope }
+}
+
+// WithDirect makes this instance the only owner of every target with all of its slots, as a baseline for
+// measurements.
+func WithDirect() Option {
+	return func(d *Dispatcher) { d.direct = true }
+}
+
+// Dispatcher runs sub-queries on owned targets.
+type Dispatcher struct {
+	instance      string
+	configuration Configuration
+	owners        Owners
+	allowance     limiter.Allowance
+	events        Events
+	checks        Checks
+	logger        *log.Logger
+	scope         tally.Scope
+	direct        bool
+	attempts      *attempts
+
+	// closing refuses new sub-queries; inFlight counts those that entered before.
+	closing  atomic.Bool
+	inFlight atomic.Int64
+
+	// mu is held while the entries change; the map itself is replaced as a whole.
+	mu      sync.Mutex
+	entries atomic.Pointer[map[string]*entry]
+	// drained is closed by Close and ends the sweep.
+	drained chan struct{}
+	swept   chan struct{}
+}
+
+// New creates a dispatcher and starts its periodic work, which Close ends.
+func New(instance string, configuration Configuration, owners Owners, allowance limiter.Allowance, events Events, checks Checks, opts ...Option) *Dispatcher {
+	d := &Dispatcher{
+		instance: instance, configuration: configuration, owners: owners, allowance: allowance,
+		events: events, checks: checks, logger: log.New(io.Discard), scope: tally.NoopScope,
+		attempts: newAttempts(), drained: make(chan struct{}), swept: make(chan struct{}),
+	}
+	for _, opt := range opts {
+		opt(d)
+	}
+	d.entries.Store(&map[string]*entry{})
+	go d.sweep()
+	return d
+}
+
+// ownership returns the place of this instance among the owners of the target; its share is 0 for no owner.
+func (d *Dispatcher) ownership(t resolver.Target) limiter.Ownership {
+	own := limiter.Ownership{ColdLimit: t.ColdLimit}
+	if d.direct {
+		own.Share = t.Slots
+		own.First = d.instance
+		return own
+	}
+	shares := d.owners(t.Name)
+	for _, s := range shares {
+		if s.Rank == 0 {
+			own.First = s.Instance
+		}
+		if s.Instance == d.instance {
+			own.Share = s.Slots
+			own.Rank = s.Rank
+		}
+	}
+	return own
+}
+
+// Sync applies the current configuration to the owned targets. It is called after every change, and periodically.
+func (d *Dispatcher) Sync() {
+	m := d.configuration.Manifest()
+	if m == nil || d.closing.Load() {
+		return
+	}
+	members := d.configuration.Members()
+	owned := make(map[string]bool)
+	for _, g := range m.Groups() {
+		for _, name := range g.Targets {
+			t, _ := m.Target(name)
+			own := d.ownership(t)
+			if own.Share == 0 {
+				continue
+			}
+			owned[name] = true
+			if e := d.entry(t, own); e != nil {
+				e.serve(m.Serving(name) && !members.TargetLeaving(name))
+			}
+		}
+	}
+	d.drop(owned)
+}
+
+// entry returns the entry of an owned target with the ownership applied; nil after Close.
+func (d *Dispatcher) entry(t resolver.Target, own limiter.Ownership) *entry {
+	e, found := (*d.entries.Load())[t.Name]
+	if !found {
+		e = d.add(t.Name)
+	}
+	if e != nil {
+		e.configure(t, own)
+	}
+	return e
+}
+
+func (d *Dispatcher) add(target string) *entry {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.closing.Load() {
+		return nil
+	}
+	old := *d.entries.Load()
+	if e, found := old[target]; found {
+		return e
+	}
+	e := d.newEntry(target)
+	next := maps.Clone(old)
+	next[target] = e
+	d.entries.Store(&next)
+	return e
+}
+
+// drop retires the entries that are no longer owned and closes those without sub-queries in flight. A retired
+// entry is kept until then, so that a target that is soon owned again is not sent more than its share.
+func (d *Dispatcher) drop(owned map[string]bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	next := maps.Clone(*d.entries.Load())
+	for name, e := range next {
+		if owned[name] {
+			continue
+		}
+		e.retire()
+		if e.limiter.InFlight() == 0 {
+			delete(next, name)
+			go e.close()
+		}
+	}
+	d.entries.Store(&next)
+}
+
+// sweep applies the configuration periodically and forgets old attempts.
+func (d *Dispatcher) sweep() {
+	defer close(d.swept)
+	for {
+		d.Sync()
+		d.attempts.sweep()
+		select {
+		case <-d.drained:
+			return
+		case <-time.After(refreshInterval):
+		}
+	}
+}
+
+// Facts returns what this instance knows of its targets, for the other owners.
+func (d *Dispatcher) Facts() []encoder.TargetFact {
+	var facts []encoder.TargetFact
+	for _, e := range *d.entries.Load() {
+		facts = append(facts, e.limiter.Facts()...)
+	}
+	return facts
+}
+
+// Learn takes a fact from another instance into account.
+func (d *Dispatcher) Learn(fact encoder.TargetFact, from string) {
+	if e, found := (*d.entries.Load())[fact.Target]; found {
+		e.limiter.Learn(fact, from)
+	}
+}
+
+// Holds reports whether an owned target holds a version, and whether that is known here.
+func (d *Dispatcher) Holds(target, index string, version int) (held, known bool) {
+	e, found := (*d.entries.Load())[target]
+	if !found {
+		return false, false
+	}
+	return e.holds(index, version)
+}
+
+// Statuses returns the owned targets sorted by name.
+func (d *Dispatcher) Statuses() []encoder.TargetStatus {
+	entries := *d.entries.Load()
+	m := d.configuration.Manifest()
+	statuses := make([]encoder.TargetStatus, 0, len(entries))
+	for _, name := range slices.Sorted(maps.Keys(entries)) {
+		s := entries[name].status()
+		if m != nil {
+			t, _ := m.Target(name)
+			s.FailureDomain = t.FailureDomain
+		}
+		statuses = append(statuses, s)
+	}
+	return statuses
+}
+
+// drainPoll is how often Close looks whether the last sub-query has finished.
+const drainPoll = 2 * time.Millisecond
+
+// Close refuses new sub-queries, waits for those in flight until ctx ends, and closes all connections. It returns
+// the error of ctx when sub-queries were still in flight.
+func (d *Dispatcher) Close(ctx context.Context) error {
+	d.closing.Store(true)
+	err := d.drain(ctx)
+	close(d.drained)
+	<-d.swept
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var group sync.WaitGroup
+	for _, e := range *d.entries.Load() {
+		group.Go(e.close)
+	}
+	group.Wait()
+	d.entries.Store(&map[string]*entry{})
+	return err
+}
+
+func (d *Dispatcher) drain(ctx context.Context) error {
+	for d.inFlight.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(drainPoll):
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/target/dispatcher/entry.go
@@ -0,0 +1,136 @@
+package dispatcher
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"apricotflow/internal/manifest/resolver"
+	"apricotflow/internal/target/connector"
+	"apricotflow/internal/target/limiter"
+	"apricotflow/internal/wire/encoder"
+)
+
+// refreshInterval is the mean time between two reports of an owned target.
+const refreshInterval = time.Second
+
+// settings is what the configuration says about an owned target.
+type settings struct {
+	address   string
+	ownership limiter.Ownership
+}
+
+// entry holds what this instance keeps about one owned target.
+type entry struct {
+	target    string
+	connector *connector.Connector
+	limiter   *limiter.Limiter
+	// settings is the latest one applied.
+	settings atomic.Pointer[settings]
+	// serving is whether the configuration allowed new work at the last synchronisation.
+	serving atomic.Bool
+	// report is nil before the first one.
+	report atomic.Pointer[encoder.TargetReport]
+	// stop ends the refresh; stopped is closed after it ended.
+	stop    context.CancelFunc
+	stopped chan struct{}
+}
+
+func (d *Dispatcher) newEntry(target string) *entry {
+	e := &entry{target: target, stopped: make(chan struct{})}
+	e.limiter = limiter.New(target, d.allowance, d.checks, d.events, limiter.WithScope(d.scope))
+	e.connector = connector.New(
+		target, "", d.events, connector.WithLogger(d.logger), connector.WithScope(d.scope),
+		connector.WithOnReset(e.limiter.ConnectionReset),
+	)
+	e.settings.Store(&settings{})
+	e.serving.Store(true)
+	ctx, cancel := context.WithCancel(context.Background())
+	e.stop = cancel
+	go e.refresh(ctx)
+	return e
+}
+
+// configure applies settings that differ from the latest ones.
+func (e *entry) configure(t resolver.Target, ownership limiter.Ownership) {
+	next := settings{address: t.Address, ownership: ownership}
+	if *e.settings.Load() == next {
+		return
+	}
+	e.settings.Store(&next)
+	e.connector.Configure(t.Address, ownership.Share)
+	e.limiter.Configure(ownership)
+}
+
+// retire refuses new sub-queries.
+func (e *entry) retire() {
+	next := *e.settings.Load()
+	next.ownership.Share = 0
+	e.settings.Store(&next)
+	e.connector.Configure(next.address, 0)
+	e.limiter.Configure(next.ownership)
+}
+
+// serve notes whether the configuration allows new work; a target that returns to service is treated as cold.
+func (e *entry) serve(serving bool) {
+	if e.serving.Swap(serving) != serving {
+		e.limiter.ReturnToService()
+	}
+}
+
+// refresh asks for reports until ctx ends. The interval is jittered, so that owners don't ask at the same time.
+func (e *entry) refresh(ctx context.Context) {
+	defer close(e.stopped)
+	for {
+		e.refreshOnce(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(refreshInterval*4/5 + rand.N(refreshInterval*2/5)):
+		}
+	}
+}
+
+func (e *entry) refreshOnce(ctx context.Context) {
+	if e.settings.Load().ownership.Share == 0 || e.connector.Down() {
+		return
+	}
+	e.connector.Sweep()
+	e.connector.Prepare()
+	report, err := e.connector.Report(ctx)
+	if err != nil {
+		return
+	}
+	e.report.Store(&report)
+	e.limiter.Report(report.Incarnation, report.State)
+}
+
+func (e *entry) close() {
+	e.stop()
+	<-e.stopped
+	e.connector.Close()
+}
+
+func (e *entry) status() encoder.TargetStatus {
+	s := e.limiter.Status()
+	s.Connections = e.connector.Open()
+	if e.connector.Down() {
+		s.State = "down"
+	}
+	return s
+}
+
+// holds reports whether the target holds the version, and whether that is known.
+func (e *entry) holds(index string, version int) (held, known bool) {
+	report := e.report.Load()
+	if report == nil {
+		return false, false
+	}
+	for _, v := range report.Versions {
+		if v.Index == index && v.Version == version {
+			return true, true
+		}
+	}
+	return false, true
+}
--- /dev/null
+++ b/internal/target/hedger/window.go
@@ -0,0 +1,77 @@
+package hedger
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	// parts and partLength define the sliding window: its oldest part is dropped as a whole.
+	parts      = 6
+	partLength = 5 * time.Second
+	// lowest and highest bound the latencies in microseconds that are kept apart.
+	lowest  = 1
+	highest = 60_000_000
+	// digits is the precision in significant decimal digits.
+	digits = 2
+	// minSamples is the number of latencies below which a quantile says little.
+	minSamples = 20
+	// cacheLength is how long a computed quantile is used.
+	cacheLength = 100 * time.Millisecond
+)
+
+// window holds the latencies of one query class over the sliding window.
+type window struct {
+	mu        sync.Mutex
+	histogram *hdrhistogram.WindowedHistogram
+	// rotated is the start of the current part.
+	rotated time.Time
+	// cached is the quantile for cachedFor percent computed at cachedAt; 0 stands for too few samples.
+	cached    time.Duration
+	cachedFor float64
+	cachedAt  time.Time
+}
+
+func newWindow() *window {
+	return &window{histogram: hdrhistogram.NewWindowed(parts, lowest, highest, digits), rotated: time.Now()}
+}
+
+func (w *window) record(latency time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.rotate()
+	// The value is within the bounds, so recording cannot fail.
+	_ = w.histogram.Current.RecordValue(min(max(latency.Microseconds(), lowest), highest))
+}
+
+// rotate drops the parts that have left the window.
+func (w *window) rotate() {
+	elapsed := int(time.Since(w.rotated) / partLength)
+	for range min(elapsed, parts) {
+		w.histogram.Rotate()
+	}
+	w.rotated = w.rotated.Add(time.Duration(elapsed) * partLength)
+}
+
+// quantile returns the latency at the percentage, unless there are too few samples.
+func (w *window) quantile(percent float64) (time.Duration, bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.cachedFor != percent || time.Since(w.cachedAt) >= cacheLength {
+		w.rotate()
+		w.cached = w.compute(percent)
+		w.cachedFor = percent
+		w.cachedAt = time.Now()
+	}
+	return w.cached, w.cached > 0
+}
+
+func (w *window) compute(percent float64) time.Duration {
+	merged := w.histogram.Merge()
+	if merged.TotalCount() < minSamples {
+		return 0
+	}
+	return time.Duration(merged.ValueAtQuantile(percent)) * time.Microsecond
+}
