Test target packages over loopback and with random calls

Cause: the packages of internal/target had no tests, and TestCloseFinishesWhatIsInFlight showed that a second Close of the dispatcher panicked. Ruled out: a shared fake target outside test files; each package has its own small one.

--- a/internal/target/connector/connector.go
+++ b/internal/target/connector/connector.go
@@ -370,9 +370,9 @@
 			return
 		case <-time.After(jittered):
 		}
-		connection, err := c.dial(c.ctx, nil)
-		if err == nil {
-			connection.close()
+		// The report needs a new connection, because the old ones may be the fault.
+		c.dropControl()
+		if _, err := c.Report(c.ctx); err == nil {
 			c.markUp()
 			return
 		}
--- a/internal/target/dispatcher/dispatcher.go
+++ b/internal/target/dispatcher/dispatcher.go
@@ -86,9 +86,12 @@
 	// mu is held while the entries change; the map itself is replaced as a whole.
 	mu      sync.Mutex
 	entries atomic.Pointer[map[string]*entry]
-	// drained is closed by Close and ends the sweep.
+	// drained is closed once by Close and ends the sweep; swept is closed after it ended.
 	drained chan struct{}
 	swept   chan struct{}
+	once    sync.Once
+	// dropped counts the entries that are being closed.
+	dropped sync.WaitGroup
 }
 
 // New creates a dispatcher and starts its periodic work, which Close ends.
@@ -193,7 +196,7 @@
 		e.retire()
 		if e.limiter.InFlight() == 0 {
 			delete(next, name)
-			go e.close()
+			d.dropped.Go(e.close)
 		}
 	}
 	d.entries.Store(&next)
@@ -262,8 +265,9 @@
 func (d *Dispatcher) Close(ctx context.Context) error {
 	d.closing.Store(true)
 	err := d.drain(ctx)
-	close(d.drained)
+	d.once.Do(func() { close(d.drained) })
 	<-d.swept
+	d.dropped.Wait()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var group sync.WaitGroup
--- /dev/null
+++ b/internal/target/dispatcher/dispatcher_test.go
@@ -0,0 +1,304 @@
+package dispatcher_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"apricotflow/internal/manifest/resolver"
+	"apricotflow/internal/operator/checker"
+	"apricotflow/internal/operator/recorder"
+	"apricotflow/internal/target/dispatcher"
+	"apricotflow/internal/wire/encoder"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+type events struct{}
+
+func (events) Record(recorder.Kind, string, string, string) {}
+
+type counter struct{}
+
+func (counter) Inc(int64) {}
+
+// session is a dispatcher of instance "self" with one target "t" of 3 slots and a cold limit of 1.
+type session struct {
+	*dispatcher.Dispatcher
+	t         *testing.T
+	fake      *fake
+	manifest  atomic.Pointer[resolver.Manifest]
+	members   atomic.Pointer[resolver.Members]
+	owners    atomic.Pointer[[]dispatcher.Share]
+	allowance atomic.Int64
+	counter   atomic.Int64
+}
+
+func (s *session) Manifest() *resolver.Manifest { return s.manifest.Load() }
+func (s *session) Members() *resolver.Members   { return s.members.Load() }
+
+func newSession(t *testing.T) *session {
+	s := &session{t: t, fake: newFake(t)}
+	s.publish(encoder.FailureDomainStateOpen, encoder.TargetStateServing)
+	s.members.Store(resolver.NewMembers(encoder.MemberList{}))
+	s.owners.Store(&[]dispatcher.Share{{Instance: "self", Slots: 3}})
+	s.allowance.Store(1)
+	s.Dispatcher = dispatcher.New("self", s, func(string) []dispatcher.Share { return *s.owners.Load() },
+		func(string, time.Duration) int { return int(s.allowance.Load()) }, events{}, checker.New(events{}, counter{}, true))
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		assert.Check(t, s.Close(ctx))
+	})
+	return s
+}
+
+func (s *session) publish(domain encoder.FailureDomainState, target encoder.TargetState) {
+	m, problems := resolver.New(encoder.Manifest{
+		Generation: 1, Deployment: "test",
+		FailureDomains: []encoder.FailureDomain{{Name: "a", Region: "r", State: domain}},
+		Services: []encoder.Service{{Name: "s", Targets: []encoder.Target{{
+			Name: "t", Address: s.fake.address(), FailureDomain: "a", State: target, Slots: 3, Connections: 25, ColdLimit: 1,
+		}}}},
+		Limits: encoder.Limits{Owners: 2, LeaseMs: 3000},
+	}, "d")
+	assert.Equal(s.t, len(problems), 0)
+	s.manifest.Store(m)
+}
+
+func (s *session) query(deadline time.Duration) encoder.SubQuery {
+	return encoder.SubQuery{
+		Attempt: fmt.Sprint("self.1.", s.counter.Add(1)), Target: "t", Index: "x", Version: 1, Shard: "s",
+		Priority: "urgent", Idempotent: true, DeadlineMs: int(deadline.Milliseconds()),
+	}
+}
+
+// run runs n sub-queries at the same time and counts the replies by reason.
+func (s *session) run(n int, deadline time.Duration) map[encoder.Reason]int {
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	reasons := make(map[encoder.Reason]int)
+	for range n {
+		group.Go(func() {
+			r := s.Execute(s.t.Context(), s.query(deadline))
+			mu.Lock()
+			defer mu.Unlock()
+			reasons[r.Reason]++
+		})
+	}
+	group.Wait()
+	return reasons
+}
+
+// warmUp ramps the target up to its 3 slots.
+func (s *session) warmUp() {
+	s.t.Helper()
+	for range 30 {
+		assert.Equal(s.t, s.Execute(s.t.Context(), s.query(time.Second)).Outcome, encoder.OutcomeAnswered)
+	}
+	s.fake.set(func() { s.fake.delay = 20 * time.Millisecond })
+	s.run(12, 2*time.Second)
+	_, highest := s.fake.seen()
+	assert.Equal(s.t, highest, 3, "limit after the ramp-up")
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if ok() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}, poll.WithDelay(time.Millisecond), poll.WithTimeout(5*time.Second))
+}
+
+// A restarted target is cold: the limit of its warm predecessor must not be used for it.
+func TestRestartedTargetGetsColdLimit(t *testing.T) {
+	s := newSession(t)
+	s.warmUp()
+	s.fake.restart("i2")
+	reasons := s.run(12, 2*time.Second)
+	_, highest := s.fake.seen()
+	assert.Equal(t, highest, 1, "sub-queries at the same time on a cold target; replies: %v", reasons)
+}
+
+// A target that becomes cold without a restart must get no more than the cold limit after its first reply.
+func TestColdWithoutRestart(t *testing.T) {
+	s := newSession(t)
+	s.warmUp()
+	s.fake.set(func() { s.fake.state = encoder.LoadStateCold })
+	s.run(1, time.Second)
+	s.run(8, 2*time.Second)
+	_, highest := s.fake.seen()
+	assert.Equal(t, highest, 1)
+}
+
+// A target that sheds load must get no more than the cold limit, and a refusal by the target is not-run.
+func TestShed(t *testing.T) {
+	s := newSession(t)
+	s.warmUp()
+	s.fake.set(func() { s.fake.outcome, s.fake.reason = encoder.OutcomeNotRun, encoder.ReasonShed })
+	r := s.Execute(t.Context(), s.query(time.Second))
+	assert.Equal(t, r.Outcome, encoder.OutcomeNotRun)
+	assert.Equal(t, r.Reason, encoder.ReasonShed)
+	s.run(8, 2*time.Second)
+	_, highest := s.fake.seen()
+	assert.Equal(t, highest, 1)
+}
+
+// No sub-query may reach a cold target without a lease.
+func TestNoLease(t *testing.T) {
+	s := newSession(t)
+	s.allowance.Store(0)
+	assert.DeepEqual(t, s.run(4, time.Second), map[encoder.Reason]int{encoder.ReasonNoLease: 4})
+	executed, _ := s.fake.seen()
+	assert.Equal(t, len(executed), 0)
+}
+
+// The configuration must be checked again before the write: a sub-query that waited must not be sent after the
+// failure domain was closed, the target was listed as leaving, or the ownership or the lease ended.
+func TestQueuedSubQueriesObeyNewConfiguration(t *testing.T) {
+	cases := map[string]struct {
+		reason encoder.Reason
+		change func(s *session)
+	}{
+		"failure domain closed": {encoder.ReasonFailureDomainClosed, func(s *session) {
+			s.publish(encoder.FailureDomainStateClosed, encoder.TargetStateServing)
+		}},
+		"target leaving in the manifest": {encoder.ReasonTargetLeaving, func(s *session) {
+			s.publish(encoder.FailureDomainStateOpen, encoder.TargetStateLeaving)
+		}},
+		"target leaving in the member list": {encoder.ReasonTargetLeaving, func(s *session) {
+			s.members.Store(resolver.NewMembers(encoder.MemberList{Targets: []encoder.MemberTarget{{Name: "t", State: "leaving"}}}))
+		}},
+		"ownership lost": {encoder.ReasonNoOwner, func(s *session) {
+			s.owners.Store(&[]dispatcher.Share{{Instance: "other", Slots: 3}})
+		}},
+		"lease lost": {encoder.ReasonNoLease, func(s *session) { s.allowance.Store(0) }},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := newSession(t)
+			s.fake.set(func() { s.fake.delay = 100 * time.Millisecond })
+			var reasons map[encoder.Reason]int
+			var group sync.WaitGroup
+			group.Go(func() { reasons = s.run(5, 2*time.Second) })
+			eventually(t, "first runs", func() bool { executed, _ := s.fake.seen(); return len(executed) == 1 })
+			c.change(s)
+			group.Wait()
+			executed, _ := s.fake.seen()
+			assert.Equal(t, len(executed), 1)
+			assert.DeepEqual(t, reasons, map[encoder.Reason]int{encoder.ReasonNone: 1, c.reason: 4})
+		})
+	}
+}
+
+// A draining reply must take effect at once and become a fact for the other owners.
+func TestDraining(t *testing.T) {
+	s := newSession(t)
+	s.warmUp()
+	s.fake.set(func() {
+		s.fake.outcome, s.fake.reason, s.fake.state = encoder.OutcomeNotRun, encoder.ReasonDraining, encoder.LoadStateDraining
+	})
+	assert.Equal(t, s.Execute(t.Context(), s.query(time.Second)).Reason, encoder.ReasonDraining)
+	before, _ := s.fake.seen()
+	assert.DeepEqual(t, s.run(5, time.Second), map[encoder.Reason]int{encoder.ReasonDraining: 5})
+	after, _ := s.fake.seen()
+	assert.Equal(t, len(after), len(before))
+	assert.DeepEqual(t, s.Facts(), []encoder.TargetFact{{Target: "t", Incarnation: "i1", State: encoder.LoadStateDraining}})
+}
+
+// A failure domain that returns to service must be treated as cold.
+func TestReturnToService(t *testing.T) {
+	s := newSession(t)
+	s.warmUp()
+	s.publish(encoder.FailureDomainStateClosed, encoder.TargetStateServing)
+	s.Sync()
+	s.publish(encoder.FailureDomainStateOpen, encoder.TargetStateServing)
+	s.Sync()
+	s.fake.set(func() {})
+	s.run(5, 2*time.Second)
+	_, highest := s.fake.seen()
+	assert.Equal(t, highest, 1)
+}
+
+// A non-idempotent attempt that arrives twice must run once.
+func TestNonIdempotentRunsOnce(t *testing.T) {
+	s := newSession(t)
+	q := s.query(time.Second)
+	q.Idempotent = false
+	var group sync.WaitGroup
+	var answered atomic.Int64
+	for range 5 {
+		group.Go(func() {
+			if r := s.Execute(t.Context(), q); r.Outcome == encoder.OutcomeAnswered {
+				answered.Add(1)
+			} else {
+				assert.Check(t, r.Outcome == encoder.OutcomeUnknown)
+			}
+		})
+	}
+	group.Wait()
+	executed, _ := s.fake.seen()
+	assert.DeepEqual(t, executed, []string{q.Attempt})
+	assert.Equal(t, answered.Load(), int64(1))
+}
+
+// A cold target that is slow must not get a second sub-query while the first one still runs there.
+func TestSlotIsHeldUntilTargetIsDone(t *testing.T) {
+	s := newSession(t)
+	s.fake.set(func() { s.fake.state, s.fake.delay = encoder.LoadStateCold, 200*time.Millisecond })
+	for range 5 {
+		assert.Equal(t, s.Execute(t.Context(), s.query(30*time.Millisecond)).Outcome == encoder.OutcomeAnswered, false)
+	}
+	s.run(5, 100*time.Millisecond)
+	executed, highest := s.fake.seen()
+	assert.Assert(t, len(executed) > 1, "the slot was never given back")
+	assert.Equal(t, highest, 1)
+	s.fake.mu.Lock()
+	defer s.fake.mu.Unlock()
+	for _, deadline := range s.fake.deadlines {
+		assert.Assert(t, deadline < 100, "no margin in the deadline sent")
+	}
+}
+
+// A graceful stop must finish what is in flight and refuse new sub-queries.
+func TestCloseFinishesWhatIsInFlight(t *testing.T) {
+	s := newSession(t)
+	s.warmUp()
+	s.fake.set(func() { s.fake.delay = 100 * time.Millisecond })
+	before, _ := s.fake.seen()
+	var reasons map[encoder.Reason]int
+	var group sync.WaitGroup
+	group.Go(func() { reasons = s.run(3, time.Second) })
+	eventually(t, "all run", func() bool { after, _ := s.fake.seen(); return len(after) == len(before)+3 })
+	assert.NilError(t, s.Close(t.Context()))
+	group.Wait()
+	assert.DeepEqual(t, reasons, map[encoder.Reason]int{encoder.ReasonNone: 3})
+	assert.DeepEqual(t, s.run(1, time.Second), map[encoder.Reason]int{encoder.ReasonNoOwner: 1})
+}
+
+// A target that is no longer owned must lose its connections, and a known version must come from its report.
+func TestOwnershipAndVersions(t *testing.T) {
+	s := newSession(t)
+	s.fake.set(func() { s.fake.versions = []encoder.HeldVersion{{Index: "x", Version: 4}} })
+	_, known := s.Holds("u", "x", 4)
+	assert.Assert(t, !known)
+	eventually(t, "report", func() bool { held, known := s.Holds("t", "x", 4); return held && known })
+	held, known := s.Holds("t", "x", 5)
+	assert.Assert(t, known && !held)
+	assert.Equal(t, s.Statuses()[0].FailureDomain, "a")
+	s.owners.Store(&[]dispatcher.Share{{Instance: "other", Slots: 3}})
+	s.Sync()
+	assert.Equal(t, len(s.Statuses()), 0)
+	assert.DeepEqual(t, s.run(1, time.Second), map[encoder.Reason]int{encoder.ReasonNoOwner: 1})
+}
--- /dev/null
+++ b/internal/target/hedger/hedger_test.go
@@ -0,0 +1,136 @@
+package hedger_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"apricotflow/internal/manifest/resolver"
+	"apricotflow/internal/operator/checker"
+	"apricotflow/internal/operator/recorder"
+	"apricotflow/internal/target/hedger"
+	"apricotflow/internal/wire/encoder"
+)
+
+type events struct{}
+
+func (events) Record(recorder.Kind, string, string, string) {}
+
+type counter struct{}
+
+func (counter) Inc(int64) {}
+
+// configuration is a manifest with the limits under test.
+type configuration struct {
+	manifest *resolver.Manifest
+}
+
+func (c *configuration) Manifest() *resolver.Manifest { return c.manifest }
+
+func (c *configuration) publish(t assert.TestingT, extra, quantile int) {
+	m, problems := resolver.New(encoder.Manifest{
+		Generation: 1, Deployment: "test",
+		FailureDomains: []encoder.FailureDomain{{Name: "a", Region: "r", State: "open"}},
+		Services: []encoder.Service{{Name: "s", Targets: []encoder.Target{{
+			Name: "t", Address: "127.0.0.1:1", FailureDomain: "a", State: "serving", Slots: 2, Connections: 25, ColdLimit: 1,
+		}}}},
+		Indexes: []encoder.Index{{Name: "x", Versions: []encoder.IndexVersion{{
+			Version: 1, Shards: []encoder.Shard{{Name: "s1", Documents: 1, Replicas: []string{"t"}}},
+		}}}},
+		QueryClasses: []encoder.QueryClass{{Name: "q", Index: "x", Priority: "urgent", Idempotent: true, Routing: "all", DeadlineMs: 100}},
+		Limits:       encoder.Limits{ExtraLoadPercent: extra, HedgeQuantilePercent: quantile, Owners: 2, LeaseMs: 3000},
+	}, "d")
+	assert.Equal(t, len(problems), 0)
+	c.manifest = m
+}
+
+func newHedger(t assert.TestingT, extra int, opts ...hedger.Option) (*hedger.Hedger, *configuration) {
+	c := &configuration{}
+	c.publish(t, extra, 90)
+	return hedger.New(c, events{}, checker.New(events{}, counter{}, true), opts...), c
+}
+
+// burst is the number of extra sub-queries allowed at once.
+const burst = 32
+
+// Extra load must stay within the percentage of needed sub-queries and the burst, in any order of calls.
+func TestExtraLoadIsBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		percent := rapid.IntRange(0, 20).Draw(t, "percent")
+		h, _ := newHedger(t, percent)
+		needed, taken := 0, 0
+		for _, n := range rapid.SliceOf(rapid.IntRange(-50, 2000)).Draw(t, "calls") {
+			if n > 0 {
+				h.Needed(n)
+				needed += n
+				continue
+			}
+			window := 0
+			for range -n {
+				if h.Take() {
+					taken++
+					window++
+				}
+			}
+			assert.Assert(t, window <= burst, "%d at once", window)
+			assert.Assert(t, taken*100 <= needed*percent+burst*100, "%d taken for %d needed at %d%%", taken, needed, percent)
+		}
+	})
+}
+
+// The budget must not leak tokens: a steady load gets its percentage.
+func TestBudgetIsUsable(t *testing.T) {
+	h, c := newHedger(t, 2)
+	taken := 0
+	for range 1000 {
+		h.Needed(50)
+		if h.Take() {
+			taken++
+		}
+	}
+	assert.Equal(t, taken, 1000)
+	c.publish(t, 0, 90)
+	for range 1000 {
+		h.Needed(50)
+		if h.Take() {
+			taken++
+		}
+	}
+	assert.Assert(t, taken <= 1000+burst, "the new limit is not in effect: %d", taken)
+}
+
+// The hedge delay must be the quantile of the recent latencies only, and follow the manifest.
+func TestDelayFollowsRecentLatency(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h, c := newHedger(t, 2)
+		assert.Equal(t, h.Delay("q"), 50*time.Millisecond)
+		assert.Equal(t, h.Delay("unknown"), hedger.Never)
+		for n := range 100 {
+			h.Observe("q", time.Duration(n+1)*time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		assert.Assert(t, near(h.Delay("q"), 90*time.Millisecond), "%s", h.Delay("q"))
+		c.publish(t, 2, 50)
+		assert.Assert(t, near(h.Delay("q"), 50*time.Millisecond), "%s", h.Delay("q"))
+		time.Sleep(40 * time.Second)
+		for range 100 {
+			h.Observe("q", 4*time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		assert.Assert(t, near(h.Delay("q"), 4*time.Millisecond), "%s", h.Delay("q"))
+	})
+}
+
+func near(a, b time.Duration) bool {
+	return (a - b).Abs() <= b/50
+}
+
+// Without hedges, retries must still be possible.
+func TestWithoutHedges(t *testing.T) {
+	h, _ := newHedger(t, 2, hedger.WithoutHedges())
+	assert.Equal(t, h.Delay("q"), hedger.Never)
+	assert.Assert(t, h.Take())
+}
--- a/internal/target/router/router.go
+++ b/internal/target/router/router.go
@@ -287,7 +287,8 @@
 
 // retryable reports whether another owner may be tried. A non-idempotent sub-query leaves this instance once.
 func (r *Router) retryable(i *item, owner string, reply encoder.SubReply) bool {
-	if reply.Outcome != encoder.OutcomeNotRun || i.execution.ctx.Err() != nil {
+	// A reply with an incarnation comes from the target itself, so a byte reached it.
+	if reply.Outcome != encoder.OutcomeNotRun || reply.Incarnation != "" || i.execution.ctx.Err() != nil {
 		return false
 	}
 	if !i.query.Idempotent && owner != r.instance {
--- /dev/null
+++ b/internal/target/router/router_test.go
@@ -0,0 +1,387 @@
+package router_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"apricotflow/internal/operator/checker"
+	"apricotflow/internal/operator/recorder"
+	"apricotflow/internal/target/dispatcher"
+	"apricotflow/internal/target/router"
+	"apricotflow/internal/wire/encoder"
+)
+
+type counter struct{}
+
+func (counter) Inc(int64) {}
+
+type clock struct{}
+
+func (clock) Now() int    { return 1 }
+func (clock) Observe(int) {}
+
+// net holds a router named "self" and plays its dispatcher and its peers.
+type net struct {
+	*router.Router
+	owners []dispatcher.Share
+
+	mu sync.Mutex
+	// batches, local, cancelled and dropped are what the router did.
+	batches   map[string][]encoder.ExecuteRequest
+	local     []string
+	cancelled []string
+	dropped   int
+	// behave plays a peer.
+	behave func(ctx context.Context, peer string, request encoder.ExecuteRequest) (bool, error)
+	// here plays the local dispatcher.
+	here func(ctx context.Context, q encoder.SubQuery) encoder.SubReply
+}
+
+func newNet(owners ...dispatcher.Share) *net {
+	n := &net{owners: owners, batches: make(map[string][]encoder.ExecuteRequest)}
+	n.behave = func(_ context.Context, peer string, request encoder.ExecuteRequest) (bool, error) {
+		for _, q := range request.Items {
+			n.deliver(peer, request.Batch, answer(q))
+		}
+		return true, nil
+	}
+	n.here = func(_ context.Context, q encoder.SubQuery) encoder.SubReply { return answer(q) }
+	n.Router = router.New("self", "1", func(string) []dispatcher.Share { return n.owners }, local{n}, n, clock{}, n, checker.New(n, counter{}, true))
+	return n
+}
+
+type local struct{ net *net }
+
+func (l local) Execute(ctx context.Context, q encoder.SubQuery) encoder.SubReply {
+	l.net.mu.Lock()
+	l.net.local = append(l.net.local, q.Attempt)
+	l.net.mu.Unlock()
+	return l.net.here(ctx, q)
+}
+
+func (n *net) Record(kind recorder.Kind, _, _, _ string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if kind == recorder.KindReplyDropped {
+		n.dropped++
+	}
+}
+
+func (n *net) Execute(ctx context.Context, peer string, request encoder.ExecuteRequest) (encoder.ExecuteReply, bool, error) {
+	n.mu.Lock()
+	n.batches[peer] = append(n.batches[peer], request)
+	n.mu.Unlock()
+	sent, err := n.behave(ctx, peer, request)
+	return encoder.ExecuteReply{}, sent, err
+}
+
+func (n *net) Cancel(_ context.Context, _ string, message encoder.CancelBatchMessage) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cancelled = append(n.cancelled, message.Attempts...)
+	return nil
+}
+
+func (n *net) Deliver(_ context.Context, _ string, message encoder.DeliverMessage) error {
+	n.deliver("self", message.Batch, message.Reply)
+	return nil
+}
+
+func (n *net) deliver(peer, batch string, r encoder.SubReply) {
+	n.HandleDeliver(peer, encoder.DeliverMessage{Batch: batch, Reply: r})
+}
+
+// seen returns what was cancelled and how many replies were dropped.
+func (n *net) seen() ([]string, int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Clone(n.cancelled), n.dropped
+}
+
+// run executes the sub-queries and returns the replies by attempt, failing on a second reply.
+func (n *net) run(t assert.TestingT, queries []encoder.SubQuery) map[string]encoder.SubReply {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	replies := make(map[string]encoder.SubReply)
+	n.Router.Execute(ctx, queries, func(r encoder.SubReply) {
+		_, found := replies[r.Attempt]
+		assert.Assert(t, !found, "second reply for %s", r.Attempt)
+		replies[r.Attempt] = r
+	})
+	assert.Equal(t, len(replies), len(queries))
+	return replies
+}
+
+func query(attempt string) encoder.SubQuery {
+	return encoder.SubQuery{Attempt: attempt, Target: "t", Index: "x", Version: 1, Shard: "s" + attempt, DeadlineMs: 1000, Idempotent: true}
+}
+
+func answer(q encoder.SubQuery) encoder.SubReply {
+	return encoder.SubReply{
+		Attempt: q.Attempt, Target: q.Target, Index: q.Index, Version: q.Version, Shard: q.Shard, Incarnation: "i",
+		State: encoder.LoadStateWarm, Outcome: encoder.OutcomeAnswered, Reason: encoder.ReasonNone,
+	}
+}
+
+func refusal(q encoder.SubQuery, reason encoder.Reason) encoder.SubReply {
+	r := answer(q)
+	r.Incarnation, r.State, r.Outcome, r.Reason = "", encoder.LoadStateCold, encoder.OutcomeNotRun, reason
+	return r
+}
+
+var (
+	self   = dispatcher.Share{Instance: "self", Slots: 1, Rank: 1}
+	first  = dispatcher.Share{Instance: "p", Slots: 2}
+	second = dispatcher.Share{Instance: "q", Slots: 1, Rank: 1}
+)
+
+// Sub-queries for one owner must travel in one batch, and those for own targets must not travel at all.
+func TestBatching(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		queries := []encoder.SubQuery{query("1"), query("2"), query("3")}
+		n := newNet(first)
+		n.run(t, queries)
+		assert.Equal(t, len(n.batches["p"]), 1)
+		assert.Equal(t, len(n.batches["p"][0].Items), 3)
+		assert.Assert(t, n.batches["p"][0].Items[0].DeadlineMs < 1000, "no margin for the way back")
+		n = newNet(dispatcher.Share{Instance: "self", Slots: 2})
+		n.run(t, queries)
+		assert.Equal(t, len(n.batches), 0)
+		assert.Equal(t, len(n.local), 3)
+	})
+}
+
+// Whatever a peer delivers, every sub-query must get exactly one reply, which is its own.
+func TestEveryItemIsDeliveredOnce(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		count := rapid.IntRange(1, 6).Draw(rt, "count")
+		actions := rapid.SliceOf(rapid.SampledFrom([]string{"answer", "duplicate", "crossed", "foreign", "late", "pause"})).Draw(rt, "actions")
+		picks := rapid.SliceOfN(rapid.IntRange(0, 5), len(actions), len(actions)).Draw(rt, "picks")
+		end := rapid.SampledFrom([]string{"ok", "lost", "hang"}).Draw(rt, "end")
+		synctest.Test(t, func(*testing.T) {
+			n := newNet(first)
+			n.behave = func(ctx context.Context, peer string, request encoder.ExecuteRequest) (bool, error) {
+				for k, action := range actions {
+					q := request.Items[picks[k]%len(request.Items)]
+					r := answer(q)
+					switch action {
+					case "answer":
+						n.deliver(peer, request.Batch, r)
+					case "duplicate":
+						n.deliver(peer, request.Batch, r)
+						n.deliver(peer, request.Batch, r)
+					case "crossed":
+						r.Shard = "other"
+						n.deliver(peer, request.Batch, r)
+					case "foreign":
+						n.deliver("q", request.Batch, r)
+					case "late":
+						time.AfterFunc(3*time.Second, func() { n.deliver(peer, request.Batch, r) })
+					case "pause":
+						time.Sleep(100 * time.Millisecond)
+					}
+				}
+				switch end {
+				case "lost":
+					return true, errors.New("lost")
+				case "hang":
+					<-ctx.Done()
+					return true, ctx.Err()
+				}
+				return true, nil
+			}
+			queries := make([]encoder.SubQuery, 0, count)
+			for k := range count {
+				queries = append(queries, query(fmt.Sprint(k)))
+			}
+			for attempt, r := range n.run(rt, queries) {
+				assert.Equal(rt, r.Shard, "s"+attempt)
+				assert.Assert(rt, r.Outcome != encoder.OutcomeNotRun, "a sub-query that was sent is reported as not-run")
+			}
+			time.Sleep(5 * time.Second)
+		})
+	})
+}
+
+// Nothing was sent to an unreachable peer, so the next owner must be tried, also for a non-idempotent sub-query.
+func TestUnreachablePeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNet(first, second)
+		deliver := n.behave
+		n.behave = func(ctx context.Context, peer string, request encoder.ExecuteRequest) (bool, error) {
+			if peer == "p" {
+				return false, errors.New("unreachable")
+			}
+			return deliver(ctx, peer, request)
+		}
+		q := query("1")
+		q.Idempotent = false
+		assert.Equal(t, n.run(t, []encoder.SubQuery{q})["1"].Outcome, encoder.OutcomeAnswered)
+		n.owners = []dispatcher.Share{first}
+		r := n.run(t, []encoder.SubQuery{query("2")})["2"]
+		assert.Equal(t, r.Outcome, encoder.OutcomeNotRun)
+		assert.Equal(t, r.Reason, encoder.ReasonNoOwner)
+	})
+}
+
+// A sub-query may have run at a peer that was lost after sending, so it must be unknown and must not be sent again.
+func TestLostPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNet(first, second)
+		n.behave = func(_ context.Context, peer string, request encoder.ExecuteRequest) (bool, error) {
+			n.deliver(peer, request.Batch, answer(request.Items[0]))
+			return true, errors.New("lost")
+		}
+		replies := n.run(t, []encoder.SubQuery{query("1"), query("2")})
+		assert.Equal(t, replies["1"].Outcome, encoder.OutcomeAnswered)
+		assert.Equal(t, replies["2"].Outcome, encoder.OutcomeUnknown)
+		assert.Equal(t, replies["2"].Reason, encoder.ReasonConnectionLost)
+		assert.Equal(t, len(n.batches["q"]), 0)
+	})
+}
+
+// A peer that refuses an idempotent sub-query as not its own must be replaced by the next owner; a non-idempotent
+// one has left this instance and must not be sent again.
+func TestOwnerRefuses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNet(first, second)
+		deliver := n.behave
+		n.behave = func(ctx context.Context, peer string, request encoder.ExecuteRequest) (bool, error) {
+			if peer != "p" {
+				return deliver(ctx, peer, request)
+			}
+			for _, q := range request.Items {
+				n.deliver(peer, request.Batch, refusal(q, encoder.ReasonNoLease))
+			}
+			return true, nil
+		}
+		assert.Equal(t, n.run(t, []encoder.SubQuery{query("1")})["1"].Outcome, encoder.OutcomeAnswered)
+		q := query("2")
+		q.Idempotent = false
+		n.batches = make(map[string][]encoder.ExecuteRequest)
+		assert.Equal(t, n.run(t, []encoder.SubQuery{q})["2"].Outcome, encoder.OutcomeNotRun)
+		assert.Equal(t, len(n.batches["q"]), 0)
+	})
+}
+
+// A target that is not known to be warm must be served by its first owner; a warm one locally, or by the owner
+// with fewer batches in flight.
+func TestChoiceOfOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNet(first, self)
+		n.run(t, []encoder.SubQuery{query("1")})
+		assert.Equal(t, len(n.local), 0)
+		n.run(t, []encoder.SubQuery{query("2")})
+		assert.DeepEqual(t, n.local, []string{"2"})
+		n.owners = []dispatcher.Share{first, second}
+		deliver := n.behave
+		n.behave = func(ctx context.Context, peer string, request encoder.ExecuteRequest) (bool, error) {
+			time.Sleep(100 * time.Millisecond)
+			return deliver(ctx, peer, request)
+		}
+		var group sync.WaitGroup
+		for k := range 2 {
+			group.Go(func() { n.run(t, []encoder.SubQuery{query(fmt.Sprint("c", k))}) })
+			time.Sleep(time.Millisecond)
+		}
+		group.Wait()
+		assert.Equal(t, len(n.batches["q"]), 1)
+		assert.Equal(t, len(n.batches["p"]), 2)
+	})
+}
+
+// Every sub-query must be delivered by the end of the context, and what still runs must be cancelled.
+func TestDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, owner := range []dispatcher.Share{first, self} {
+			n := newNet(owner)
+			n.behave = func(ctx context.Context, _ string, _ encoder.ExecuteRequest) (bool, error) {
+				<-ctx.Done()
+				return true, ctx.Err()
+			}
+			n.here = func(ctx context.Context, q encoder.SubQuery) encoder.SubReply {
+				<-ctx.Done()
+				time.Sleep(time.Second)
+				return answer(q)
+			}
+			start := time.Now()
+			r := n.run(t, []encoder.SubQuery{query("1")})["1"]
+			assert.Assert(t, time.Since(start) <= time.Second)
+			assert.Equal(t, r.Outcome, encoder.OutcomeUnknown)
+			assert.Equal(t, r.Reason, encoder.ReasonDeadlineExceeded)
+			time.Sleep(2 * time.Second)
+			cancelled, dropped := n.seen()
+			if owner == first {
+				assert.DeepEqual(t, cancelled, []string{"1"})
+			} else {
+				assert.Equal(t, dropped, 1)
+			}
+		}
+	})
+}
+
+// A cancellation must reach the owner, and only the peer that sent an attempt may cancel it here.
+func TestCancel(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNet(first)
+		n.behave = func(ctx context.Context, _ string, _ encoder.ExecuteRequest) (bool, error) {
+			<-ctx.Done()
+			return true, ctx.Err()
+		}
+		go n.run(t, []encoder.SubQuery{query("1"), query("2")})
+		synctest.Wait()
+		n.Router.Cancel([]string{"2", "unknown"})
+		synctest.Wait()
+		cancelled, _ := n.seen()
+		assert.DeepEqual(t, cancelled, []string{"2"})
+		time.Sleep(2 * time.Second)
+
+		n.here = func(ctx context.Context, q encoder.SubQuery) encoder.SubReply {
+			select {
+			case <-ctx.Done():
+				return refusal(q, encoder.ReasonCancelled)
+			case <-time.After(time.Second):
+				return answer(q)
+			}
+		}
+		done := make(chan encoder.ExecuteReply)
+		go func() {
+			reply, err := n.HandleExecute(t.Context(), "p", encoder.ExecuteRequest{Batch: "p.1", Items: []encoder.SubQuery{query("5"), query("6")}})
+			assert.Check(t, err)
+			done <- reply
+		}()
+		synctest.Wait()
+		n.HandleCancel("q", encoder.CancelBatchMessage{Batch: "p.1", Attempts: []string{"6"}})
+		synctest.Wait()
+		_, before := n.seen()
+		n.HandleCancel("p", encoder.CancelBatchMessage{Batch: "p.1", Attempts: []string{"5"}})
+		synctest.Wait()
+		// The fake delivers to the router itself, which knows no such batch and counts each delivery as dropped.
+		_, after := n.seen()
+		assert.Equal(t, after-before, 1)
+		assert.Equal(t, (<-done).Delivered, 2)
+		assert.Assert(t, slices.Contains(n.local, "5"))
+	})
+}
+
+// The direct baseline must never use a peer.
+func TestDirect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNet(first)
+		direct := router.New("self", "1", nil, local{n}, n, clock{}, n, checker.New(n, counter{}, true), router.WithDirect())
+		count := 0
+		direct.Execute(t.Context(), []encoder.SubQuery{query("1"), query("2")}, func(encoder.SubReply) { count++ })
+		assert.Equal(t, count, 2)
+		assert.Equal(t, len(n.local), 2)
+		assert.Equal(t, len(n.batches), 0)
+	})
+}
