Apply settings of an owned target before they are seen

Ruled out: the check of the ownership itself, which has no cache. Change: settings are applied under a mutex and published last; an entry is retired by the newest ownership, not by one read earlier in the synchronisation. Conclusion: no caller finds a limiter without its settings.

--- a/internal/target/dispatcher/dispatcher.go
+++ b/internal/target/dispatcher/dispatcher.go
@@ -137,7 +137,6 @@
 		return
 	}
 	members := d.configuration.Members()
-	owned := make(map[string]bool)
 	for _, g := range m.Groups() {
 		for _, name := range g.Targets {
 			t, _ := m.Target(name)
@@ -145,13 +144,12 @@
 			if own.Share == 0 {
 				continue
 			}
-			owned[name] = true
 			if e := d.entry(t, own); e != nil {
 				e.serve(m.Serving(name) && !members.TargetLeaving(name))
 			}
 		}
 	}
-	d.drop(owned)
+	d.drop()
 }
 
 // entry returns the entry of an owned target with the ownership applied; nil after Close.
@@ -185,12 +183,14 @@
 
 // drop retires the entries that are no longer owned and closes those without sub-queries in flight. A retired
 // entry is kept until then, so that a target that is soon owned again is not sent more than its share.
-func (d *Dispatcher) drop(owned map[string]bool) {
+func (d *Dispatcher) drop() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	m := d.configuration.Manifest()
 	next := maps.Clone(*d.entries.Load())
 	for name, e := range next {
-		if owned[name] {
+		t, found := m.Target(name)
+		if found && d.ownership(t).Share > 0 {
 			continue
 		}
 		e.retire()
--- a/internal/target/dispatcher/entry.go
+++ b/internal/target/dispatcher/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -26,8 +27,9 @@
 	target    string
 	connector *connector.Connector
 	limiter   *limiter.Limiter
-	// settings is the latest one applied.
-	settings atomic.Pointer[settings]
+	// settings is the latest one that was applied completely; configuring is held while it is applied.
+	settings    atomic.Pointer[settings]
+	configuring sync.Mutex
 	// serving is whether the configuration allowed new work at the last synchronisation.
 	serving atomic.Bool
 	// report is nil before the first one.
@@ -52,24 +54,35 @@
 	return e
 }
 
-// configure applies settings that differ from the latest ones.
+// configure applies settings that differ from the latest ones. They are in effect when it returns.
 func (e *entry) configure(t resolver.Target, ownership limiter.Ownership) {
 	next := settings{address: t.Address, ownership: ownership}
 	if *e.settings.Load() == next {
 		return
 	}
-	e.settings.Store(&next)
-	e.connector.Configure(t.Address, ownership.Share)
-	e.limiter.Configure(ownership)
+	e.configuring.Lock()
+	defer e.configuring.Unlock()
+	e.apply(next)
 }
 
 // retire refuses new sub-queries.
 func (e *entry) retire() {
+	e.configuring.Lock()
+	defer e.configuring.Unlock()
 	next := *e.settings.Load()
 	next.ownership.Share = 0
-	e.settings.Store(&next)
-	e.connector.Configure(next.address, 0)
+	e.apply(next)
+}
+
+// apply publishes the settings last, so that nobody who sees them finds the limiter without them; the caller
+// holds configuring.
+func (e *entry) apply(next settings) {
+	if *e.settings.Load() == next {
+		return
+	}
+	e.connector.Configure(next.address, next.ownership.Share)
 	e.limiter.Configure(next.ownership)
+	e.settings.Store(&next)
 }
 
 // serve notes whether the configuration allows new work; a target that returns to service is treated as cold.
