--- /dev/null
+++ b/internal/query/executor/errors.go
@@ -0,0 +1,85 @@
+package executor
+
+import (
+	"fmt"
+	"time"
+)
+
+// InvalidError reports a request that cannot be run as it is.
+type InvalidError struct {
+	// Path is the JSON path of the fault.
+	Path string
+	// Cause is never nil.
+	Cause error
+}
+
+func (e *InvalidError) Error() string {
+	return fmt.Sprintf("executor: execute: invalid request at %s: %v", e.Path, e.Cause)
+}
+
+func (e *InvalidError) Unwrap() error {
+	return e.Cause
+}
+
+// UnknownClassError reports a query class that the manifest in force does not define.
+type UnknownClassError struct {
+	Class string
+}
+
+func (e *UnknownClassError) Error() string {
+	return fmt.Sprintf("executor: execute: unknown query class %q", e.Class)
+}
+
+// TicketError reports a non-idempotent query without a ticket.
+type TicketError struct {
+	Class string
+}
+
+func (e *TicketError) Error() string {
+	return fmt.Sprintf("executor: execute: query class %q needs a ticket", e.Class)
+}
+
+// NotReadyError reports that the instance has no manifest yet.
+type NotReadyError struct{}
+
+func (e *NotReadyError) Error() string {
+	return "executor: execute: no manifest"
+}
+
+// ShedError reports a query that was refused because too many are running.
+type ShedError struct {
+	// RetryAfter is when the caller may try again.
+	RetryAfter time.Duration
+}
+
+func (e *ShedError) Error() string {
+	return "executor: execute: shed"
+}
+
+// DeadlineError reports a query that was refused because its deadline cannot be met.
+type DeadlineError struct {
+	// Cause is never nil.
+	Cause error
+}
+
+func (e *DeadlineError) Error() string {
+	return fmt.Sprintf("executor: execute: deadline cannot be met: %v", e.Cause)
+}
+
+func (e *DeadlineError) Unwrap() error {
+	return e.Cause
+}
+
+// GoneError reports that the caller left before the query was started.
+type GoneError struct {
+	// Cause is never nil.
+	Cause error
+}
+
+func (e *GoneError) Error() string {
+	return fmt.Sprintf("executor: execute: caller left: %v", e.Cause)
+}
+
+func (e *GoneError) Unwrap() error {
+	return e.Cause
+}
--- /dev/null
+++ b/internal/query/merger/hits.go
@@ -0,0 +1,57 @@
+package merger
+
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+
+	"apricotflow/internal/wire/encoder"
+)
+
+// hitHeap keeps the best hits with the worst of them first.
+type hitHeap []encoder.Hit
+
+// Len returns the number of hits.
+func (h hitHeap) Len() int { return len(h) }
+
+// Less orders the worst hit first.
+func (h hitHeap) Less(i, j int) bool { return compareHits(h[i], h[j]) > 0 }
+
+// Swap exchanges two hits.
+func (h hitHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push appends a hit.
+func (h *hitHeap) Push(x any) { *h = append(*h, x.(encoder.Hit)) }
+
+// Pop removes the last hit.
+func (h *hitHeap) Pop() any {
+	last := (*h)[len(*h)-1]
+	*h = (*h)[:len(*h)-1]
+	return last
+}
+
+// offer keeps the hit if it is among the best.
+func (h *hitHeap) offer(hit encoder.Hit, limit int) {
+	if len(*h) < limit {
+		heap.Push(h, hit)
+		return
+	}
+	if limit == 0 || compareHits(hit, (*h)[0]) >= 0 {
+		return
+	}
+	(*h)[0] = hit
+	heap.Fix(h, 0)
+}
+
+// best returns a sorted copy.
+func (h hitHeap) best() []encoder.Hit {
+	hits := make([]encoder.Hit, len(h))
+	copy(hits, h)
+	slices.SortFunc(hits, compareHits)
+	return hits
+}
+
+// compareHits orders the better hit first and breaks ties independently of the order of arrival.
+func compareHits(a, b encoder.Hit) int {
+	return cmp.Or(cmp.Compare(b.Score, a.Score), cmp.Compare(a.Document, b.Document), cmp.Compare(a.Shard, b.Shard))
+}
