Test the query packages and the server for callers

Ruled out: refusing a ticketed query whose class is gone from the manifest as not-run: the ticket may have run before. Change: properties and fake-time tests; the executor tells the selector of every dispatch (Begin), ignores a hedge that is due before the delay after a retry, and treats a hedge delay beyond the deadline as off; a strict checker panics with a typed ViolationError that code which contains panics passes on.

--- a/internal/caller/server/handlers.go
+++ b/internal/caller/server/handlers.go
@@ -89,12 +89,8 @@
 
 // runTicket runs a ticketed query; leftMs shortens the deadline unless it is zero.
 func (s *Server) runTicket(ctx context.Context, request encoder.QueryRequest, leftMs int, run runner) answer {
-	class, err := s.executor.Class(request.QueryClass)
-	if err != nil {
-		return executeAnswer(err)
-	}
 	limited := request
-	deadlineMs := shortest(class.DeadlineMs, request.DeadlineMs, leftMs)
+	deadlineMs := shortest(s.classDeadlineMs(request.QueryClass), request.DeadlineMs, leftMs)
 	limited.DeadlineMs = &deadlineMs
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(deadlineMs)*time.Millisecond)
 	defer cancel()
@@ -112,6 +108,15 @@
 	return a
 }
 
+// classDeadlineMs does not refuse an unknown class: the ticket may have run before the class was removed.
+func (s *Server) classDeadlineMs(name string) int {
+	class, err := s.executor.Class(name)
+	if err != nil {
+		return int(unknownClassDeadline.Milliseconds())
+	}
+	return class.DeadlineMs
+}
+
 func shortest(classMs int, requestMs *int, leftMs int) int {
 	deadlineMs := classMs
 	if requestMs != nil {
--- a/internal/caller/server/middleware.go
+++ b/internal/caller/server/middleware.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"apricotflow/internal/operator/checker"
 )
 
 // track counts the request as accepted and asks for the end of its connection while the instance is not ready, so
@@ -33,6 +35,7 @@
 			if err, ok := recovered.(error); ok && errors.Is(err, http.ErrAbortHandler) {
 				panic(recovered)
 			}
+			checker.Rethrow(recovered)
 			s.panics.Inc(1)
 			s.write(w, faultInternal.answer("", "server: handle request: panic"))
 		}()
--- a/internal/caller/server/server.go
+++ b/internal/caller/server/server.go
@@ -25,11 +25,13 @@
 	maxBody = 64 << 10
 	// maxHeader is the greatest size of all request headers in bytes.
 	maxHeader = 16 << 10
-	// headerTimeout and readTimeout bound how long a caller may take to send its request.
-	headerTimeout = 5 * time.Second
-	readTimeout   = 10 * time.Second
+	// defaultReadTimeout bounds how long a caller may take to send its request, headerTimeout its headers.
+	defaultReadTimeout = 10 * time.Second
+	headerTimeout      = 5 * time.Second
 	// writeTimeout bounds how long a caller may take to receive its answer.
 	writeTimeout = 10 * time.Second
+	// unknownClassDeadline bounds the wait for the answer of a ticket whose query class is not in the manifest.
+	unknownClassDeadline = 10 * time.Second
 	// idleTimeout is longer than the keep-alive of common balancers, so that the balancer closes first.
 	idleTimeout = 90 * time.Second
 )
@@ -86,6 +88,7 @@
 	logger         Logger
 	balancerWait   time.Duration
 	shutdownTime   time.Duration
+	readTimeout    time.Duration
 	queries        validator[encoder.QueryRequest]
 	ticketRequests validator[encoder.TicketRequest]
 	http           *http.Server
@@ -109,11 +112,16 @@
 	return func(s *Server) { s.shutdownTime = limit }
 }
 
+// WithReadTimeout sets how long a caller may take to send its request.
+func WithReadTimeout(limit time.Duration) Option {
+	return func(s *Server) { s.readTimeout = limit }
+}
+
 // New creates a server that is not ready.
 func New(execute Executor, tickets Tickets, check Checker, logger Logger, scope tally.Scope, opts ...Option) *Server {
 	s := &Server{
 		executor: execute, tickets: tickets, checker: check, logger: logger,
-		balancerWait: DefaultBalancerWait, shutdownTime: DefaultShutdownTime,
+		balancerWait: DefaultBalancerWait, shutdownTime: DefaultShutdownTime, readTimeout: defaultReadTimeout,
 		queries:        newValidator[encoder.QueryRequest]("QueryRequest"),
 		ticketRequests: newValidator[encoder.TicketRequest]("TicketRequest"),
 		panics:         scope.Counter("requests-panicked"), unsent: scope.Counter("answers-unsent"),
@@ -123,7 +131,7 @@
 	}
 	s.http = &http.Server{
 		Handler: s.Handler(), MaxHeaderBytes: maxHeader,
-		ReadHeaderTimeout: headerTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
+		ReadHeaderTimeout: min(headerTimeout, s.readTimeout), ReadTimeout: s.readTimeout, IdleTimeout: idleTimeout,
 		// Faults of single connections are no changes of state.
 		ErrorLog: log.New(io.Discard, "", 0),
 	}
--- a/internal/operator/checker/checker.go
+++ b/internal/operator/checker/checker.go
@@ -36,6 +36,28 @@
 	Inc(delta int64)
 }
 
+// ViolationError is the value that a strict checker panics with.
+type ViolationError struct {
+	Invariant Invariant
+	Subject   string
+	Detail    string
+}
+
+func (v *ViolationError) Error() string {
+	return "checker: " + string(v.Invariant) + " violated for " + v.Subject + ": " + v.Detail
+}
+
+// Rethrow ends the process if the recovered value is a violation. Code that contains panics calls it first; the
+// panic is raised in a goroutine of its own, because net/http recovers from those of its handlers.
+func Rethrow(recovered any) {
+	violation, ok := recovered.(*ViolationError)
+	if !ok {
+		return
+	}
+	go panic(violation)
+	select {}
+}
+
 // Checker counts and records violations, and panics on one when it is strict.
 type Checker struct {
 	events     Events
@@ -58,7 +80,7 @@
 	c.counter.Inc(1)
 	c.events.Record(recorder.KindInvariantViolated, subject, "", string(invariant)+": "+detail)
 	if c.strict {
-		panic("checker: " + string(invariant) + " violated for " + subject + ": " + detail)
+		panic(&ViolationError{Invariant: invariant, Subject: subject, Detail: detail})
 	}
 	return false
 }
--- /dev/null
+++ b/internal/query/admitter/admitter_test.go
@@ -0,0 +1,127 @@
+package admitter_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+
+	"apricotflow/internal/operator/recorder"
+	"apricotflow/internal/query/admitter"
+	"apricotflow/internal/wire/encoder"
+)
+
+const (
+	urgent     = encoder.QueryClassPriorityUrgent
+	normal     = encoder.QueryClassPriorityNormal
+	background = encoder.QueryClassPriorityBackground
+)
+
+type events struct {
+	mu    sync.Mutex
+	kinds []recorder.Kind
+}
+
+func (e *events) Record(kind recorder.Kind, _, _, _ string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.kinds = append(e.kinds, kind)
+}
+
+func fill(t *testing.T, a *admitter.Admitter, priority encoder.QueryClassPriority) (releases []admitter.Release) {
+	t.Helper()
+	for {
+		release, err := a.Admit(t.Context(), priority, time.Second)
+		if err != nil {
+			assert.ErrorType(t, err, &admitter.ShedError{})
+			return releases
+		}
+		releases = append(releases, release)
+	}
+}
+
+// Background work that fills the limit would shut out urgent queries.
+func TestLowerPrioritiesAreShedFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := admitter.New(20, &events{}, tally.NoopScope)
+		assert.Equal(t, len(fill(t, a, background)), 10)
+		assert.Equal(t, len(fill(t, a, normal)), 8)
+		assert.Equal(t, len(fill(t, a, urgent)), 2)
+		assert.Equal(t, a.Running(), 20)
+	})
+}
+
+// An urgent query must get the next slot instead of being shed in a short burst, and a slot handed over must not leak.
+func TestUrgentWaitsShortlyForASlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := admitter.New(4, &events{}, tally.NoopScope)
+		releases := fill(t, a, urgent)
+		time.AfterFunc(5*time.Millisecond, func() { releases[0](true); releases[0](true) })
+		started := time.Now()
+		release, err := a.Admit(t.Context(), urgent, time.Second)
+		assert.NilError(t, err)
+		assert.Equal(t, time.Since(started), 5*time.Millisecond)
+		assert.Equal(t, a.Running(), 4)
+		started = time.Now()
+		_, err = a.Admit(t.Context(), urgent, 40*time.Millisecond)
+		assert.ErrorType(t, err, &admitter.ShedError{})
+		assert.Equal(t, time.Since(started), 10*time.Millisecond)
+		release(true)
+		for _, r := range releases {
+			r(true)
+		}
+		assert.Equal(t, a.Running(), 0)
+	})
+}
+
+// A caller that leaves while it waits must not take a slot.
+func TestWaitingCallerThatLeavesTakesNoSlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := admitter.New(1, &events{}, tally.NoopScope)
+		releases := fill(t, a, urgent)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+		defer cancel()
+		_, err := a.Admit(ctx, urgent, time.Second)
+		assert.ErrorIs(t, err, context.DeadlineExceeded)
+		releases[0](false)
+		assert.Equal(t, a.Running(), 0)
+	})
+}
+
+// An event per shed query would push everything else out of the ring during an overload.
+func TestSheddingIsRecordedWhenItStartsAndStops(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &events{}
+		a := admitter.New(1, e, tally.NoopScope)
+		releases := fill(t, a, background)
+		for range 10 {
+			fill(t, a, background)
+		}
+		assert.DeepEqual(t, e.kinds, []recorder.Kind{recorder.KindSheddingStarted})
+		time.Sleep(time.Second)
+		releases[0](true)
+		assert.DeepEqual(t, e.kinds, []recorder.Kind{recorder.KindSheddingStarted, recorder.KindSheddingStopped})
+	})
+}
+
+// A query whose deadline cannot be met must be refused while service is slow, and no longer than that.
+func TestDeadlineBelowRecentServiceTimeIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := admitter.New(4, &events{}, tally.NoopScope)
+		release, err := a.Admit(t.Context(), urgent, time.Second)
+		assert.NilError(t, err)
+		time.Sleep(30 * time.Millisecond)
+		release(true)
+		_, err = a.Admit(t.Context(), urgent, 29*time.Millisecond)
+		assert.ErrorType(t, err, &admitter.DeadlineError{})
+		_, err = a.Admit(t.Context(), urgent, 30*time.Millisecond)
+		assert.NilError(t, err)
+		time.Sleep(11 * time.Second)
+		_, err = a.Admit(t.Context(), urgent, time.Millisecond)
+		assert.NilError(t, err)
+	})
+}
--- a/internal/query/executor/executor.go
+++ b/internal/query/executor/executor.go
@@ -42,13 +42,15 @@
 type Selector interface {
 	// Order returns the replicas that may get new work, best first.
 	Order(replicas []string) []string
-	// Observe is called exactly once for every attempt; a cancelled or expired one has the outcome unknown.
+	// Begin is called when a sub-query is sent to the target, and Observe exactly once for each Begin; a cancelled or
+	// expired attempt has the outcome unknown.
+	Begin(target string)
 	Observe(reply encoder.SubReply, latency time.Duration)
 }
 
 // Hedger decides on hedges and on the budget of hedges and retries.
 type Hedger interface {
-	// Delay returns zero when hedging is off.
+	// Delay returns zero or a time beyond every deadline when hedging is off.
 	Delay(class string) time.Duration
 	Observe(class string, latency time.Duration)
 	Take() bool
--- a/internal/query/executor/fanout.go
+++ b/internal/query/executor/fanout.go
@@ -36,9 +36,11 @@
 	id := r.e.newAttempt()
 	s.used = append(s.used, target)
 	s.open++
+	s.sent = now
 	r.opened++
 	r.attempts[id] = attempt{shard: shard, target: target, sent: now}
 	r.merger.Open(id, shard)
+	r.e.parts.Selector.Begin(target)
 	r.batch = append(r.batch, r.subQuery(id, shard, target, left))
 	if class.Idempotent && !s.hedged {
 		r.hedges.add(shard, now)
@@ -87,7 +89,8 @@
 	now, sent := time.Now(), 0
 	for _, due := range r.hedges.take(now) {
 		s := &r.shards[due.shard]
-		if s.settled || s.hedged || s.open != 1 {
+		// After a retry the shard has a later entry of its own.
+		if s.settled || s.hedged || s.open != 1 || now.Sub(s.sent) < r.hedges.delay {
 			continue
 		}
 		target, found := r.next(due.shard)
@@ -112,11 +115,16 @@
 	r.record(recorder.KindQueryHedged, "", fmt.Sprintf("%d sub-queries", sent))
 }
 
+// hedgeDelay returns zero for a query that is not hedged.
 func (r *run) hedgeDelay() time.Duration {
 	if !r.plan.Class().Idempotent {
 		return 0
 	}
-	return r.e.parts.Hedger.Delay(r.plan.Class().Name)
+	delay := r.e.parts.Hedger.Delay(r.plan.Class().Name)
+	if delay >= time.Until(r.answerBy) {
+		return 0
+	}
+	return delay
 }
 
 // take uses one unit of the budget.
@@ -182,7 +190,8 @@
 	r.e.background.Go(func() {
 		defer r.calls.Done()
 		defer func() {
-			if recover() != nil {
+			if recovered := recover(); recovered != nil {
+				checker.Rethrow(recovered)
 				r.lose(batch)
 			}
 		}()
--- a/internal/query/executor/rules.go
+++ b/internal/query/executor/rules.go
@@ -35,20 +35,9 @@
 }
 
 // reachedTarget reports whether a byte of a failed attempt may have reached a target. The retry then needs budget.
+// Only a target's own reply names an incarnation; a refusal before the first byte does not.
 func reachedTarget(reply encoder.SubReply) bool {
-	if reply.Outcome != encoder.OutcomeNotRun {
-		return true
-	}
-	switch reply.Reason {
-	case encoder.ReasonFailureDomainClosed, encoder.ReasonTargetLeaving, encoder.ReasonTargetDown, encoder.ReasonNoOwner,
-		encoder.ReasonNoLease, encoder.ReasonOverloaded, encoder.ReasonConnectionLost, encoder.ReasonDeadlineExceeded:
-		return false
-	case encoder.ReasonDraining, encoder.ReasonVersionMissing:
-		// Only a reply of the target itself names an incarnation; a check before the write does not.
-		return reply.Incarnation != ""
-	default:
-		return true
-	}
+	return reply.Outcome != encoder.OutcomeNotRun || reply.Incarnation != ""
 }
 
 func valueOr[T any](pointer *T, fallback T) T {
--- a/internal/query/executor/run.go
+++ b/internal/query/executor/run.go
@@ -25,8 +25,9 @@
 type shardRun struct {
 	// used lists the replicas tried; each is tried at most once.
 	used []string
-	// open counts attempts in flight.
+	// open counts attempts in flight; sent is the time of the latest.
 	open    int
+	sent    time.Time
 	hedged  bool
 	settled bool
 }
--- /dev/null
+++ b/internal/query/planner/planner_test.go
@@ -0,0 +1,167 @@
+package planner_test
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"apricotflow/internal/manifest/resolver"
+	"apricotflow/internal/query/planner"
+	"apricotflow/internal/wire/encoder"
+)
+
+func init() {
+	_ = flag.Set("rapid.seed", "20261204")
+	_ = flag.Set("rapid.nofailfile", "true")
+}
+
+type configuration struct {
+	manifest *resolver.Manifest
+	members  *resolver.Members
+}
+
+func (c *configuration) Manifest() *resolver.Manifest { return c.manifest }
+func (c *configuration) Members() *resolver.Members   { return c.members }
+
+// lacking lists "target/version" pairs that reports deny.
+type lacking map[string]bool
+
+func (l lacking) Holds(target, _ string, version int) (bool, bool) {
+	return false, l[fmt.Sprintf("%s/%d", target, version)]
+}
+
+// manifest has the targets a1, a2 (domain a) and b1, b2 (domain b), and one shard per entry of replicas and version.
+func manifest(t *testing.T, closed string, versions ...[][]string) *resolver.Manifest {
+	t.Helper()
+	wire := encoder.Manifest{Generation: 7, Deployment: "test", QueryClasses: []encoder.QueryClass{
+		{Name: "all", Index: "x", Priority: "urgent", Idempotent: true, Routing: "all", DeadlineMs: 100},
+		{Name: "key", Index: "x", Priority: "urgent", Idempotent: true, Routing: "key", DeadlineMs: 100},
+	}}
+	wire.Services = []encoder.Service{{Name: "s"}}
+	for i, name := range []string{"a1", "a2", "b1", "b2"} {
+		wire.Services[0].Targets = append(wire.Services[0].Targets, encoder.Target{
+			Name: name, Address: fmt.Sprintf("127.0.0.1:%d", i+1), FailureDomain: name[:1], State: "serving", Slots: 2, Connections: 25, ColdLimit: 1,
+		})
+	}
+	for _, name := range []string{"a", "b"} {
+		states := map[bool]encoder.FailureDomainState{false: encoder.FailureDomainStateOpen, true: encoder.FailureDomainStateClosed}
+		wire.FailureDomains = append(wire.FailureDomains, encoder.FailureDomain{Name: name, State: states[name == closed]})
+	}
+	index := encoder.Index{Name: "x"}
+	for i, shards := range versions {
+		version := encoder.IndexVersion{Version: i + 1}
+		for j, replicas := range shards {
+			version.Shards = append(version.Shards, encoder.Shard{Name: fmt.Sprintf("s%d", j), Documents: 10, Replicas: replicas})
+		}
+		index.Versions = append(index.Versions, version)
+	}
+	wire.Indexes = []encoder.Index{index}
+	m, problems := resolver.New(wire, "d")
+	assert.Equal(t, len(problems), 0, "%v", problems)
+	return m
+}
+
+func newPlanner(m *resolver.Manifest, l lacking) *planner.Planner {
+	return planner.New(&configuration{m, resolver.NewMembers(encoder.MemberList{})}, l)
+}
+
+func plan(t *testing.T, m *resolver.Manifest, l lacking) *planner.Plan {
+	t.Helper()
+	got, err := newPlanner(m, l).Plan(encoder.QueryRequest{QueryClass: "all"})
+	assert.NilError(t, err)
+	return got
+}
+
+// A version that targets have not loaded, or whose only replicas are closed, must not be pinned while another one is whole.
+func TestPlanPinsTheNewestReachableVersion(t *testing.T) {
+	both := [][]string{{"a1", "b1"}, {"a2", "b2"}}
+	assert.Equal(t, plan(t, manifest(t, "", both, both), nil).Snapshot().Version, 2)
+	assert.Equal(t, plan(t, manifest(t, "", both, both), lacking{"a1/2": true, "b1/2": true}).Snapshot().Version, 1)
+	assert.Equal(t, plan(t, manifest(t, "", both, both), lacking{"a1/2": true}).Snapshot().Version, 2)
+	assert.Equal(t, plan(t, manifest(t, "a", both, [][]string{{"a1"}, {"b2"}}), nil).Snapshot().Version, 1)
+}
+
+// With no whole version, pinning the newest one would cost coverage.
+func TestPlanFallsBackToTheMostDocuments(t *testing.T) {
+	m := manifest(t, "a", [][]string{{"a1"}, {"b1"}, {"b2"}}, [][]string{{"a1"}, {"a2"}, {"b2"}})
+	got := plan(t, m, nil)
+	assert.Equal(t, got.Snapshot(), encoder.Snapshot{Generation: 7, Index: "x", Version: 1})
+	assert.Equal(t, len(got.Shards()), 3)
+}
+
+// A version-missing reply must steer later plans, but not for ever.
+func TestLearnedMissingVersionExpires(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		only := [][]string{{"a1"}}
+		p := newPlanner(manifest(t, "", only, only), nil)
+		first, err := p.Plan(encoder.QueryRequest{QueryClass: "all"})
+		assert.NilError(t, err)
+		p.Learn(first, "a1")
+		assert.Equal(t, len(p.Candidates(first, 0)), 0)
+		second, err := p.Plan(encoder.QueryRequest{QueryClass: "all"})
+		assert.NilError(t, err)
+		assert.Equal(t, second.Snapshot().Version, 1)
+		time.Sleep(planner.DefaultMissingExpiry)
+		third, err := p.Plan(encoder.QueryRequest{QueryClass: "all"})
+		assert.NilError(t, err)
+		assert.Equal(t, third.Snapshot().Version, 2)
+	})
+}
+
+// A retry planned from the pinned manifest must not go to a failure domain that was closed meanwhile, nor to a leaving target.
+func TestCandidatesUseTheNewestConfiguration(t *testing.T) {
+	replicas := [][]string{{"a1", "b1", "b2"}}
+	c := &configuration{manifest(t, "", replicas), resolver.NewMembers(encoder.MemberList{})}
+	p := planner.New(c, lacking{})
+	pinned, err := p.Plan(encoder.QueryRequest{QueryClass: "all"})
+	assert.NilError(t, err)
+	c.manifest = manifest(t, "a", replicas)
+	c.members = resolver.NewMembers(encoder.MemberList{Targets: []encoder.MemberTarget{{Name: "b1", State: "leaving"}}})
+	assert.DeepEqual(t, p.Candidates(pinned, 0), []string{"b2"})
+}
+
+// Removing one shard must move only its own keys, or a keyed query would miss its document.
+func TestKeyMovesOnlyWithItsShard(t *testing.T) {
+	shardOf := func(shards int, key string) string {
+		replicas := make([][]string, shards)
+		for i := range replicas {
+			replicas[i] = []string{"a1"}
+		}
+		p := newPlanner(manifest(t, "", replicas), nil)
+		got, err := p.Plan(encoder.QueryRequest{QueryClass: "key", Key: &key})
+		assert.NilError(t, err)
+		assert.Equal(t, len(got.Shards()), 1)
+		return got.Shards()[0].Name
+	}
+	var used []string
+	rapid.Check(t, func(rt *rapid.T) {
+		key := rapid.String().Draw(rt, "key")
+		shards := rapid.IntRange(2, 12).Draw(rt, "shards")
+		before, after := shardOf(shards, key), shardOf(shards-1, key)
+		if before != fmt.Sprintf("s%d", shards-1) && before != after {
+			rt.Fatalf("key moved from %s to %s", before, after)
+		}
+		if !slices.Contains(used, before) {
+			used = append(used, before)
+		}
+	})
+	assert.Assert(t, len(used) > 4, "keys reach only %v", used)
+}
+
+// A missing or superfluous key must be refused before anything is sent.
+func TestPlanChecksTheKey(t *testing.T) {
+	p := newPlanner(manifest(t, "", [][]string{{"a1"}}), nil)
+	key := "k"
+	_, err := p.Plan(encoder.QueryRequest{QueryClass: "key"})
+	assert.ErrorType(t, err, &planner.KeyError{})
+	_, err = p.Plan(encoder.QueryRequest{QueryClass: "all", Key: &key})
+	assert.ErrorType(t, err, &planner.KeyError{})
+	_, err = p.Plan(encoder.QueryRequest{QueryClass: "none"})
+	assert.ErrorType(t, err, &planner.UnknownClassError{})
+}
--- a/internal/query/ticketer/ticketer.go
+++ b/internal/query/ticketer/ticketer.go
@@ -22,6 +22,14 @@
 	DefaultBytes = 16 << 20
 )
 
+const (
+	// forwardMargin is the time kept for the way back of a forwarded answer.
+	forwardMargin = 2 * time.Millisecond
+	// leastStatus and mostStatus bound the HTTP statuses of a final answer.
+	leastStatus = 200
+	mostStatus  = 599
+)
+
 // Peers forwards a ticketed query to the instance that issued the ticket.
 type Peers interface {
 	RunTicket(ctx context.Context, instance string, request encoder.RunTicketRequest) (encoder.RunTicketReply, error)
@@ -191,6 +199,7 @@
 func (t *Ticketer) call(ctx context.Context, f RunFunc) (answer Answer) {
 	defer func() {
 		if recovered := recover(); recovered != nil {
+			checker.Rethrow(recovered)
 			answer = t.onPanic(recovered)
 		}
 	}()
@@ -222,6 +231,9 @@
 	if err != nil {
 		return t.lose("the instance that issued the ticket did not answer", err)
 	}
+	if reply.Status < leastStatus || reply.Status > mostStatus {
+		return t.lose(fmt.Sprintf("the instance that issued the ticket sent status %d", reply.Status), nil)
+	}
 	return Answer{Status: reply.Status, Body: []byte(reply.Body)}, nil
 }
 
@@ -230,13 +242,13 @@
 	return Answer{}, &UnknownError{Detail: detail, Cause: cause}
 }
 
-// remainingMs returns the time left, or zero for no deadline.
+// remainingMs returns the time left for another instance, or zero for no deadline.
 func remainingMs(ctx context.Context) int {
 	deadline, set := ctx.Deadline()
 	if !set {
 		return 0
 	}
-	return max(int(time.Until(deadline).Milliseconds()), 1)
+	return max(int((time.Until(deadline) - forwardMargin).Milliseconds()), 1)
 }
 
 func panicAnswer(any) Answer {
