--- a/internal/query/admitter/admitter.go
+++ b/internal/query/admitter/admitter.go
@@ -46,6 +46,7 @@
 	events         Events
 	admitted, shed tally.Counter
 	tooLate        tally.Counter
+	level          tally.Gauge
 
 	mu sync.Mutex
 	// running is at most limit.
@@ -62,6 +63,7 @@
 	return &Admitter{
 		limit: max(limit, 1), events: events,
 		admitted: scope.Counter("queries-admitted"), shed: scope.Counter("queries-shed"), tooLate: scope.Counter("queries-deadline-refused"),
+		level: scope.Gauge("queries-running"),
 	}
 }
 
@@ -99,6 +101,7 @@
 	}
 	if a.running < a.share(priority) {
 		a.running++
+		a.level.Update(float64(a.running))
 		return nil, nil
 	}
 	if priority != encoder.QueryClassPriorityUrgent || len(a.waiters) >= max(a.limit*waitersPercent/100, 1) {
@@ -149,6 +152,7 @@
 	a.endShedding(now)
 	if len(a.waiters) == 0 {
 		a.running--
+		a.level.Update(float64(a.running))
 		return
 	}
 	close(a.waiters[0])
--- a/internal/query/planner/plan.go
+++ b/internal/query/planner/plan.go
@@ -10,6 +10,11 @@
 	shards []encoder.Shard
 }
 
+// NewPlan creates a plan of at least one shard; the list must not change afterwards.
+func NewPlan(class encoder.QueryClass, snapshot encoder.Snapshot, shards []encoder.Shard) *Plan {
+	return &Plan{class: class, snapshot: snapshot, shards: shards}
+}
+
 // Class returns the query class as the pinned manifest defines it.
 func (p *Plan) Class() encoder.QueryClass {
 	return p.class
--- a/internal/query/planner/planner.go
+++ b/internal/query/planner/planner.go
@@ -81,11 +81,8 @@
 	}
 	index, _ := m.Index(class.Index)
 	version, shards := p.pin(m, index, request.Key)
-	return &Plan{
-		class:    class,
-		snapshot: encoder.Snapshot{Generation: m.Generation(), Index: index.Name, Version: version},
-		shards:   shards,
-	}, nil
+	snapshot := encoder.Snapshot{Generation: m.Generation(), Index: index.Name, Version: version}
+	return NewPlan(class, snapshot, shards), nil
 }
 
 // Candidates returns the replicas of a shard of the plan that may get work now and are not known to lack its version.
