--- /dev/null
+++ b/internal/query/executor/properties_test.go
@@ -0,0 +1,136 @@
+package executor_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"apricotflow/internal/wire/encoder"
+)
+
+// faults are what targets, owners and links do to a sub-query.
+var faults = []behaviour{
+	refuses(encoder.ReasonTargetDown, false), refuses(encoder.ReasonShed, true), refuses(encoder.ReasonVersionMissing, true),
+	{outcome: encoder.OutcomeUnknown, reason: encoder.ReasonConnectionLost, copies: 1},
+	{outcome: encoder.OutcomeAnswered, reached: true, version: 7, copies: 1},
+	{outcome: encoder.OutcomeAnswered, reached: true, shard: "s1", copies: 1},
+	{outcome: encoder.OutcomeAnswered, reached: true, delay: 300 * time.Millisecond, copies: 1},
+	{outcome: encoder.OutcomeAnswered, reached: true},
+}
+
+func randomBehaviour(random *rand.Rand) behaviour {
+	b := answers
+	if n := random.IntN(12); n < len(faults) {
+		b = faults[n]
+	}
+	b.delay += time.Duration(random.IntN(30)) * time.Millisecond
+	if random.IntN(8) == 0 {
+		b.copies *= 2
+	}
+	return b
+}
+
+// trial runs concurrent queries in a world of random faults.
+type trial struct {
+	w        *world
+	requests []encoder.QueryRequest
+	replies  []encoder.QueryReply
+	took     []time.Duration
+	free     int
+}
+
+func runTrial(t *testing.T, seed uint64, shards, replicas, queries, budget int) *trial {
+	random := rand.New(rand.NewPCG(seed, 1))
+	// Some seeds refuse everything, so that the outcome not-run occurs.
+	refuseAll := random.IntN(4) == 0
+	x := &trial{}
+	x.w = newWorld(budget, func(encoder.SubQuery) behaviour {
+		b := randomBehaviour(random)
+		if refuseAll && random.IntN(20) > 0 {
+			b = refuses(encoder.ReasonTargetDown, false)
+		}
+		if b.outcome == encoder.OutcomeNotRun && !b.reached {
+			x.free++
+		}
+		return b
+	})
+	synctest.Test(t, func(t *testing.T) {
+		e := x.w.executor(newConfiguration(shards, replicas))
+		x.replies, x.took = make([]encoder.QueryReply, queries), make([]time.Duration, queries)
+		var all sync.WaitGroup
+		for i := range queries {
+			request := search(fmt.Sprintf("q%d", i))
+			if i%3 == 2 {
+				request = order(fmt.Sprintf("q%d", i))
+			}
+			x.requests = append(x.requests, request)
+			all.Go(func() {
+				started := time.Now()
+				x.replies[i], _ = e.Execute(t.Context(), request)
+				x.took[i] = time.Since(started)
+			})
+		}
+		all.Wait()
+		_ = e.Drain(t.Context())
+	})
+	return x
+}
+
+// Whatever targets do: a not-run query must not have run, an order must be dispatched at most once per shard, every
+// replica is used at most once per shard and version, extra load stays within the budget, callers get their own
+// answers with a coverage that matches them, and answers come before the deadline.
+func TestGuaranteesUnderRandomFaults(t *testing.T) {
+	outcomes := make(map[encoder.QueryOutcome]int)
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64().Draw(rt, "seed")
+		shards, replicas := rapid.IntRange(1, 6).Draw(rt, "shards"), rapid.IntRange(1, 3).Draw(rt, "replicas")
+		x := runTrial(t, seed, shards, replicas, rapid.IntRange(1, 6).Draw(rt, "queries"), rapid.IntRange(0, 4).Draw(rt, "budget"))
+		for i, reply := range x.replies {
+			outcomes[reply.Outcome]++
+			checkReply(rt, x, i, reply)
+		}
+		checkDispatches(rt, x)
+	})
+	assert.Equal(t, len(outcomes), 4, "outcomes not reached: %v", outcomes)
+}
+
+func must(t *rapid.T, ok bool, format string, arguments ...any) {
+	if !ok {
+		t.Fatalf(format, arguments...)
+	}
+}
+
+func checkReply(t *rapid.T, x *trial, i int, reply encoder.QueryReply) {
+	text, c, shards := *x.requests[i].Text, reply.Coverage, make(map[string]bool)
+	must(t, reply.Outcome != encoder.QueryOutcomeNotRun || !x.w.ran[text], "query %s ran and was reported as not-run", text)
+	must(t, x.took[i] < deadline, "query %s took %v", text, x.took[i])
+	for _, h := range reply.Hits {
+		must(t, h.Document == text, "query %s got an answer to %s", text, h.Document)
+		shards[h.Shard] = true
+	}
+	must(t, len(shards) == c.ShardsAnswered && len(reply.Hits) == c.ShardsAnswered && c.DocumentsAnswered == 10*c.ShardsAnswered &&
+		c.ShardsAnswered+len(reply.Missing) == c.Shards, "coverage %+v with hits of %d shards", c, len(shards))
+	must(t, (reply.Outcome == "complete") == (len(reply.Missing) == 0), "outcome %s with %d missing", reply.Outcome, len(reply.Missing))
+}
+
+func checkDispatches(t *rapid.T, x *trial) {
+	used, dispatched := make(map[string]bool), make(map[string]bool)
+	for _, q := range x.w.sent {
+		key := fmt.Sprintf("%s %s %d %s", q.Text, q.Shard, q.Version, q.Target)
+		must(t, !used[key], "replica used twice: %s", key)
+		must(t, q.Idempotent || !dispatched[q.Text+q.Shard], "order %s dispatched twice for %s", q.Text, q.Shard)
+		used[key], dispatched[q.Text+q.Shard] = true, true
+	}
+	extra := len(x.w.sent) - x.w.needed
+	must(t, extra <= x.w.taken+x.free, "%d extra sub-queries with budget for %d and %d free retries", extra, x.w.taken, x.free)
+	for target, n := range x.w.begun {
+		must(t, n == 0, "selector counts %d attempts in flight to %s after the end", n, target)
+	}
+	must(t, x.w.Violations() == 0, "invariants violated")
+}
