Give every launcher its own loopback address

Cause: TestRestartsPlatform timed out once while another package's launcher ran; both chose ports at random on one address. Ruled out: a lock file (outlives a killed process). Change: the host part is derived from the process id; test targets use numeric ports, as the manifest rules demand. Conclusion: keep watching; the cause is likely, not shown.

--- a/internal/query/executor/fakes_test.go
+++ b/internal/query/executor/fakes_test.go
@@ -57,7 +57,7 @@
 			name := fmt.Sprintf("r%d-%d", i, j)
 			shard.Replicas = append(shard.Replicas, name)
 			wire.Services[0].Targets = append(wire.Services[0].Targets, encoder.Target{
-				Name: name, Address: "127.0.0.1:" + name, FailureDomain: "a", State: "serving", Slots: 2, Connections: 25, ColdLimit: 1,
+				Name: name, Address: fmt.Sprintf("127.0.0.1:%d", 1000+i*100+j), FailureDomain: "a", State: "serving", Slots: 2, Connections: 25, ColdLimit: 1,
 			})
 		}
 		for v := range wire.Indexes[0].Versions {
--- a/internal/standin/launcher/process.go
+++ b/internal/standin/launcher/process.go
@@ -18,13 +18,17 @@
 // listen call.
 const firstPort, lastPort = 20000, 32000
 
+// host is a loopback address of this process, so that several processes that start deployments at the same time do
+// not choose the same address. 127.0.0.x is left to other uses.
+var host = fmt.Sprintf("127.%d.%d.1", 1+os.Getpid()>>8%254, os.Getpid()%256)
+
 // reserved holds the addresses given out by this process.
 var reserved sync.Map
 
 // FreeAddress returns a loopback address that nothing listens on and that this process has not returned before.
 func FreeAddress() string {
 	for {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		address := fmt.Sprintf("%s:%d", host, firstPort+rand.IntN(lastPort-firstPort))
 		if _, taken := reserved.LoadOrStore(address, true); taken {
 			continue
 		}
