--- /dev/null
+++ b/internal/cluster/configurer/configurer.go
@@ -0,0 +1,196 @@
+// Package configurer holds the manifest and the member list in force; both are replaced only by newer ones.
+package configurer
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"apricotflow/internal/manifest/resolver"
+	"apricotflow/internal/operator/checker"
+	"apricotflow/internal/operator/recorder"
+	"apricotflow/internal/wire/encoder"
+)
+
+// Parse turns a raw manifest into a valid one.
+type Parse func(raw []byte) (*resolver.Manifest, error)
+
+// Events records changes of the configuration.
+type Events interface {
+	Record(kind recorder.Kind, subject, query, detail string)
+}
+
+// Checker checks invariants.
+type Checker interface {
+	Check(ok bool, invariant checker.Invariant, subject, detail string) bool
+}
+
+// manifestState is a manifest with its raw form.
+type manifestState struct {
+	manifest *resolver.Manifest
+	raw      []byte
+	// applied is boot time.
+	applied time.Duration
+}
+
+// membersState is a member list with its raw form.
+type membersState struct {
+	members *resolver.Members
+	raw     []byte
+}
+
+// Configurer holds the configuration in force.
+type Configurer struct {
+	parse   Parse
+	clock   func() time.Duration
+	events  Events
+	checker Checker
+
+	// manifest is nil before the first one; members is never nil.
+	manifest atomic.Pointer[manifestState]
+	members  atomic.Pointer[membersState]
+
+	// mu serialises replacements and guards subscribers.
+	mu          sync.Mutex
+	subscribers []func()
+}
+
+// New creates a configurer without a manifest and with an empty member list. The clock is boot time.
+func New(parse Parse, clock func() time.Duration, events Events, checker Checker) *Configurer {
+	c := &Configurer{parse: parse, clock: clock, events: events, checker: checker}
+	c.members.Store(&membersState{members: resolver.NewMembers(encoder.MemberList{})})
+	return c
+}
+
+// Manifest returns the manifest in force, or nil before the first.
+func (c *Configurer) Manifest() *resolver.Manifest {
+	if s := c.manifest.Load(); s != nil {
+		return s.manifest
+	}
+	return nil
+}
+
+// Members returns the member list in force, which is empty before the first.
+func (c *Configurer) Members() *resolver.Members {
+	return c.members.Load().members
+}
+
+// RawManifest returns the raw manifest in force, or nil; callers must not change it.
+func (c *Configurer) RawManifest() []byte {
+	if s := c.manifest.Load(); s != nil {
+		return s.raw
+	}
+	return nil
+}
+
+// RawMembers returns the raw member list in force, or nil; callers must not change it.
+func (c *Configurer) RawMembers() []byte {
+	return c.members.Load().raw
+}
+
+// ManifestAge returns the time since the manifest in force was applied here, or 0 before the first.
+func (c *Configurer) ManifestAge() time.Duration {
+	if s := c.manifest.Load(); s != nil {
+		return c.clock() - s.applied
+	}
+	return 0
+}
+
+// Subscribe calls f after each change, outside of locks; f may be called concurrently.
+func (c *Configurer) Subscribe(f func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.subscribers = append(c.subscribers, f)
+}
+
+// ApplyManifest puts the manifest in force if it is newer, and reports whether it did. The source names where it
+// came from.
+func (c *Configurer) ApplyManifest(raw []byte, source string) (bool, error) {
+	manifest, err := c.parse(raw)
+	if err != nil {
+		c.events.Record(recorder.KindManifestRefused, source, "", err.Error())
+		return false, &ManifestError{Source: source, Cause: err}
+	}
+	subscribers, applied := c.replaceManifest(manifest, raw, source)
+	for _, f := range subscribers {
+		f()
+	}
+	return applied, nil
+}
+
+// ApplyMembers puts the member list in force if its revision is higher, and reports whether it did.
+func (c *Configurer) ApplyMembers(raw []byte, source string) (bool, error) {
+	list, err := encoder.Decode[encoder.MemberList](raw)
+	if err != nil {
+		return false, &MembersError{Source: source, Cause: err}
+	}
+	if err := checkMembers(list); err != nil {
+		return false, &MembersError{Source: source, Cause: err}
+	}
+	subscribers, applied := c.replaceMembers(resolver.NewMembers(list), raw, source)
+	for _, f := range subscribers {
+		f()
+	}
+	return applied, nil
+}
+
+func (c *Configurer) replaceManifest(manifest *resolver.Manifest, raw []byte, source string) ([]func(), bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	old := c.Manifest()
+	if !manifest.Newer(old) {
+		return nil, false
+	}
+	rises := old == nil || manifest.Generation() >= old.Generation()
+	detail := fmt.Sprintf("generation %d from %s", manifest.Generation(), source)
+	if !c.checker.Check(rises, checker.GenerationRises, "manifest", detail) {
+		return nil, false
+	}
+	c.manifest.Store(&manifestState{manifest: manifest, raw: slices.Clone(raw), applied: c.clock()})
+	c.events.Record(recorder.KindManifestApplied, source, "", fmt.Sprintf("generation %d", manifest.Generation()))
+	c.recordDomains(old, manifest)
+	return slices.Clone(c.subscribers), true
+}
+
+func (c *Configurer) recordDomains(old, manifest *resolver.Manifest) {
+	for _, d := range manifest.FailureDomains() {
+		open := manifest.DomainOpen(d.Name)
+		// A failure domain counts as open before the first manifest, so that a start records only closed ones.
+		before := old == nil || old.DomainOpen(d.Name)
+		switch {
+		case open && !before:
+			c.events.Record(recorder.KindFailureDomainOpen, d.Name, "", "")
+		case !open && before:
+			c.events.Record(recorder.KindFailureDomainClosed, d.Name, "", "")
+		}
+	}
+}
+
+func (c *Configurer) replaceMembers(members *resolver.Members, raw []byte, source string) ([]func(), bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	old := c.members.Load()
+	// Without a raw form the list is the empty initial one, which a list of revision 0 replaces.
+	if old.raw != nil && members.Revision() <= old.members.Revision() {
+		return nil, false
+	}
+	c.members.Store(&membersState{members: members, raw: slices.Clone(raw)})
+	c.events.Record(recorder.KindMembersApplied, source, "", fmt.Sprintf("revision %d", members.Revision()))
+	return slices.Clone(c.subscribers), true
+}
+
+func checkMembers(list encoder.MemberList) error {
+	names := make(map[string]bool, len(list.Instances))
+	for i, n := range list.Instances {
+		switch {
+		case n.Name == "":
+			return fmt.Errorf("$.instances[%d].name is empty", i)
+		case names[n.Name]:
+			return fmt.Errorf("$.instances[%d].name: duplicate instance %q", i, n.Name)
+		}
+		names[n.Name] = true
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/cluster/owner/owner.go
@@ -0,0 +1,91 @@
+package owner
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"apricotflow/internal/manifest/resolver"
+)
+
+// Configuration provides the manifest and member list in force.
+type Configuration interface {
+	Manifest() *resolver.Manifest
+	Members() *resolver.Members
+}
+
+// Leavers knows instances that announced their shutdown before the member list shows it.
+type Leavers interface {
+	// LeavingVersion changes with every change of Leaving.
+	LeavingVersion() uint64
+	Leaving(instance string) bool
+}
+
+// Owner answers ownership questions of one instance.
+type Owner struct {
+	self          string
+	configuration Configuration
+	leavers       Leavers
+
+	current atomic.Pointer[table]
+	// building serialises the construction of tables.
+	building sync.Mutex
+}
+
+// New creates an owner for the named instance.
+func New(self string, configuration Configuration, leavers Leavers) *Owner {
+	return &Owner{self: self, configuration: configuration, leavers: leavers}
+}
+
+// Shares returns the owners of a target in order; callers must not change the result.
+func (o *Owner) Shares(target string) []Share {
+	return o.table().shares[target]
+}
+
+// Rivals returns the instances that must grant a lease on the group; callers must not change the result.
+func (o *Owner) Rivals(group string) []string {
+	if p := o.table().groups[group]; p != nil {
+		return p.rivals
+	}
+	return nil
+}
+
+// Candidates returns the groups that this instance may own; callers must not change the result.
+func (o *Owner) Candidates() []string {
+	return o.table().candidates
+}
+
+// Rank returns the place of this instance among the owners of the group, from 1, or 0.
+func (o *Owner) Rank(group string) int {
+	if p := o.table().groups[group]; p != nil {
+		return p.rank
+	}
+	return 0
+}
+
+// StaticOwners returns the instances, at most two, that have static shares of the group's cold limits, in order.
+func (o *Owner) StaticOwners(group string) []string {
+	if p := o.table().groups[group]; p != nil {
+		return p.static
+	}
+	return nil
+}
+
+func (o *Owner) table() *table {
+	if t := o.current.Load(); o.fresh(t) {
+		return t
+	}
+	o.building.Lock()
+	defer o.building.Unlock()
+	if t := o.current.Load(); o.fresh(t) {
+		return t
+	}
+	version := o.leavers.LeavingVersion()
+	t := newTable(o.self, o.configuration.Manifest(), o.configuration.Members(), version, o.leavers.Leaving)
+	o.current.Store(t)
+	return t
+}
+
+func (o *Owner) fresh(t *table) bool {
+	return t != nil && t.manifest == o.configuration.Manifest() && t.members == o.configuration.Members() &&
+		t.version == o.leavers.LeavingVersion()
+}
--- /dev/null
+++ b/internal/cluster/owner/table.go
@@ -0,0 +1,118 @@
+package owner
+
+import (
+	"slices"
+
+	"apricotflow/internal/manifest/resolver"
+	"apricotflow/internal/wire/encoder"
+)
+
+// Share is the part of a target's slots that one owner uses.
+type Share struct {
+	Instance string
+	// Slots is at least 1.
+	Slots int
+	// Rank is 1 for the first owner.
+	Rank int
+}
+
+// table is the ownership for one manifest, member list and set of leaving instances; it never changes.
+type table struct {
+	manifest *resolver.Manifest
+	members  *resolver.Members
+	version  uint64
+	groups   map[string]*place
+	shares   map[string][]Share
+	// candidates are the groups that this instance may own, sorted by name.
+	candidates []string
+}
+
+// place is what this instance knows of one group.
+type place struct {
+	rivals []string
+	// rank starts at 1; 0 means none.
+	rank int
+	// static holds at most two instances.
+	static []string
+}
+
+func newTable(self string, manifest *resolver.Manifest, members *resolver.Members, version uint64, leaving func(string) bool) *table {
+	t := &table{
+		manifest: manifest, members: members, version: version,
+		groups: make(map[string]*place), shares: make(map[string][]Share),
+	}
+	if manifest == nil {
+		return t
+	}
+	live := slices.DeleteFunc(slices.Clone(members.Instances()), func(n encoder.MemberInstance) bool { return leaving(n.Name) })
+	listed := members.Listed()
+	for _, g := range manifest.Groups() {
+		t.addGroup(self, g, live, listed)
+	}
+	return t
+}
+
+func (t *table) addGroup(self string, g resolver.Group, live, listed []encoder.MemberInstance) {
+	liveInside, liveOutside := domainOrder(g.Name, g.FailureDomain, live)
+	owners := slices.Concat(liveInside, liveOutside)
+	inside, outside := domainOrder(g.Name, g.FailureDomain, listed)
+	static := staticOrder(inside, outside)
+	p := &place{
+		rivals: rivals(self, inside, outside),
+		rank:   slices.Index(owners, self) + 1,
+		static: static[:min(2, len(static))],
+	}
+	t.groups[g.Name] = p
+	if slices.Contains(inside, self) || p.rank == 1 || len(outside) > 0 && outside[0] == self {
+		t.candidates = append(t.candidates, g.Name)
+	}
+	limit := t.manifest.Limits().Owners
+	bySlots := make(map[int][]Share)
+	for _, name := range g.Targets {
+		target, _ := t.manifest.Target(name)
+		shares, found := bySlots[target.Slots]
+		if !found {
+			shares = divide(target.Slots, limit, owners)
+			bySlots[target.Slots] = shares
+		}
+		t.shares[name] = shares
+	}
+}
+
+// rivals returns every other listed instance of the group's failure domain and the first other one from outside.
+// Without a listed instance in the failure domain all listed instances are rivals, since the first outside one
+// may differ between two member lists.
+func rivals(self string, inside, outside []string) []string {
+	others := func(names []string) []string {
+		return slices.DeleteFunc(slices.Clone(names), func(name string) bool { return name == self })
+	}
+	if len(inside) == 0 {
+		return others(outside)
+	}
+	rest := others(outside)
+	return slices.Concat(others(inside), rest[:min(1, len(rest))])
+}
+
+// staticOrder returns the instances that static shares are divided among. It holds leaving instances too, since
+// another instance may not know yet that they leave. An instance outside the failure domain has no static share
+// while an instance inside is listed, since the inner one need not ask it when their lists differ.
+func staticOrder(inside, outside []string) []string {
+	if len(inside) > 0 {
+		return inside
+	}
+	return outside
+}
+
+// divide gives the first owners the larger parts.
+func divide(slots, limit int, owners []string) []Share {
+	k := min(limit, slots, len(owners))
+	shares := make([]Share, 0, max(k, 0))
+	for i := range k {
+		part := slots / k
+		if i < slots%k {
+			part++
+		}
+		shares = append(shares, Share{Instance: owners[i], Slots: part, Rank: i + 1})
+	}
+	return shares
+}
--- /dev/null
+++ b/internal/cluster/watcher/errors.go
@@ -0,0 +1,33 @@
+package watcher
+
+import "fmt"
+
+// PlatformError reports that the platform did not provide a value.
+type PlatformError struct {
+	Key string
+	// Status is the HTTP status, or 0 when there was no response.
+	Status int
+	// Cause is nil when the status is the fault.
+	Cause error
+}
+
+func (e *PlatformError) Error() string {
+	if e.Cause != nil {
+		return fmt.Sprintf("watcher: read %s: %v", e.Key, e.Cause)
+	}
+	return fmt.Sprintf("watcher: read %s: status %d", e.Key, e.Status)
+}
+
+func (e *PlatformError) Unwrap() error {
+	return e.Cause
+}
+
+// SizeError reports a value above the size limit.
+type SizeError struct {
+	// Limit is in bytes.
+	Limit int
+}
+
+func (e *SizeError) Error() string {
+	return fmt.Sprintf("watcher: value is larger than %d bytes", e.Limit)
+}
--- a/internal/manifest/resolver/members.go
+++ b/internal/manifest/resolver/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"apricotflow/internal/wire/encoder"
@@ -12,6 +13,8 @@
 	revision int
 	// live holds the live instances sorted by name.
 	live []encoder.MemberInstance
+	// listed holds live and leaving instances sorted by name.
+	listed []encoder.MemberInstance
 	// instances holds live and leaving instances by name.
 	instances map[string]encoder.MemberInstance
 	leaving   map[string]bool
@@ -30,6 +33,7 @@
 			m.live = append(m.live, n)
 		}
 	}
+	m.listed = slices.SortedFunc(maps.Values(m.instances), func(a, b encoder.MemberInstance) int { return cmp.Compare(a.Name, b.Name) })
 	slices.SortFunc(m.live, func(a, b encoder.MemberInstance) int { return cmp.Compare(a.Name, b.Name) })
 	for _, t := range wire.Targets {
 		if t.State == encoder.MemberTargetStateLeaving {
@@ -49,6 +53,11 @@
 	return m.live
 }
 
+// Listed returns the live and leaving instances sorted by name; callers must not change it.
+func (m *Members) Listed() []encoder.MemberInstance {
+	return m.listed
+}
+
 // Instance finds a live or leaving instance by name.
 func (m *Members) Instance(name string) (encoder.MemberInstance, bool) {
 	n, found := m.instances[name]
