Retire connections between instances and test the cluster packages

Cause: two instances that dial each other at the same moment kept two connections for good, and a connection to a random exchange partner was never closed, so that each instance would end with a connection to every other.

Ruled out: closing the surplus or idle connection from one end at once; a call that the other end sends at that moment would be lost.

Change: the end that dialled an idle or replaced connection asks the other to retire it; both stop using it before it is closed. Tests of owner, configurer, watcher and gossiper.

Conclusion: open connections are bounded by the peers in use.

--- /dev/null
+++ b/internal/cluster/configurer/configurer_test.go
@@ -0,0 +1,163 @@
+package configurer_test
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"apricotflow/internal/cluster/configurer"
+	"apricotflow/internal/manifest/resolver"
+	"apricotflow/internal/operator/checker"
+	"apricotflow/internal/operator/recorder"
+	"apricotflow/internal/wire/encoder"
+)
+
+var errParse = errors.New("parse")
+
+// parse reads "<generation> <state of failure domain a>", and takes the raw form as digest.
+func parse(raw []byte) (*resolver.Manifest, error) {
+	var generation int
+	var state string
+	if _, err := fmt.Sscan(string(raw), &generation, &state); err != nil {
+		return nil, errParse
+	}
+	m, _ := resolver.New(encoder.Manifest{
+		Generation:     generation,
+		FailureDomains: []encoder.FailureDomain{{Name: "a", Region: "r", State: encoder.FailureDomainState(state)}},
+	}, string(raw))
+	return m, nil
+}
+
+type counter struct{}
+
+func (counter) Inc(int64) {}
+
+type logical struct{ n int }
+
+func (l *logical) Now() int {
+	l.n++
+	return l.n
+}
+
+func newConfigurer(clock func() time.Duration) (*configurer.Configurer, *recorder.Recorder) {
+	events := recorder.New("n", &logical{}, 1000)
+	return configurer.New(parse, clock, events, checker.New(events, counter{}, true)), events
+}
+
+func kinds(events *recorder.Recorder) []string {
+	list, _ := events.Events(0)
+	names := make([]string, len(list))
+	for i, e := range list {
+		names[i] = e.Kind
+	}
+	return names
+}
+
+// A configuration that goes back would return a failure domain to service that operators have taken out, and
+// instances that see manifests in different orders must end up with the same one.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		raws := rapid.SliceOfN(rapid.Map(rapid.IntRange(1, 9), func(n int) string {
+			return fmt.Sprintf("%d %s", n, []string{"open", "closed"}[n%2])
+		}), 1, 20).Draw(t, "raws")
+		c, _ := newConfigurer(func() time.Duration { return 0 })
+		highest := 0
+		for _, raw := range raws {
+			before := c.Manifest()
+			applied, err := c.ApplyManifest([]byte(raw), "test")
+			assert.NilError(t, err)
+			assert.Equal(t, applied, before == nil || c.Manifest().Newer(before))
+			assert.Equal(t, applied, c.Manifest() != before)
+			highest = max(highest, c.Manifest().Generation())
+			assert.Equal(t, c.Manifest().Generation(), highest)
+			revision := c.Members().Revision()
+			_, err = c.ApplyMembers(fmt.Appendf(nil, `{"revision":%s,"instances":[],"targets":[]}`, raw[:1]), "test")
+			assert.NilError(t, err)
+			assert.Assert(t, c.Members().Revision() >= revision)
+		}
+		other, _ := newConfigurer(func() time.Duration { return 0 })
+		for _, i := range rapid.Permutation(raws).Draw(t, "order") {
+			_, err := other.ApplyManifest([]byte(i), "test")
+			assert.NilError(t, err)
+		}
+		assert.Equal(t, other.Manifest().Digest(), c.Manifest().Digest())
+	})
+}
+
+// A refused value must leave the one in force untouched and be visible to operators.
+func TestRefusedValuesChangeNothing(t *testing.T) {
+	c, events := newConfigurer(func() time.Duration { return 0 })
+	_, err := c.ApplyManifest([]byte("1 open"), "platform")
+	assert.NilError(t, err)
+	before := c.Manifest()
+	_, err = c.ApplyManifest([]byte("bad"), "platform")
+	var refused *configurer.ManifestError
+	assert.Assert(t, errors.As(err, &refused) && errors.Is(err, errParse))
+	assert.Equal(t, c.Manifest(), before)
+	var members *configurer.MembersError
+	for _, raw := range []string{`{`, `{"revision":1,"instances":[],"targets":[],"x":1}`, `{"revision":1,"instances":[{"name":""}],"targets":[]}`} {
+		_, err = c.ApplyMembers([]byte(raw), "platform")
+		assert.Assert(t, errors.As(err, &members), "%s", raw)
+	}
+	assert.Equal(t, c.Members().Revision(), 0)
+	assert.DeepEqual(t, kinds(events), []string{"manifest-applied", "manifest-refused"})
+}
+
+// Operators follow a failure domain leaving and returning by these events.
+func TestFailureDomainEvents(t *testing.T) {
+	c, events := newConfigurer(func() time.Duration { return 0 })
+	for _, raw := range []string{"1 closed", "2 closed", "3 open", "4 open", "5 closed"} {
+		_, err := c.ApplyManifest([]byte(raw), "platform")
+		assert.NilError(t, err)
+	}
+	assert.DeepEqual(t, kinds(events), []string{
+		"manifest-applied", "failure-domain-closed", "manifest-applied", "manifest-applied", "failure-domain-open",
+		"manifest-applied", "manifest-applied", "failure-domain-closed",
+	})
+}
+
+// A subscriber that reads or applies configuration must not deadlock, and sees the new value.
+func TestSubscribersRunOutsideLocks(t *testing.T) {
+	now := time.Second
+	c, _ := newConfigurer(func() time.Duration { return now })
+	seen := 0
+	c.Subscribe(func() {
+		seen = c.Manifest().Generation()
+		if seen == 1 {
+			c.Subscribe(func() {})
+			_, err := c.ApplyManifest([]byte("2 open"), "nested")
+			assert.NilError(t, err)
+		}
+	})
+	_, err := c.ApplyManifest([]byte("1 open"), "test")
+	assert.NilError(t, err)
+	assert.Equal(t, seen, 2)
+	now += time.Minute
+	assert.Equal(t, c.ManifestAge(), time.Minute)
+	assert.Equal(t, string(c.RawManifest()), "2 open")
+}
+
+// Concurrent readers must never see the configuration go back.
+func TestConcurrentAppliesRise(t *testing.T) {
+	c, _ := newConfigurer(func() time.Duration { return 0 })
+	var running sync.WaitGroup
+	for i := range 8 {
+		running.Go(func() {
+			last := 0
+			for n := range 50 {
+				_, err := c.ApplyManifest(fmt.Appendf(nil, "%d open", 1+(n*7+i*13)%50), "test")
+				assert.Check(t, err == nil)
+				generation := c.Manifest().Generation()
+				assert.Check(t, generation >= last)
+				last = generation
+			}
+		})
+	}
+	running.Wait()
+	assert.Equal(t, c.Manifest().Generation(), 50)
+}
--- /dev/null
+++ b/internal/cluster/gossiper/gossiper_test.go
@@ -0,0 +1,263 @@
+package gossiper_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"apricotflow/internal/cluster/configurer"
+	"apricotflow/internal/cluster/gossiper"
+	"apricotflow/internal/cluster/messenger"
+	"apricotflow/internal/manifest/resolver"
+	"apricotflow/internal/operator/checker"
+	"apricotflow/internal/operator/recorder"
+	"apricotflow/internal/operator/timekeeper"
+	"apricotflow/internal/wire/encoder"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m)
+}
+
+var errDown = errors.New("platform is down")
+
+// parse reads a generation.
+func parse(raw []byte) (*resolver.Manifest, error) {
+	wire := encoder.Manifest{Limits: encoder.Limits{LeaseMs: 600}}
+	if _, err := fmt.Sscan(string(raw), &wire.Generation); err != nil {
+		return nil, err
+	}
+	m, _ := resolver.New(wire, string(raw))
+	return m, nil
+}
+
+type counter struct{}
+
+func (counter) Inc(int64) {}
+
+// platformFunc is a Platform.
+type platformFunc func() error
+
+func (f platformFunc) Fetch(context.Context) error { return f() }
+
+// targets notes what is learnt.
+type targets struct {
+	facts []encoder.TargetFact
+	mu    sync.Mutex
+	from  map[encoder.TargetFact]string
+}
+
+func (s *targets) Facts() []encoder.TargetFact { return s.facts }
+
+func (s *targets) Learn(fact encoder.TargetFact, from string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.from[fact] = from
+}
+
+func (s *targets) learnt(fact encoder.TargetFact) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.from[fact]
+}
+
+type node struct {
+	*gossiper.Gossiper
+	messenger *messenger.Messenger
+	config    *configurer.Configurer
+	targets   *targets
+	stop      func()
+}
+
+// cluster is a set of instances with one member list.
+type cluster struct {
+	t     *testing.T
+	nodes map[string]*node
+	list  encoder.MemberList
+}
+
+// add creates an instance that runs after run.
+func (c *cluster) add(name string, platform func(*node) error, seeds ...string) *node {
+	c.t.Helper()
+	clock := timekeeper.NewHybridClock(time.Now)
+	events := recorder.New(name, clock, 1000)
+	n := &node{targets: &targets{from: make(map[encoder.TargetFact]string)}}
+	n.config = configurer.New(parse, timekeeper.BootTime, events, checker.New(events, counter{}, true))
+	incarnation := fmt.Sprint(name, clock.Now())
+	resolve := messenger.ResolverFunc(func(instance string) (string, bool) {
+		i, found := n.config.Members().Instance(instance)
+		return i.PeerAddress, found
+	})
+	n.messenger = messenger.New(messenger.Identity{Instance: name, Incarnation: incarnation}, "127.0.0.1:0", resolve, clock, events)
+	n.Gossiper = gossiper.New(name, incarnation, n.messenger, n.config, platformFunc(func() error { return platform(n) }),
+		timekeeper.BootTime, gossiper.WithSeeds(seeds...), gossiper.WithTargets(n.targets))
+	assert.NilError(c.t, n.messenger.Start())
+	c.nodes[name] = n
+	c.list.Revision++
+	c.list.Instances = append(c.list.Instances, encoder.MemberInstance{Name: name, PeerAddress: n.messenger.Address(), State: "live"})
+	return n
+}
+
+func (c *cluster) run(n *node) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		n.Run(ctx)
+		close(done)
+	}()
+	n.stop = sync.OnceFunc(func() {
+		cancel()
+		<-done
+		closing, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		assert.Check(c.t, n.messenger.Close(closing))
+	})
+	c.t.Cleanup(n.stop)
+}
+
+func down(*node) error { return errDown }
+
+// serve returns a platform with a manifest and the cluster's member list.
+func (c *cluster) serve(manifest string) func(*node) error {
+	return func(n *node) error {
+		if _, err := n.config.ApplyManifest([]byte(manifest), "platform"); err != nil {
+			return err
+		}
+		_, err := n.config.ApplyMembers(encoder.Encode(c.list), "platform")
+		return err
+	}
+}
+
+// start creates and runs instances that know one another and hold the manifest.
+func start(t *testing.T, manifest string, names ...string) *cluster {
+	t.Helper()
+	c := &cluster{t: t, nodes: make(map[string]*node), list: encoder.MemberList{Targets: []encoder.MemberTarget{}}}
+	for _, name := range names {
+		c.add(name, c.serve(manifest))
+	}
+	for _, name := range names {
+		c.run(c.nodes[name])
+	}
+	for _, name := range names {
+		eventually(t, c.nodes[name].Ready)
+	}
+	return c
+}
+
+func eventually(t *testing.T, condition func() bool) {
+	t.Helper()
+	for range 1000 {
+		if condition() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatal("condition does not hold in time")
+}
+
+// A new instance that believes a stale platform would send work to a failure domain taken out long ago.
+func TestFreshInstanceWithStalePlatform(t *testing.T) {
+	c := start(t, "5", "a", "b")
+	fresh := c.add("z", c.serve("3"))
+	c.run(fresh)
+	eventually(t, fresh.Ready)
+	assert.Equal(t, fresh.config.Manifest().Generation(), 5)
+}
+
+// Without the platform, a new instance must get the configuration from its seeds alone.
+func TestFreshInstanceWithSeedsOnly(t *testing.T) {
+	c := start(t, "5", "a", "b")
+	fresh := c.add("z", down, "127.0.0.1:1", c.nodes["b"].messenger.Address())
+	c.run(fresh)
+	eventually(t, fresh.Ready)
+	assert.Equal(t, fresh.config.Manifest().Generation(), 5)
+	assert.Equal(t, fresh.config.Members().Revision(), 2)
+}
+
+// An instance without any configuration must not serve.
+func TestNotReadyWithoutConfiguration(t *testing.T) {
+	c := &cluster{t: t, nodes: make(map[string]*node)}
+	alone := c.add("a", down)
+	c.run(alone)
+	time.Sleep(300 * time.Millisecond)
+	assert.Assert(t, !alone.Ready())
+}
+
+// A change must reach all instances well within 5 s, and no instance may go back.
+func TestChangeReachesAllInstances(t *testing.T) {
+	c := start(t, "1", "a", "b", "c", "d", "e")
+	began := time.Now()
+	for generation := 2; generation <= 4; generation++ {
+		_, err := c.nodes["c"].config.ApplyManifest(fmt.Append(nil, generation), "platform")
+		assert.NilError(t, err)
+	}
+	for _, n := range c.nodes {
+		eventually(t, func() bool { return n.config.Manifest().Generation() == 4 })
+	}
+	assert.Assert(t, time.Since(began) < 2*time.Second)
+	// An instance with an old value, as after a partition, takes the newer one and does not spread its own.
+	applied, err := c.nodes["a"].config.ApplyManifest([]byte("2"), "platform")
+	assert.NilError(t, err)
+	assert.Assert(t, !applied)
+}
+
+// Two manifests of one generation must end as the same one everywhere.
+func TestConflictingManifestsConverge(t *testing.T) {
+	c := start(t, "1", "a", "b", "c")
+	_, err := c.nodes["a"].config.ApplyManifest([]byte("2 x"), "platform")
+	assert.NilError(t, err)
+	_, err = c.nodes["b"].config.ApplyManifest([]byte("2 y"), "platform")
+	assert.NilError(t, err)
+	for _, n := range c.nodes {
+		eventually(t, func() bool { return n.config.Manifest().Digest() == "2 y" })
+	}
+}
+
+// Ownership must move before the member list shows that an instance leaves, and a lost one must be noticed.
+func TestLeavingLossAndRestart(t *testing.T) {
+	c := start(t, "1", "a", "b")
+	a, b := c.nodes["a"], c.nodes["b"]
+	eventually(t, func() bool { return a.Reachable("b") && b.Reachable("a") })
+	version := a.LeavingVersion()
+	b.Leave(context.Background())
+	assert.Assert(t, b.Leaving("b"))
+	eventually(t, func() bool { return a.Leaving("b") })
+	assert.Assert(t, a.LeavingVersion() != version)
+	b.stop()
+	eventually(t, func() bool { return !a.Reachable("b") })
+	old, _ := a.Peer("b")
+	c.list.Instances = c.list.Instances[:1]
+	again := c.add("b", c.serve("1"))
+	c.run(again)
+	eventually(t, func() bool { return a.Reachable("b") && !a.Leaving("b") })
+	restarted, _ := a.Peer("b")
+	assert.Assert(t, restarted.Incarnation != old.Incarnation)
+}
+
+// Another owner that does not learn of a draining target sends it new work.
+func TestFactsReachOtherInstances(t *testing.T) {
+	c := start(t, "1", "a", "b")
+	fact := encoder.TargetFact{Target: "t", Incarnation: "1", State: encoder.LoadStateDraining}
+	source := c.add("z", c.serve("1"))
+	source.targets.facts = []encoder.TargetFact{fact}
+	c.run(source)
+	for _, name := range []string{"a", "b"} {
+		eventually(t, func() bool { return c.nodes[name].targets.learnt(fact) == "z" })
+	}
+}
+
+// A message under another name than that of its connection must not change the state of that instance.
+func TestExchangeUnderAnotherNameIsRefused(t *testing.T) {
+	c := start(t, "1", "a", "b")
+	message := encoder.ExchangeMessage{Instance: "a", Leaving: true, Targets: []encoder.TargetFact{}}
+	_, err := messenger.Call[encoder.ExchangeMessage, encoder.ExchangeMessage](context.Background(), c.nodes["b"].messenger, "a", "exchange", message)
+	var remote *messenger.RemoteError
+	assert.Assert(t, errors.As(err, &remote))
+	assert.Assert(t, !c.nodes["a"].Leaving("a"))
+}
--- a/internal/cluster/messenger/call.go
+++ b/internal/cluster/messenger/call.go
@@ -54,7 +54,7 @@
 	if err != nil {
 		return reply, err
 	}
-	defer l.active.Add(-1)
+	defer l.release()
 	if err := waiter.Wait(ctx, &reply); err != nil {
 		var refusal *jsonrpc2.Error
 		if errors.As(err, &refusal) {
@@ -70,7 +70,11 @@
 func Notify[Q any](ctx context.Context, m *Messenger, instance, method string, message Q) error {
 	stamp(clockFieldOf[Q](), m.clock, &message)
 	return m.attempt(ctx, instance, method, func(l *link) error {
-		return l.rpc.Notify(ctx, method, message)
+		if err := l.rpc.Notify(ctx, method, message); err != nil {
+			return err
+		}
+		l.release()
+		return nil
 	})
 }
 
@@ -79,10 +83,8 @@
 	var waiter jsonrpc2.Waiter
 	var used *link
 	err := m.attempt(ctx, instance, method, func(l *link) error {
-		l.active.Add(1)
 		w, err := l.rpc.DispatchCall(ctx, method, request)
 		if err != nil {
-			l.active.Add(-1)
 			return err
 		}
 		waiter, used = w, l
@@ -103,6 +105,7 @@
 		if err == nil {
 			return nil
 		}
+		l.release()
 		if !errors.Is(err, jsonrpc2.ErrClosed) || try > 0 {
 			return &UnreachableError{Instance: instance, Method: method, Cause: err}
 		}
--- a/internal/cluster/messenger/connect.go
+++ b/internal/cluster/messenger/connect.go
@@ -19,9 +19,8 @@
 
 // dial is a connection attempt that several callers wait for.
 type dial struct {
-	// done is closed when link or err is set.
+	// done is closed after the dial; err is set before.
 	done chan struct{}
-	link *link
 	err  error
 }
 
@@ -31,23 +30,41 @@
 	err error
 }
 
-// link returns the connection to an instance, dialling if there is none.
+// link returns the connection to an instance, dialling if there is none. The caller releases it.
 func (m *Messenger) link(ctx context.Context, instance string) (*link, error) {
+	for range dialAttempts {
+		l, d, err := m.find(ctx, instance)
+		if l != nil || err != nil {
+			return l, err
+		}
+		select {
+		case <-d.done:
+			if d.err != nil {
+				return nil, d.err
+			}
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	return nil, &ClosedError{}
+}
+
+// find returns the open connection to an instance, or the dial in progress.
+func (m *Messenger) find(ctx context.Context, instance string) (*link, *dial, error) {
 	if err := ctx.Err(); err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	if m.closed {
-		m.mu.Unlock()
-		return nil, &ClosedError{}
+		return nil, nil, &ClosedError{}
 	}
 	if l := m.preferred[instance]; l != nil {
-		m.mu.Unlock()
-		return l, nil
+		l.acquire()
+		return l, nil, nil
 	}
 	if f, found := m.failures[instance]; found && time.Since(f.at) < dialPause {
-		m.mu.Unlock()
-		return nil, f.err
+		return nil, nil, f.err
 	}
 	d := m.dials[instance]
 	if d == nil {
@@ -55,19 +72,13 @@
 		m.dials[instance] = d
 		m.background.Go(func() { m.dial(instance, d) })
 	}
-	m.mu.Unlock()
-	select {
-	case <-d.done:
-		return d.link, d.err
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
+	return nil, d, nil
 }
 
 func (m *Messenger) dial(instance string, d *dial) {
 	address, found := m.lookup(instance)
 	if found {
-		d.link, d.err = m.connect(m.ctx, address, instance)
+		_, d.err = m.connect(m.ctx, address, instance)
 	} else {
 		d.err = &AddressError{Instance: instance}
 	}
@@ -184,7 +195,8 @@
 		return
 	}
 	m.preferred[peer.Instance] = l
-	if old == nil {
+	if m.known[peer.Instance] != peer.Incarnation {
+		m.known[peer.Instance] = peer.Incarnation
 		m.events.Record(recorder.KindPeerConnected, peer.Instance, "", peer.Incarnation)
 	}
 }
@@ -212,12 +224,10 @@
 		return
 	}
 	delete(m.preferred, peer.Instance)
-	for other := range m.links {
-		if p := other.peer.Load(); p != nil && *p == *peer {
-			m.preferred[peer.Instance] = other
-			return
-		}
+	if m.preferAnother(*peer) {
+		return
 	}
+	delete(m.known, peer.Instance)
 	kind := recorder.KindPeerLost
 	if l.silent.Load() {
 		kind = recorder.KindConnectionSilent
--- a/internal/cluster/messenger/link.go
+++ b/internal/cluster/messenger/link.go
@@ -30,8 +30,13 @@
 	peer atomic.Pointer[Peer]
 	// ready is closed after hello; requests that overtake its handling wait for it.
 	ready chan struct{}
-	// active counts the calls in flight in both directions.
+	// active counts the calls in flight in both directions. It rises from 0 for an outgoing call only under the
+	// messenger's lock.
 	active atomic.Int64
+	// used is the time of the last call, since the stream's epoch.
+	used atomic.Int64
+	// retired tells that no new call uses the connection; it is guarded by the messenger's lock.
+	retired bool
 	// silent tells that the connection was closed for want of heartbeats.
 	silent atomic.Bool
 	// created is the time of the connection.
@@ -51,14 +56,18 @@
 		l.observeHeartbeat(request)
 		return
 	}
-	l.active.Add(1)
+	if request.Method == methodRetire {
+		// A reply that cannot be sent ends the connection all the same.
+		_ = l.rpc.Reply(ctx, request.ID, l.owner.retire(l))
+		return
+	}
 	if !l.owner.begin() {
-		l.active.Add(-1)
 		return
 	}
+	l.acquire()
 	go func() {
 		defer l.owner.end()
-		defer l.active.Add(-1)
+		defer l.release()
 		l.answer(ctx, request)
 	}()
 }
@@ -135,21 +144,25 @@
 			_ = l.rpc.Close()
 			continue
 		}
-		if l.redundant() {
-			_ = l.rpc.Close()
-			continue
-		}
+		l.retireIdle()
 		// A heartbeat that cannot be queued shows up as silence at the other end.
 		_ = l.rpc.Notify(l.owner.ctx, methodHeartbeat, heartbeatMessage{Clock: l.owner.clock.Now()})
 	}
 }
 
-// redundant reports whether another connection to the peer has replaced this idle one.
-func (l *link) redundant() bool {
-	if time.Since(l.created) < redundantAge || l.active.Load() > 0 {
-		return false
-	}
-	return l.peer.Load() == nil || l.owner.replaced(l)
+// acquire counts a call, and release ends it.
+func (l *link) acquire() {
+	l.active.Add(1)
+	l.touch()
+}
+
+func (l *link) release() {
+	l.touch()
+	l.active.Add(-1)
+}
+
+func (l *link) touch() {
+	l.used.Store(int64(time.Since(l.stream.epoch)))
 }
 
 func (l *link) observeHeartbeat(request *jsonrpc2.Request) {
--- a/internal/cluster/messenger/messenger.go
+++ b/internal/cluster/messenger/messenger.go
@@ -23,8 +23,12 @@
 	defaultSize = 8 << 20
 	// dialPause is the time after a failed dial in which calls fail without a new one.
 	dialPause = 100 * time.Millisecond
-	// redundantAge is the least age at which a second connection to a peer is closed.
+	// dialAttempts bounds the connections dialled for one call that close before it can use them.
+	dialAttempts = 3
+	// redundantAge is the age at which a connection without hello is closed.
 	redundantAge = 2 * time.Second
+	// defaultIdle is the time without calls after which a connection is closed.
+	defaultIdle = 30 * time.Second
 )
 
 // Resolver finds the peer addresses of instances.
@@ -65,6 +69,11 @@
 	return func(m *Messenger) { m.heartbeat, m.silence = interval, silence }
 }
 
+// WithIdleLimit sets the time without calls after which a connection is closed.
+func WithIdleLimit(limit time.Duration) Option {
+	return func(m *Messenger) { m.idleLimit = limit }
+}
+
 // WithSizeLimit sets the size of the largest message in bytes.
 func WithSizeLimit(limit int) Option {
 	return func(m *Messenger) { m.sizeLimit = limit }
@@ -81,6 +90,7 @@
 	heartbeat  time.Duration
 	silence    time.Duration
 	sizeLimit  int
+	idleLimit  time.Duration
 
 	// ctx ends with Close.
 	ctx    context.Context
@@ -99,7 +109,9 @@
 	failures map[string]dialFailure
 	// addresses holds the addresses that peers told in hello.
 	addresses map[string]string
-	closed    bool
+	// known holds the incarnation of each peer that was recorded as connected and not as lost since.
+	known  map[string]string
+	closed bool
 	// running counts handlers; idle is closed when it reaches 0 after draining began.
 	running  int
 	draining bool
@@ -111,10 +123,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	m := &Messenger{
 		identity: identity, address: address, resolver: resolver, clock: clock, events: events,
-		heartbeat: defaultHeartbeat, silence: defaultSilence, sizeLimit: defaultSize,
+		heartbeat: defaultHeartbeat, silence: defaultSilence, sizeLimit: defaultSize, idleLimit: defaultIdle,
 		ctx: ctx, cancel: cancel,
 		handlers: make(map[string]handler), links: make(map[*link]bool), preferred: make(map[string]*link),
-		dials: make(map[string]*dial), failures: make(map[string]dialFailure), addresses: make(map[string]string),
+		dials: make(map[string]*dial), failures: make(map[string]dialFailure), addresses: make(map[string]string), known: make(map[string]string),
 		idle: make(chan struct{}),
 	}
 	for _, option := range options {
@@ -154,6 +166,13 @@
 	return m.preferred[instance] != nil
 }
 
+// Connections returns the number of open connections.
+func (m *Messenger) Connections() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.links)
+}
+
 // Connect opens a connection to a raw address, such as a seed, and returns the instance found there. Calls by the
 // name of that instance use the connection.
 func (m *Messenger) Connect(ctx context.Context, address string) (Peer, error) {
--- a/internal/cluster/messenger/messenger_test.go
+++ b/internal/cluster/messenger/messenger_test.go
@@ -324,6 +324,34 @@
 		}
 	}
 	running.Wait()
+	for deadline := time.Now().Add(10 * time.Second); nodes[0].Connections()+nodes[1].Connections()+nodes[2].Connections() > 6; {
+		assert.Assert(t, time.Now().Before(deadline))
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// An idle connection must be closed without losing a call that starts at the same moment on either end.
+func TestIdleConnectionsCloseWithoutLosingCalls(t *testing.T) {
+	d := &directory{}
+	options := []messenger.Option{messenger.WithHeartbeat(5*time.Millisecond, time.Second), messenger.WithIdleLimit(time.Millisecond)}
+	a, b := start(t, d, "a", options...), start(t, d, "b", options...)
+	var running sync.WaitGroup
+	for _, from := range []*node{a, b} {
+		to := map[*node]string{a: "b", b: "a"}[from]
+		running.Go(func() {
+			for i := range 200 {
+				_, err := call(from, to, "echo", "x")
+				assert.Check(t, err == nil, "%v", err)
+				time.Sleep(time.Duration(i%13) * time.Millisecond)
+			}
+		})
+	}
+	running.Wait()
+	for deadline := time.Now().Add(10 * time.Second); a.Connections() > 0; {
+		assert.Assert(t, time.Now().Before(deadline))
+		time.Sleep(time.Millisecond)
+	}
+	assert.Equal(t, a.count(recorder.KindPeerLost), 0)
 }
 
 // An instance that stops must answer the requests that it has already taken.
--- /dev/null
+++ b/internal/cluster/owner/owner_test.go
@@ -0,0 +1,167 @@
+package owner_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"apricotflow/internal/cluster/owner"
+	"apricotflow/internal/manifest/resolver"
+	"apricotflow/internal/wire/encoder"
+)
+
+// configuration is a fixed manifest and member list.
+type configuration struct {
+	manifest *resolver.Manifest
+	members  *resolver.Members
+	leaving  map[string]bool
+	version  uint64
+}
+
+func (c *configuration) Manifest() *resolver.Manifest { return c.manifest }
+func (c *configuration) Members() *resolver.Members   { return c.members }
+func (c *configuration) LeavingVersion() uint64       { return c.version }
+func (c *configuration) Leaving(name string) bool     { return c.leaving[name] }
+
+func manifest(t assert.TestingT, owners, slots int) *resolver.Manifest {
+	wire := encoder.Manifest{Generation: 1, Deployment: "test", Limits: encoder.Limits{Owners: owners, LeaseMs: 3000}}
+	for i, domain := range []string{"a", "b", "c"} {
+		wire.FailureDomains = append(wire.FailureDomains, encoder.FailureDomain{Name: domain, Region: "r", State: "open"})
+		for j := range 8 {
+			wire.Services = append(wire.Services, encoder.Service{Name: fmt.Sprintf("s%d%s", j, domain), Targets: []encoder.Target{{
+				Name: fmt.Sprintf("%s%d", domain, j), Address: fmt.Sprintf("127.0.0.1:%d%d", i+1, j), FailureDomain: domain,
+				State: "serving", Slots: slots, Connections: 25, ColdLimit: 1,
+			}}})
+		}
+	}
+	m, problems := resolver.New(wire, "d")
+	assert.Equal(t, len(problems), 0)
+	return m
+}
+
+func instance(name, domain string) encoder.MemberInstance {
+	return encoder.MemberInstance{Name: name, FailureDomain: domain, State: encoder.MemberInstanceStateLive}
+}
+
+func instances() *rapid.Generator[[]encoder.MemberInstance] {
+	return rapid.Custom(func(t *rapid.T) []encoder.MemberInstance {
+		names := rapid.SliceOfNDistinct(rapid.IntRange(0, 99), 1, 8, rapid.ID).Draw(t, "names")
+		list := make([]encoder.MemberInstance, len(names))
+		for i, n := range names {
+			list[i] = instance(fmt.Sprintf("n%d", n), rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "domain"))
+		}
+		return list
+	})
+}
+
+func newOwner(self string, m *resolver.Manifest, list []encoder.MemberInstance) (*owner.Owner, *configuration) {
+	c := &configuration{manifest: m, members: resolver.NewMembers(encoder.MemberList{Instances: list}), leaving: make(map[string]bool)}
+	return owner.New(self, c, c), c
+}
+
+// Instances that disagree on the owners of a target exceed its slots together.
+func TestSameMembershipGivesSameOwners(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := instances().Draw(t, "list")
+		m := manifest(t, rapid.IntRange(1, 4).Draw(t, "owners"), rapid.IntRange(1, 5).Draw(t, "slots"))
+		first, _ := newOwner(list[0].Name, m, list)
+		shuffled := rapid.Permutation(list).Draw(t, "shuffled")
+		other, _ := newOwner(list[len(list)-1].Name, m, shuffled)
+		for _, target := range m.Targets() {
+			assert.DeepEqual(t, first.Shares(target.Name), other.Shares(target.Name))
+		}
+	})
+}
+
+// Shares that do not add up to the slots waste or exceed them; a remote owner beside a local one adds latency.
+func TestSharesDivideTheSlotsInsideFirst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := instances().Draw(t, "list")
+		owners, slots := rapid.IntRange(1, 4).Draw(t, "owners"), rapid.IntRange(1, 5).Draw(t, "slots")
+		m := manifest(t, owners, slots)
+		o, c := newOwner(list[0].Name, m, list)
+		for _, target := range m.Targets() {
+			shares, sum, outside := o.Shares(target.Name), 0, false
+			assert.Equal(t, len(shares), min(owners, slots, len(list)))
+			for i, s := range shares {
+				assert.Equal(t, s.Rank, i+1)
+				assert.Assert(t, s.Slots >= 1 && s.Slots <= shares[0].Slots)
+				sum += s.Slots
+				n, _ := c.members.Instance(s.Instance)
+				assert.Assert(t, !outside || n.FailureDomain != target.FailureDomain)
+				outside = outside || n.FailureDomain != target.FailureDomain
+			}
+			assert.Equal(t, sum, slots)
+		}
+	})
+}
+
+// Removing one instance must move only its groups, or every loss makes all targets change owners.
+func TestRemovalMovesOnlyOwnGroups(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := instances().Draw(t, "list")
+		m := manifest(t, 1, 2)
+		before, _ := newOwner("n", m, list)
+		after, c := newOwner("n", m, list)
+		removed := list[rapid.IntRange(0, len(list)-1).Draw(t, "removed")].Name
+		if rapid.Bool().Draw(t, "leaving") {
+			c.leaving[removed], c.version = true, 1
+		} else {
+			rest := slices.DeleteFunc(slices.Clone(list), func(n encoder.MemberInstance) bool { return n.Name == removed })
+			c.members = resolver.NewMembers(encoder.MemberList{Instances: rest})
+		}
+		for _, target := range m.Targets() {
+			old, now := before.Shares(target.Name), after.Shares(target.Name)
+			if old[0].Instance != removed {
+				assert.DeepEqual(t, old, now)
+			}
+			for _, s := range now {
+				assert.Assert(t, s.Instance != removed)
+			}
+		}
+	})
+}
+
+// Two instances that could hold a lease at the same time must ask each other or a common third one.
+func TestRivalsOfPossibleOwnersMeet(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := instances().Draw(t, "list")
+		m := manifest(t, 2, 2)
+		for _, g := range m.Groups() {
+			var holders [][]string
+			for _, n := range list {
+				o, _ := newOwner(n.Name, m, list)
+				if slices.Contains(o.Candidates(), g.Name) {
+					holders = append(holders, append([]string{n.Name}, o.Rivals(g.Name)...))
+				}
+			}
+			for _, a := range holders {
+				for _, b := range holders {
+					assert.Assert(t, slices.ContainsFunc(a, func(name string) bool { return slices.Contains(b, name) }), "%v %v", a, b)
+				}
+			}
+		}
+	})
+}
+
+// A table that survives a change of the configuration routes to former owners.
+func TestChangesTakeEffectAtOnce(t *testing.T) {
+	m := manifest(t, 2, 2)
+	o, c := newOwner("n1", m, []encoder.MemberInstance{instance("n1", "a"), instance("n2", "a")})
+	assert.Equal(t, len(o.Shares("a1")), 2)
+	c.members = resolver.NewMembers(encoder.MemberList{Instances: []encoder.MemberInstance{instance("n1", "a")}})
+	assert.DeepEqual(t, o.Shares("a1"), []owner.Share{{Instance: "n1", Slots: 2, Rank: 1}})
+	c.leaving["n1"], c.version = true, 1
+	assert.Equal(t, len(o.Shares("a1")), 0)
+	c.manifest = nil
+	assert.Equal(t, len(o.Candidates()), 0)
+}
+
+// Shares is on the path of every sub-query: it must not compute or allocate while nothing changes.
+func TestSharesDoNotAllocate(t *testing.T) {
+	o, _ := newOwner("n1", manifest(t, 2, 2), []encoder.MemberInstance{instance("n1", "a"), instance("n2", "a")})
+	assert.Equal(t, testing.AllocsPerRun(100, func() { o.Shares("a1") }), 0.0)
+}
--- /dev/null
+++ b/internal/cluster/watcher/watcher_test.go
@@ -0,0 +1,234 @@
+package watcher_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"apricotflow/internal/cluster/watcher"
+	"apricotflow/internal/manifest/resolver"
+	"apricotflow/internal/operator/recorder"
+	"apricotflow/internal/operator/timekeeper"
+	"apricotflow/internal/wire/encoder"
+)
+
+// platform serves values and watches.
+type platform struct {
+	mu      sync.Mutex
+	changed chan struct{}
+	value   []byte
+	version int
+	failing bool
+	silent  bool
+	reads   int
+}
+
+func (p *platform) set(change func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	change()
+	p.version++
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+func (p *platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	wait, _ := strconv.Atoi(strings.TrimPrefix(r.Header.Get("Prefer"), "wait="))
+	timer := time.After(time.Duration(wait) * time.Second)
+	p.mu.Lock()
+	p.reads++
+	p.mu.Unlock()
+	for {
+		p.mu.Lock()
+		value, etag, changed, failing, silent := p.value, strconv.Itoa(p.version), p.changed, p.failing, p.silent
+		p.mu.Unlock()
+		switch {
+		case silent:
+			<-r.Context().Done()
+			return
+		case failing:
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		case etag != r.Header.Get("If-None-Match"):
+			w.Header().Set("ETag", etag)
+			_, _ = w.Write(value)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer:
+			w.WriteHeader(http.StatusNotModified)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// configuration notes what is applied.
+type configuration struct {
+	mu      sync.Mutex
+	members *resolver.Members
+	applied []byte
+}
+
+func (c *configuration) Members() *resolver.Members { return c.members }
+
+func (c *configuration) ApplyManifest(raw []byte, _ string) (bool, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.applied = raw
+	return true, nil
+}
+func (c *configuration) ApplyMembers([]byte, string) (bool, error) { return true, nil }
+
+func (c *configuration) current() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return string(c.applied)
+}
+
+type reachable map[string]bool
+
+func (r reachable) Reachable(name string) bool { return r[name] }
+
+func members(names ...string) *resolver.Members {
+	list := encoder.MemberList{}
+	for _, name := range names {
+		list.Instances = append(list.Instances, encoder.MemberInstance{Name: name, FailureDomain: "a", State: "live"})
+	}
+	return resolver.NewMembers(list)
+}
+
+type fixture struct {
+	platform      *platform
+	configuration *configuration
+	events        *recorder.Recorder
+	watcher       *watcher.Watcher
+}
+
+// start runs a watcher against a platform until the test ends.
+func start(t *testing.T, value string) *fixture {
+	t.Helper()
+	f := &fixture{
+		platform: &platform{changed: make(chan struct{}), value: []byte(value), version: 1}, configuration: &configuration{members: members()},
+		events: recorder.New("n1", timekeeper.NewHybridClock(time.Now), 100),
+	}
+	server := httptest.NewServer(f.platform)
+	f.watcher = watcher.New(server.Listener.Addr().String(), "n1", "a", f.configuration, reachable{}, timekeeper.BootTime, f.events,
+		watcher.WithWait(time.Second))
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		f.watcher.Run(ctx)
+		close(done)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+		server.Close()
+	})
+	return f
+}
+
+func (f *fixture) has(kind recorder.Kind) bool {
+	events, _ := f.events.Events(0)
+	for _, e := range events {
+		if e.Kind == string(kind) {
+			return true
+		}
+	}
+	return false
+}
+
+func eventually(t *testing.T, within time.Duration, condition func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(within)
+	for !condition() {
+		if time.Now().After(deadline) {
+			t.Fatal("condition does not hold in time")
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// A change must arrive with the pending watch, not with the next read.
+func TestChangeArrivesAtOnce(t *testing.T) {
+	f := start(t, "1")
+	eventually(t, 5*time.Second, func() bool { return f.configuration.current() == "1" })
+	time.Sleep(300 * time.Millisecond)
+	f.platform.set(func() { f.platform.value = []byte("2") })
+	eventually(t, 500*time.Millisecond, func() bool { return f.configuration.current() == "2" })
+	assert.Assert(t, f.watcher.Age() < 2*time.Second)
+}
+
+// A failing platform must not be read in a tight loop, and its loss and return must be visible.
+func TestLossAndReturnOfThePlatform(t *testing.T) {
+	f := start(t, "1")
+	eventually(t, 5*time.Second, func() bool { return f.configuration.current() == "1" })
+	f.platform.set(func() { f.platform.failing = true })
+	eventually(t, 5*time.Second, func() bool { return f.has(recorder.KindPlatformLost) })
+	f.platform.mu.Lock()
+	before := f.platform.reads
+	f.platform.mu.Unlock()
+	time.Sleep(time.Second)
+	f.platform.mu.Lock()
+	assert.Assert(t, f.platform.reads-before < 30, "%d", f.platform.reads-before)
+	f.platform.mu.Unlock()
+	assert.Assert(t, f.watcher.Age() > 500*time.Millisecond)
+	f.platform.set(func() { f.platform.failing, f.platform.value = false, []byte("2") })
+	eventually(t, 5*time.Second, func() bool { return f.has(recorder.KindPlatformRegained) && f.configuration.current() == "2" })
+}
+
+// A watch on a connection that stopped responding must end, or the instance misses all later changes.
+func TestSilentWatchTimesOut(t *testing.T) {
+	f := start(t, "1")
+	eventually(t, 5*time.Second, func() bool { return f.configuration.current() == "1" })
+	f.platform.set(func() { f.platform.silent = true })
+	eventually(t, 8*time.Second, func() bool { return f.has(recorder.KindPlatformLost) })
+	f.platform.set(func() { f.platform.silent, f.platform.value = false, []byte("2") })
+	eventually(t, 8*time.Second, func() bool { return f.configuration.current() == "2" })
+}
+
+// A value above the size that the platform supports must not be read into memory.
+func TestOversizedValueIsRefused(t *testing.T) {
+	f := start(t, string(bytes.Repeat([]byte("x"), 2<<20)))
+	err := f.watcher.Fetch(context.Background())
+	assert.ErrorContains(t, err, "larger than")
+	assert.Equal(t, f.configuration.current(), "")
+	f.platform.set(func() { f.platform.value = bytes.Repeat([]byte("x"), 1<<20) })
+	assert.NilError(t, f.watcher.Fetch(context.Background()))
+}
+
+// Too many watchers use up the platform's read rate; none would miss every change.
+func TestTwoReachableInstancesWatch(t *testing.T) {
+	names := make([]string, 9)
+	all := reachable{}
+	for i := range names {
+		names[i] = fmt.Sprintf("n%d", i)
+		all[names[i]] = true
+	}
+	count := func(r reachable, down string) (watching []string) {
+		for _, name := range names {
+			w := watcher.New("127.0.0.1:1", name, "a", &configuration{members: members(names...)}, r, timekeeper.BootTime, nil)
+			if name != down && w.Watching() {
+				watching = append(watching, name)
+			}
+		}
+		return watching
+	}
+	watching := count(all, "")
+	assert.Equal(t, len(watching), 2)
+	all[watching[0]] = false
+	assert.Equal(t, len(count(all, watching[0])), 2)
+	assert.Equal(t, len(count(reachable{}, "")), 9)
+}
