Assemble one instance from its parts with fx and serve

Cause: the parts existed, but no process ran them. Ruled out: constructing everything in one function without fx (start and stop order would be spread over it). Change: package assembler provides the parts, starts them and stops them in the order of the design page; main serves.

--- /dev/null
+++ b/internal/caller/assembler/assembler.go
@@ -0,0 +1,68 @@
+// Package assembler builds one instance from its parts and runs it until it is told to stop.
+package assembler
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"go.uber.org/fx"
+
+	"apricotflow/internal/operator/loader"
+)
+
+// StartError reports an instance that could not start.
+type StartError struct {
+	// Cause is never nil.
+	Cause error
+}
+
+func (e *StartError) Error() string {
+	return fmt.Sprintf("assembler: start instance: %v", e.Cause)
+}
+
+func (e *StartError) Unwrap() error {
+	return e.Cause
+}
+
+// StopError reports an instance that had to cut off work when it stopped.
+type StopError struct {
+	// Cause is never nil.
+	Cause error
+}
+
+func (e *StopError) Error() string {
+	return fmt.Sprintf("assembler: stop instance: %v", e.Cause)
+}
+
+func (e *StopError) Unwrap() error {
+	return e.Cause
+}
+
+// Run serves until ctx ends, then shuts down gracefully. Logs go to the writer.
+func Run(ctx context.Context, settings loader.Settings, version string, logs io.Writer) error {
+	app := fx.New(
+		fx.NopLogger,
+		fx.StartTimeout(startTimeout),
+		fx.StopTimeout(settings.BalancerDelay()+settings.ShutdownTimeout()+stopMargin),
+		fx.Supply(settings, Version(version)),
+		fx.Provide(func() io.Writer { return logs }),
+		operatorParts, clusterParts, targetParts, queryParts, callerParts,
+		fx.Invoke(run),
+	)
+	if err := app.Err(); err != nil {
+		return &StartError{Cause: err}
+	}
+	start, cancelStart := context.WithTimeout(ctx, startTimeout)
+	defer cancelStart()
+	if err := app.Start(start); err != nil {
+		return &StartError{Cause: err}
+	}
+	<-ctx.Done()
+	stop, cancelStop := context.WithTimeout(context.Background(), app.StopTimeout())
+	defer cancelStop()
+	if err := app.Stop(stop); err != nil {
+		return &StopError{Cause: err}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/caller/assembler/query.go
@@ -0,0 +1,79 @@
+package assembler
+
+import (
+	"context"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/fx"
+
+	"apricotflow/internal/cluster/configurer"
+	"apricotflow/internal/cluster/messenger"
+	"apricotflow/internal/operator/checker"
+	"apricotflow/internal/operator/loader"
+	"apricotflow/internal/operator/recorder"
+	"apricotflow/internal/query/admitter"
+	"apricotflow/internal/query/executor"
+	"apricotflow/internal/query/planner"
+	"apricotflow/internal/query/ticketer"
+	"apricotflow/internal/target/dispatcher"
+	"apricotflow/internal/target/hedger"
+	"apricotflow/internal/target/router"
+	"apricotflow/internal/target/selector"
+	"apricotflow/internal/wire/encoder"
+)
+
+// methodRunTicket is the method of the peer protocol that forwards a ticketed query.
+const methodRunTicket = "run-ticket"
+
+var queryParts = fx.Options(
+	fx.Provide(
+		newPlanner,
+		newAdmitter,
+		newTicketer,
+		newExecutor,
+	),
+)
+
+func newPlanner(configuration *configurer.Configurer, d *dispatcher.Dispatcher) *planner.Planner {
+	return planner.New(configuration, d)
+}
+
+func newAdmitter(settings loader.Settings, events *recorder.Recorder, scope tally.Scope) *admitter.Admitter {
+	return admitter.New(settings.Concurrency(), events, scope)
+}
+
+// tickets forwards ticketed queries over the messenger.
+type tickets struct {
+	messenger *messenger.Messenger
+}
+
+// RunTicket forwards a query to the instance that issued its ticket.
+func (t tickets) RunTicket(ctx context.Context, instance string, request encoder.RunTicketRequest) (encoder.RunTicketReply, error) {
+	return messenger.Call[encoder.RunTicketRequest, encoder.RunTicketReply](ctx, t.messenger, instance, methodRunTicket, request)
+}
+
+// defaultTicketLifetime applies before the first manifest.
+const defaultTicketLifetime = time.Minute
+
+func newTicketer(
+	settings loader.Settings, incarnation Incarnation, configuration *configurer.Configurer, m *messenger.Messenger,
+	events *recorder.Recorder, check *checker.Checker, scope tally.Scope,
+) *ticketer.Ticketer {
+	lifetime := func() time.Duration {
+		if manifest := configuration.Manifest(); manifest != nil {
+			return time.Duration(manifest.Limits().TicketMs) * time.Millisecond
+		}
+		return defaultTicketLifetime
+	}
+	return ticketer.New(settings.Instance(), string(incarnation), lifetime, tickets{messenger: m}, events, check, scope)
+}
+
+func newExecutor(
+	settings loader.Settings, incarnation Incarnation, p *planner.Planner, a *admitter.Admitter, r *router.Router,
+	s *selector.Selector, h *hedger.Hedger, events *recorder.Recorder, check *checker.Checker, scope tally.Scope,
+) *executor.Executor {
+	return executor.New(settings.Instance(), string(incarnation), executor.Parts{
+		Planner: p, Admitter: a, Router: r, Selector: s, Hedger: h, Events: events, Checker: check, Scope: scope,
+	})
+}
--- /dev/null
+++ b/internal/caller/assembler/target.go
@@ -0,0 +1,138 @@
+package assembler
+
+import (
+	"context"
+	"errors"
+
+	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/fx"
+
+	"apricotflow/internal/cluster/configurer"
+	"apricotflow/internal/cluster/lessor"
+	"apricotflow/internal/cluster/messenger"
+	"apricotflow/internal/cluster/owner"
+	"apricotflow/internal/operator/checker"
+	"apricotflow/internal/operator/loader"
+	"apricotflow/internal/operator/recorder"
+	"apricotflow/internal/operator/timekeeper"
+	"apricotflow/internal/target/dispatcher"
+	"apricotflow/internal/target/hedger"
+	"apricotflow/internal/target/router"
+	"apricotflow/internal/target/selector"
+	"apricotflow/internal/wire/encoder"
+)
+
+// Methods of the peer protocol that carry sub-queries.
+const (
+	methodExecute = "execute"
+	methodDeliver = "deliver"
+	methodCancel  = "cancel"
+)
+
+var targetParts = fx.Options(
+	fx.Provide(
+		newOwners,
+		newSelector,
+		newHedger,
+		newDispatcher,
+		newRouter,
+	),
+)
+
+// newOwners converts shares; ranks start at 1 in package owner and at 0 in package dispatcher.
+func newOwners(o *owner.Owner) dispatcher.Owners {
+	return func(target string) []dispatcher.Share {
+		shares := o.Shares(target)
+		converted := make([]dispatcher.Share, len(shares))
+		for i, s := range shares {
+			converted[i] = dispatcher.Share{Instance: s.Instance, Slots: s.Slots, Rank: s.Rank - 1}
+		}
+		return converted
+	}
+}
+
+func newSelector(settings loader.Settings, configuration *configurer.Configurer) *selector.Selector {
+	return selector.New(settings.FailureDomain(), configuration, selector.WithPolicy(settings.Policy().Selection))
+}
+
+func newHedger(
+	settings loader.Settings, configuration *configurer.Configurer, events *recorder.Recorder, check *checker.Checker, scope tally.Scope,
+) *hedger.Hedger {
+	options := []hedger.Option{hedger.WithScope(scope)}
+	if !settings.Policy().Hedging {
+		options = append(options, hedger.WithoutHedges())
+	}
+	return hedger.New(configuration, events, check, options...)
+}
+
+// shared passes facts about targets to the dispatcher and the selector.
+type shared struct {
+	*dispatcher.Dispatcher
+	selector *selector.Selector
+}
+
+// Learn takes a fact from a peer.
+func (s shared) Learn(fact encoder.TargetFact, from string) {
+	s.selector.Learn(fact)
+	s.Dispatcher.Learn(fact, from)
+}
+
+func newDispatcher(
+	settings loader.Settings, configuration *configurer.Configurer, owners dispatcher.Owners, leases *lessor.Lessor,
+	s *selector.Selector, f *facts, events *recorder.Recorder, check *checker.Checker, logger *log.Logger, scope tally.Scope,
+) *dispatcher.Dispatcher {
+	options := []dispatcher.Option{dispatcher.WithLogger(logger), dispatcher.WithScope(scope)}
+	if settings.Policy().Routing == encoder.PolicyRoutingDirect {
+		options = append(options, dispatcher.WithDirect())
+	}
+	d := dispatcher.New(settings.Instance(), configuration, owners, leases.Allowance, events, check, options...)
+	var t targets = shared{Dispatcher: d, selector: s}
+	f.targets.Store(&t)
+	return d
+}
+
+// batches carries batches over the messenger.
+type batches struct {
+	messenger *messenger.Messenger
+}
+
+// Execute runs a batch on a peer.
+func (b batches) Execute(ctx context.Context, peer string, request encoder.ExecuteRequest) (encoder.ExecuteReply, bool, error) {
+	reply, err := messenger.Call[encoder.ExecuteRequest, encoder.ExecuteReply](ctx, b.messenger, peer, methodExecute, request)
+	var unreachable *messenger.UnreachableError
+	return reply, !errors.As(err, &unreachable), err
+}
+
+// Cancel tells a peer that results no longer matter.
+func (b batches) Cancel(ctx context.Context, peer string, message encoder.CancelBatchMessage) error {
+	return messenger.Notify(ctx, b.messenger, peer, methodCancel, message)
+}
+
+// Deliver sends one reply of a batch.
+func (b batches) Deliver(ctx context.Context, peer string, message encoder.DeliverMessage) error {
+	return messenger.Notify(ctx, b.messenger, peer, methodDeliver, message)
+}
+
+func newRouter(
+	settings loader.Settings, incarnation Incarnation, owners dispatcher.Owners, d *dispatcher.Dispatcher,
+	m *messenger.Messenger, clock *timekeeper.HybridClock, events *recorder.Recorder, check *checker.Checker, scope tally.Scope,
+) *router.Router {
+	options := []router.Option{router.WithScope(scope)}
+	if settings.Policy().Routing == encoder.PolicyRoutingDirect {
+		options = append(options, router.WithDirect())
+	}
+	r := router.New(settings.Instance(), string(incarnation), owners, d, batches{messenger: m}, clock, events, check, options...)
+	messenger.Handle(m, methodExecute, func(ctx context.Context, peer messenger.Peer, request encoder.ExecuteRequest) (encoder.ExecuteReply, error) {
+		return r.HandleExecute(ctx, peer.Instance, request)
+	})
+	messenger.Handle(m, methodDeliver, func(_ context.Context, peer messenger.Peer, message encoder.DeliverMessage) (struct{}, error) {
+		r.HandleDeliver(peer.Instance, message)
+		return struct{}{}, nil
+	})
+	messenger.Handle(m, methodCancel, func(_ context.Context, peer messenger.Peer, message encoder.CancelBatchMessage) (struct{}, error) {
+		r.HandleCancel(peer.Instance, message)
+		return struct{}{}, nil
+	})
+	return r
+}
--- a/main.go
+++ b/main.go
@@ -3,11 +3,11 @@
 
 import (
 	"context"
-	"errors"
 	"os"
 	"os/signal"
 	"syscall"
 
+	"apricotflow/internal/caller/assembler"
 	"apricotflow/internal/operator/commander"
 	"apricotflow/internal/operator/loader"
 )
@@ -19,6 +19,6 @@
 	os.Exit(code)
 }
 
-func serve(context.Context, loader.Settings) error {
-	return errors.New("serve is not available in this build")
+func serve(ctx context.Context, settings loader.Settings) error {
+	return assembler.Run(ctx, settings, commander.Version(), os.Stderr)
 }
