Track background work so that a stop may overlap new work

Cause: a sync.WaitGroup must not be added to while a stop waits at zero, which happens when a peer forwards a ticket during the stop; a wait that was given up left its goroutine behind. Ruled out: refusing forwarded tickets during a stop, which would turn answers into unknown. Change: package tracker, used by the executor and the ticketer; invariant details of a merge are constants.

--- a/internal/query/executor/executor.go
+++ b/internal/query/executor/executor.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -15,6 +14,7 @@
 	"apricotflow/internal/query/admitter"
 	"apricotflow/internal/query/merger"
 	"apricotflow/internal/query/planner"
+	"apricotflow/internal/query/tracker"
 	"apricotflow/internal/wire/encoder"
 )
 
@@ -85,7 +85,7 @@
 	attempts atomic.Uint64
 	queries  atomic.Uint64
 	// background counts the router calls that outlive their queries.
-	background sync.WaitGroup
+	background tracker.Tracker
 }
 
 // New creates an executor for one incarnation of an instance.
@@ -139,17 +139,7 @@
 
 // Drain waits until no call to the router is left.
 func (e *Executor) Drain(ctx context.Context) error {
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		e.background.Wait()
-	}()
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return e.background.Drain(ctx)
 }
 
 func (e *Executor) newAttempt() string {
--- a/internal/query/merger/merger.go
+++ b/internal/query/merger/merger.go
@@ -118,8 +118,8 @@
 func (m *Merger) merge(shard int, reply encoder.SubReply) {
 	snapshot, planned := m.plan.Snapshot(), m.plan.Shards()[shard]
 	oneSnapshot := reply.Index == snapshot.Index && reply.Version == snapshot.Version
-	m.checker.Check(oneSnapshot, checker.OneSnapshot, reply.Target, fmt.Sprintf("merged version %d into version %d", reply.Version, snapshot.Version))
-	m.checker.Check(reply.Shard == planned.Name, checker.OwnAnswer, reply.Target, "merged shard "+reply.Shard+" as shard "+planned.Name)
+	m.checker.Check(oneSnapshot, checker.OneSnapshot, reply.Target, "merged a reply from another snapshot")
+	m.checker.Check(reply.Shard == planned.Name, checker.OwnAnswer, reply.Target, "merged a reply for another shard")
 	s := &m.shards[shard]
 	s.answered = true
 	// A target that searched fewer documents than the shard map lists covers only those.
--- a/internal/query/ticketer/ticketer.go
+++ b/internal/query/ticketer/ticketer.go
@@ -11,6 +11,7 @@
 
 	"apricotflow/internal/operator/checker"
 	"apricotflow/internal/operator/recorder"
+	"apricotflow/internal/query/tracker"
 	"apricotflow/internal/wire/encoder"
 )
 
@@ -63,7 +64,7 @@
 	mu    sync.Mutex
 	table *table
 	// runs counts the running queries; it outlives their callers.
-	runs sync.WaitGroup
+	runs tracker.Tracker
 }
 
 // Option changes a ticketer under construction.
@@ -132,17 +133,7 @@
 
 // Drain waits for running queries, also those whose callers have gone.
 func (t *Ticketer) Drain(ctx context.Context) error {
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		t.runs.Wait()
-	}()
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return t.runs.Drain(ctx)
 }
 
 func (t *Ticketer) runOwn(ctx context.Context, n name, request encoder.QueryRequest, f RunFunc) (Answer, error) {
@@ -155,7 +146,7 @@
 	}
 	if first {
 		t.run.Inc(1)
-		go t.execute(context.WithoutCancel(ctx), e, f)
+		t.runs.Go(func() { t.execute(context.WithoutCancel(ctx), e, f) })
 	} else {
 		t.resent.Inc(1)
 	}
@@ -182,13 +173,11 @@
 		return e, false, nil
 	}
 	e.started, e.digest = true, sum
-	t.runs.Add(1)
 	return e, true, nil
 }
 
 // execute runs the query and keeps its answer; a panic ends only this run.
 func (t *Ticketer) execute(ctx context.Context, e *entry, f RunFunc) {
-	defer t.runs.Done()
 	answer := t.call(ctx, f)
 	t.mu.Lock()
 	defer t.mu.Unlock()
