Drain queries whose callers have gone before targets are closed

Cause: a planned stop closed the dispatcher while queries without a caller could still run. Ruled out: closing the dispatcher later only (it has to refuse new batches from peers first). Change: the stop waits for the executor after the server for callers.

--- a/internal/caller/assembler/lifecycle.go
+++ b/internal/caller/assembler/lifecycle.go
@@ -20,6 +20,7 @@
 	"apricotflow/internal/operator/recorder"
 	"apricotflow/internal/operator/reporter"
 	admin "apricotflow/internal/operator/server"
+	"apricotflow/internal/query/executor"
 	"apricotflow/internal/target/dispatcher"
 )
 
@@ -47,6 +48,7 @@
 	Gossiper      *gossiper.Gossiper
 	Lessor        *lessor.Lessor
 	Dispatcher    *dispatcher.Dispatcher
+	Executor      *executor.Executor
 	Callers       *server.Server
 	Operators     *admin.Server
 	Events        *recorder.Recorder
@@ -151,7 +153,7 @@
 	<-n.ready
 	n.Callers.SetReady(false)
 	n.leave(ctx)
-	errs := []error{n.Callers.Stop(ctx)}
+	errs := []error{n.Callers.Stop(ctx), n.Executor.Drain(ctx)}
 	errs = append(errs, n.Dispatcher.Close(ctx))
 	n.Lessor.Release(ctx)
 	n.cancel()
