--- a/internal/cluster/lessor/lessor_test.go
+++ b/internal/cluster/lessor/lessor_test.go
@@ -1,16 +1,21 @@
 package lessor_test
 
 import (
+	"context"
 	"fmt"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"apricotflow/internal/cluster/lessor"
+	"apricotflow/internal/cluster/messenger"
 	"apricotflow/internal/cluster/owner"
 	"apricotflow/internal/manifest/resolver"
 	"apricotflow/internal/operator/recorder"
+	"apricotflow/internal/operator/timekeeper"
 	"apricotflow/internal/wire/encoder"
 )
 
@@ -192,6 +197,53 @@
 	assert.Equal(t, len(second.lessor.Grant(other).Granted), 1)
 }
 
+// A release that is stamped after a request of the same round would end the grant of that request.
+func TestReleaseIsStampedBeforeRequests(t *testing.T) {
+	m, first, second := pair(t)
+	second.lessor.Grant(encoder.GrantRequest{Instance: "n9", Groups: []string{"s@a"}, DurationMs: 60_000})
+	compared := 0
+	for range 12 {
+		asks, releases := first.lessor.Begin()
+		for _, ask := range asks {
+			for _, r := range releases {
+				assert.Assert(t, r.Message.Clock < ask.Request.Clock)
+				compared++
+			}
+			first.lessor.Finish(ask, second.lessor.Grant(ask.Request), nil)
+		}
+		m.now += lease / 3
+	}
+	assert.Assert(t, compared > 0)
+}
+
+// A grant counted from its late reply would outlast the one on the rival's clock.
+func TestValidityCountsFromBeforeTheRequest(t *testing.T) {
+	m, first, second := pair(t)
+	at := m.now + first.clockOffset
+	asks, _ := first.lessor.Begin()
+	m.now += lease / 3
+	first.lessor.Begin()
+	m.now += lease / 3
+	for _, ask := range asks {
+		first.lessor.Finish(ask, second.lessor.Grant(ask.Request), nil)
+	}
+	assert.Equal(t, first.lessor.Expiry("a1"), at+lease)
+	assert.Equal(t, first.lessor.Allowance("a1", at+lease+1), 0)
+	assert.Equal(t, first.lessor.Allowance("a1", at+lease), 1)
+}
+
+// A second owner that asks for the group while the first one answers would take it away from the first.
+func TestSecondOwnerOnlyProbesWhileFirstAnswers(t *testing.T) {
+	m, first, second := pair(t)
+	for range 4 {
+		asks, _ := second.lessor.Begin()
+		assert.Equal(t, len(asks), 1)
+		assert.Assert(t, !slices.Contains(asks[0].Request.Groups, "s@a"))
+		second.lessor.Finish(asks[0], first.lessor.Grant(asks[0].Request), nil)
+		m.now += lease / 3
+	}
+}
+
 // At shutdown a lease must end early, but not before the sub-queries it covers.
 func TestReleaseWaitsForAllowancesGivenOut(t *testing.T) {
 	m, first, second := pair(t)
@@ -220,3 +272,66 @@
 	assert.Equal(t, l.Allowance("a3", 0), 1)
 	assert.Equal(t, l.Allowance("a1", 0), 0)
 }
+
+// Over a real network the next owner must take over from a stopping one without waiting for the lease to end.
+func TestTakeOverOverMessengers(t *testing.T) {
+	_, first, second := pair(t)
+	addresses := sync.Map{}
+	resolve := messenger.ResolverFunc(func(name string) (string, bool) {
+		address, found := addresses.Load(name)
+		if !found {
+			return "", false
+		}
+		return address.(string), true
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer cancel()
+	// The instances count as started long ago.
+	started := timekeeper.BootTime()
+	offset := time.Duration(0)
+	var mu sync.Mutex
+	clock := func() time.Duration {
+		mu.Lock()
+		defer mu.Unlock()
+		return timekeeper.BootTime() - started + offset
+	}
+	lessors := make(map[*process]*lessor.Lessor)
+	for _, p := range []*process{first, second} {
+		logical := timekeeper.NewHybridClock(time.Now)
+		events := recorder.New(p.name, logical, 100)
+		m := messenger.New(messenger.Identity{Instance: p.name, Incarnation: "1"}, "127.0.0.1:0", resolve, logical, events)
+		p.owner = owner.New(p.name, p, p)
+		l := lessor.New(p.name, "1", p.owner, p, lessor.NewNetwork(m), clock, logical, events)
+		l.Register(m)
+		assert.NilError(t, m.Start())
+		addresses.Store(p.name, m.Address())
+		defer func() { assert.NilError(t, m.Close(ctx)) }()
+		lessors[p] = l
+	}
+	mu.Lock()
+	offset = lease
+	mu.Unlock()
+	running.Go(func() { lessors[first].Run(ctx) })
+	held := func(p *process) bool { return lessors[p].Allowance("a1", clock()+lease/10) == 1 }
+	eventually(t, func() bool { return held(first) })
+	began := time.Now()
+	lessors[first].Release(ctx)
+	assert.Assert(t, !held(first))
+	second.learnLeaving(first.name)
+	running.Go(func() { lessors[second].Run(ctx) })
+	eventually(t, func() bool { return held(second) })
+	assert.Assert(t, time.Since(began) < lease/2)
+}
+
+func eventually(t *testing.T, condition func() bool) {
+	t.Helper()
+	for range 1000 {
+		if condition() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatal("condition does not hold in time")
+}
--- a/internal/cluster/owner/owner_test.go
+++ b/internal/cluster/owner/owner_test.go
@@ -147,6 +147,17 @@
 	})
 }
 
+// An instance outside the failure domain may be unknown to the holder of a full lease; a static share of its own
+// would come on top of it.
+func TestStaticOwnersAreInside(t *testing.T) {
+	leaving := instance("n1", "a")
+	leaving.State = encoder.MemberInstanceStateLeaving
+	o, _ := newOwner("n2", manifest(t, 2, 2), []encoder.MemberInstance{leaving, instance("n2", "b"), instance("n3", "b")})
+	assert.DeepEqual(t, o.StaticOwners("s0a@a"), []string{"n1"})
+	assert.Equal(t, len(o.StaticOwners("s0b@b")), 2)
+	assert.Equal(t, len(o.StaticOwners("s0c@c")), 2)
+}
+
 // A table that survives a change of the configuration routes to former owners.
 func TestChangesTakeEffectAtOnce(t *testing.T) {
 	m := manifest(t, 2, 2)
