--- a/internal/cluster/gossiper/gossiper.go
+++ b/internal/cluster/gossiper/gossiper.go
@@ -281,6 +281,8 @@
 			rand.Shuffle(len(behind), func(i, j int) { behind[i], behind[j] = behind[j], behind[i] })
 			behind = behind[:pushFanOut]
 		}
+		// Peers that do not answer must not delay the others.
+		slices.SortStableFunc(behind, func(a, b string) int { return cmp.Compare(g.rank(a), g.rank(b)) })
 		g.exchangeAll(ctx, behind)
 	}
 }
@@ -313,6 +315,14 @@
 	})
 }
 
+// rank is lower for a peer that answers.
+func (g *Gossiper) rank(name string) int {
+	if g.Reachable(name) {
+		return 0
+	}
+	return 1
+}
+
 func (g *Gossiper) exchangeRandom(ctx context.Context) {
 	names := g.names()
 	if len(names) == 0 {
--- a/internal/cluster/owner/owner_test.go
+++ b/internal/cluster/owner/owner_test.go
@@ -1,6 +1,7 @@
 package owner_test
 
 import (
+	"flag"
 	"fmt"
 	"slices"
 	"testing"
@@ -13,6 +14,11 @@
 	"apricotflow/internal/wire/encoder"
 )
 
+func init() {
+	// Random tests use one seed unless another one is given.
+	_ = flag.Set("rapid.seed", "1")
+}
+
 // configuration is a fixed manifest and member list.
 type configuration struct {
 	manifest *resolver.Manifest
