Attach the platform and the ownership to the gossiper after construction

Cause: the watcher needs the gossiper's reachability and the gossiper the watcher's Fetch, and ownership needs the gossiper's leaving instances, so none of the three could be constructed first.

Change: gossiper.New takes neither; Attach sets both before Run.

--- a/internal/cluster/gossiper/gossiper.go
+++ b/internal/cluster/gossiper/gossiper.go
@@ -90,12 +90,12 @@
 	incarnation   string
 	messenger     *messenger.Messenger
 	configuration Configuration
-	platform      Platform
 	targets       Targets
 	seeds         []string
 	peers         *peers
 
-	// ownership is set once before Run, since ownership depends on Leaving.
+	// platform and ownership are set once before Run.
+	platform  Platform
 	ownership Ownership
 
 	ready   atomic.Bool
@@ -115,12 +115,12 @@
 }
 
 // New creates a gossiper and registers its methods at the messenger. The clock is boot time.
-func New(instance, incarnation string, m *messenger.Messenger, configuration Configuration, platform Platform,
+func New(instance, incarnation string, m *messenger.Messenger, configuration Configuration,
 	clock func() time.Duration, options ...Option,
 ) *Gossiper {
 	g := &Gossiper{
 		instance: instance, incarnation: incarnation, messenger: m, configuration: configuration,
-		platform: platform, targets: noTargets{}, ownership: noOwnership{}, peers: newPeers(clock),
+		targets: noTargets{}, peers: newPeers(clock),
 		push: make(chan struct{}, 1), announced: make(chan encoder.ExchangeMessage, announcedLimit),
 	}
 	for _, option := range options {
@@ -132,9 +132,9 @@
 	return g
 }
 
-// SetOwnership sets the ownership to be used; it is called before Run.
-func (g *Gossiper) SetOwnership(ownership Ownership) {
-	g.ownership = ownership
+// Attach sets the platform and the ownership, which themselves depend on the gossiper. It is called before Run.
+func (g *Gossiper) Attach(platform Platform, ownership Ownership) {
+	g.platform, g.ownership = platform, ownership
 }
 
 // Ready reports whether this instance has the newest configuration among those that answered at its start.
@@ -522,9 +522,3 @@
 
 func (noTargets) Facts() []encoder.TargetFact      { return nil }
 func (noTargets) Learn(encoder.TargetFact, string) {}
-
-// noOwnership is used until SetOwnership.
-type noOwnership struct{}
-
-func (noOwnership) Candidates() []string   { return nil }
-func (noOwnership) Rivals(string) []string { return nil }
--- a/internal/cluster/gossiper/gossiper_test.go
+++ b/internal/cluster/gossiper/gossiper_test.go
@@ -15,6 +15,7 @@
 	"apricotflow/internal/cluster/configurer"
 	"apricotflow/internal/cluster/gossiper"
 	"apricotflow/internal/cluster/messenger"
+	"apricotflow/internal/cluster/owner"
 	"apricotflow/internal/manifest/resolver"
 	"apricotflow/internal/operator/checker"
 	"apricotflow/internal/operator/recorder"
@@ -80,8 +81,9 @@
 		return i.PeerAddress, found
 	})
 	n.messenger = messenger.New(messenger.Identity{Instance: name, Incarnation: incarnation}, "127.0.0.1:0", resolve, clock, events)
-	n.Gossiper = gossiper.New(name, incarnation, n.messenger, n.config, platformFunc(func() error { return platform(n) }),
+	n.Gossiper = gossiper.New(name, incarnation, n.messenger, n.config,
 		timekeeper.BootTime, gossiper.WithSeeds(seeds...), gossiper.WithTargets(n.targets))
+	n.Attach(platformFunc(func() error { return platform(n) }), owner.New(name, n.config, n))
 	assert.NilError(c.t, n.messenger.Start())
 	c.nodes[name] = n
 	c.list.Revision++
