Attach platform and ownership to the gossiper

Cause: the gossiper now takes its platform and ownership after construction, which ends the cycle with the watcher. Ruled out: the former adapter, which hid a nil gossiper during start. Change: the assembler attaches both before the messenger listens.

--- a/internal/caller/assembler/cluster.go
+++ b/internal/caller/assembler/cluster.go
@@ -23,7 +23,6 @@
 	fx.Provide(
 		newConfigurer,
 		newMessenger,
-		newReachability,
 		newFacts,
 		newWatcher,
 		newGossiper,
@@ -50,21 +49,6 @@
 	return messenger.New(identity, settings.PeerAddress().String(), addresses, clock, events)
 }
 
-// reachability breaks the cycle between watcher and gossiper: it is bound to the gossiper once that exists.
-type reachability struct {
-	gossiper atomic.Pointer[gossiper.Gossiper]
-}
-
-func newReachability() *reachability {
-	return &reachability{}
-}
-
-// Reachable reports whether the instance answered lately.
-func (r *reachability) Reachable(instance string) bool {
-	g := r.gossiper.Load()
-	return g != nil && g.Reachable(instance)
-}
-
 // targets provides and learns facts about targets.
 type targets interface {
 	Facts() []encoder.TargetFact
@@ -96,30 +80,25 @@
 }
 
 func newWatcher(
-	settings loader.Settings, configuration *configurer.Configurer, reachable *reachability, events *recorder.Recorder,
+	settings loader.Settings, configuration *configurer.Configurer, g *gossiper.Gossiper, events *recorder.Recorder,
 ) *watcher.Watcher {
 	return watcher.New(settings.PlatformAddress().String(), settings.Instance(), settings.FailureDomain(),
-		configuration, reachable, timekeeper.BootTime, events)
+		configuration, g, timekeeper.BootTime, events)
 }
 
 func newGossiper(
-	settings loader.Settings, incarnation Incarnation, m *messenger.Messenger, configuration *configurer.Configurer,
-	platform *watcher.Watcher, reachable *reachability, f *facts,
+	settings loader.Settings, incarnation Incarnation, m *messenger.Messenger, configuration *configurer.Configurer, f *facts,
 ) *gossiper.Gossiper {
 	seeds := make([]string, 0, len(settings.Seeds()))
 	for _, s := range settings.Seeds() {
 		seeds = append(seeds, s.String())
 	}
-	g := gossiper.New(settings.Instance(), string(incarnation), m, configuration, platform, timekeeper.BootTime,
+	return gossiper.New(settings.Instance(), string(incarnation), m, configuration, timekeeper.BootTime,
 		gossiper.WithSeeds(seeds...), gossiper.WithTargets(f))
-	reachable.gossiper.Store(g)
-	return g
 }
 
 func newOwner(settings loader.Settings, configuration *configurer.Configurer, g *gossiper.Gossiper) *owner.Owner {
-	o := owner.New(settings.Instance(), configuration, g)
-	g.SetOwnership(o)
-	return o
+	return owner.New(settings.Instance(), configuration, g)
 }
 
 func newLessor(
--- a/internal/caller/assembler/lifecycle.go
+++ b/internal/caller/assembler/lifecycle.go
@@ -15,6 +15,7 @@
 	"apricotflow/internal/cluster/gossiper"
 	"apricotflow/internal/cluster/lessor"
 	"apricotflow/internal/cluster/messenger"
+	"apricotflow/internal/cluster/owner"
 	"apricotflow/internal/cluster/watcher"
 	"apricotflow/internal/operator/loader"
 	"apricotflow/internal/operator/recorder"
@@ -46,6 +47,7 @@
 	Messenger     *messenger.Messenger
 	Watcher       *watcher.Watcher
 	Gossiper      *gossiper.Gossiper
+	Owner         *owner.Owner
 	Lessor        *lessor.Lessor
 	Dispatcher    *dispatcher.Dispatcher
 	Executor      *executor.Executor
@@ -81,6 +83,7 @@
 	if err != nil {
 		return errors.Join(err, operators.Close())
 	}
+	n.Gossiper.Attach(n.Watcher, n.Owner)
 	if err := n.Messenger.Start(); err != nil {
 		return errors.Join(err, operators.Close(), callers.Close())
 	}
