Test restarts under load and control requests after a reset

Cause: no test had restarts at any time under load, and none failed without the repetition of control requests. Ruled out: a fake target that accepts sub-queries on connections of an ended process, which no real process does. Conclusion: the cold limit holds for a restarted target under load.

--- a/internal/target/connector/connector_test.go
+++ b/internal/target/connector/connector_test.go
@@ -242,6 +242,18 @@
 	}
 }
 
+// A report or cancellation must not fail because its idle connection ended.
+func TestControlRequestAfterReset(t *testing.T) {
+	f := newFake(t)
+	s := connect(t, f.address())
+	for range 30 {
+		_, err := s.Report(t.Context())
+		assert.NilError(t, err)
+		f.CloseClientConnections()
+		assert.NilError(t, s.Cancel(t.Context(), []string{"a"}))
+	}
+}
+
 // A target without a listener must be marked down after new connections failed, refuse without sending, and come
 // back by itself.
 func TestDownAndUp(t *testing.T) {
--- a/internal/target/dispatcher/dispatcher_test.go
+++ b/internal/target/dispatcher/dispatcher_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -131,6 +132,41 @@
 	assert.Equal(t, highest, 1, "sub-queries at the same time on a cold target; replies: %v", reasons)
 }
 
+// Under load, with restarts at any time, a cold target must never run more than its cold limit.
+func TestRestartsUnderLoad(t *testing.T) {
+	s := newSession(t)
+	s.fake.set(func() { s.fake.state, s.fake.warmAfter, s.fake.delay = encoder.LoadStateCold, 16, time.Millisecond })
+	stop := make(chan struct{})
+	var group sync.WaitGroup
+	var answered atomic.Int64
+	for range 8 {
+		group.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				if s.Execute(t.Context(), s.query(100*time.Millisecond)).Outcome == encoder.OutcomeAnswered {
+					answered.Add(1)
+				}
+			}
+		})
+	}
+	random := rand.New(rand.NewPCG(1, 2))
+	for k := range 15 {
+		time.Sleep(time.Duration(20+random.IntN(130)) * time.Millisecond)
+		s.fake.restart(fmt.Sprint("r", k))
+	}
+	close(stop)
+	group.Wait()
+	s.fake.mu.Lock()
+	defer s.fake.mu.Unlock()
+	assert.Equal(t, s.fake.coldHighest, 1)
+	assert.Assert(t, answered.Load() > 200, "only %d answers", answered.Load())
+	t.Logf("%d answers", answered.Load())
+}
+
 // A target that becomes cold without a restart must get no more than the cold limit after its first reply.
 func TestColdWithoutRestart(t *testing.T) {
 	s := newSession(t)
