Take a report into account before it is visible

Cause: a version could be known from a report whose state the limiter did not have yet. Ruled out: a larger wait in the test. Change: the order of both; shorter tests.

--- a/internal/target/dispatcher/entry.go
+++ b/internal/target/dispatcher/entry.go
@@ -115,8 +115,8 @@
 	if err != nil {
 		return
 	}
-	e.report.Store(&report)
 	e.limiter.Report(report.Incarnation, report.State)
+	e.report.Store(&report)
 }
 
 func (e *entry) close() {
--- a/internal/target/loopback/dispatcher_test.go
+++ b/internal/target/loopback/dispatcher_test.go
@@ -34,6 +34,12 @@
 func (s *session) Manifest() *resolver.Manifest { return s.manifest.Load() }
 func (s *session) Members() *resolver.Members   { return s.members.Load() }
 
+// highest is the most sub-queries that ran at the same time since the fake was changed.
+func (s *session) highest() (n int) {
+	s.fake.read(func() { n = s.fake.highest })
+	return n
+}
+
 func newSession(t *testing.T) *session {
 	s := &session{t: t, fake: newFake(t)}
 	s.publish(encoder.FailureDomainStateOpen, encoder.TargetStateServing)
@@ -96,8 +102,7 @@
 	}
 	s.fake.set(func() { s.fake.delay = 20 * time.Millisecond })
 	s.run(12, 2*time.Second)
-	_, highest := s.fake.seen()
-	assert.Equal(s.t, highest, 3, "limit after the ramp-up")
+	assert.Equal(s.t, s.highest(), 3, "limit after the ramp-up")
 }
 
 // A restarted target is cold: the limit of its warm predecessor must not be used for it.
@@ -106,8 +111,7 @@
 	s.warmUp()
 	s.fake.restart("i2")
 	reasons := s.run(12, 2*time.Second)
-	_, highest := s.fake.seen()
-	assert.Equal(t, highest, 1, "sub-queries at the same time on a cold target; replies: %v", reasons)
+	assert.Equal(t, s.highest(), 1, "sub-queries at the same time on a cold target; replies: %v", reasons)
 }
 
 // Under load, with restarts at any time, a cold target must never run more than its cold limit.
@@ -152,8 +156,7 @@
 	s.fake.set(func() { s.fake.state = encoder.LoadStateCold })
 	s.run(1, time.Second)
 	s.run(8, 2*time.Second)
-	_, highest := s.fake.seen()
-	assert.Equal(t, highest, 1)
+	assert.Equal(t, s.highest(), 1)
 }
 
 // A target that sheds load must get no more than the cold limit, and a refusal by the target is not-run.
@@ -165,8 +168,7 @@
 	assert.Equal(t, r.Outcome, encoder.OutcomeNotRun)
 	assert.Equal(t, r.Reason, encoder.ReasonShed)
 	s.run(8, 2*time.Second)
-	_, highest := s.fake.seen()
-	assert.Equal(t, highest, 1)
+	assert.Equal(t, s.highest(), 1)
 }
 
 // No sub-query may reach a cold target without a lease.
@@ -174,8 +176,7 @@
 	s := newSession(t)
 	s.allowance.Store(0)
 	assert.DeepEqual(t, s.run(4, time.Second), map[encoder.Reason]int{encoder.ReasonNoLease: 4})
-	executed, _ := s.fake.seen()
-	assert.Equal(t, len(executed), 0)
+	assert.Equal(t, len(s.fake.seen()), 0)
 }
 
 // The configuration must be checked again before the write: a sub-query that waited must not be sent after the
@@ -199,11 +200,10 @@
 			var reasons map[encoder.Reason]int
 			var group sync.WaitGroup
 			group.Go(func() { reasons = s.run(5, 2*time.Second) })
-			eventually(t, "first runs", func() bool { executed, _ := s.fake.seen(); return len(executed) == 1 })
+			eventually(t, "first runs", func() bool { return len(s.fake.seen()) == 1 })
 			c.change(s)
 			group.Wait()
-			executed, _ := s.fake.seen()
-			assert.Equal(t, len(executed), 1)
+			assert.Equal(t, len(s.fake.seen()), 1)
 			assert.DeepEqual(t, reasons, map[encoder.Reason]int{encoder.ReasonNone: 1, c.reason: 4})
 		})
 	}
@@ -217,10 +217,9 @@
 		s.fake.outcome, s.fake.reason, s.fake.state = encoder.OutcomeNotRun, encoder.ReasonDraining, encoder.LoadStateDraining
 	})
 	assert.Equal(t, s.Execute(t.Context(), s.query(time.Second)).Reason, encoder.ReasonDraining)
-	before, _ := s.fake.seen()
+	before := len(s.fake.seen())
 	assert.DeepEqual(t, s.run(5, time.Second), map[encoder.Reason]int{encoder.ReasonDraining: 5})
-	after, _ := s.fake.seen()
-	assert.Equal(t, len(after), len(before))
+	assert.Equal(t, len(s.fake.seen()), before)
 	assert.DeepEqual(t, s.Facts(), []encoder.TargetFact{{Target: "t", Incarnation: "i1", State: encoder.LoadStateDraining}})
 }
 
@@ -234,8 +233,7 @@
 	s.Sync()
 	s.fake.set(func() {})
 	s.run(5, 2*time.Second)
-	_, highest := s.fake.seen()
-	assert.Equal(t, highest, 1)
+	assert.Equal(t, s.highest(), 1)
 }
 
 // A non-idempotent attempt that arrives twice must run once.
@@ -255,7 +253,7 @@
 		})
 	}
 	group.Wait()
-	executed, _ := s.fake.seen()
+	executed := s.fake.seen()
 	assert.DeepEqual(t, executed, []string{q.Attempt})
 	assert.Equal(t, answered.Load(), int64(1))
 }
@@ -268,9 +266,9 @@
 		assert.Equal(t, s.Execute(t.Context(), s.query(30*time.Millisecond)).Outcome == encoder.OutcomeAnswered, false)
 	}
 	s.run(5, 100*time.Millisecond)
-	executed, highest := s.fake.seen()
+	executed := s.fake.seen()
 	assert.Assert(t, len(executed) > 1, "the slot was never given back")
-	assert.Equal(t, highest, 1)
+	assert.Equal(t, s.highest(), 1)
 	s.fake.mu.Lock()
 	defer s.fake.mu.Unlock()
 	assert.Assert(t, s.fake.deadlines[0] <= 28, "no margin in the deadline sent: %d", s.fake.deadlines[0])
@@ -281,11 +279,11 @@
 	s := newSession(t)
 	s.warmUp()
 	s.fake.set(func() { s.fake.delay = 100 * time.Millisecond })
-	before, _ := s.fake.seen()
+	before := s.fake.seen()
 	var reasons map[encoder.Reason]int
 	var group sync.WaitGroup
 	group.Go(func() { reasons = s.run(3, time.Second) })
-	eventually(t, "all run", func() bool { after, _ := s.fake.seen(); return len(after) == len(before)+3 })
+	eventually(t, "all run", func() bool { return len(s.fake.seen()) == len(before)+3 })
 	assert.NilError(t, s.Close(t.Context()))
 	group.Wait()
 	assert.DeepEqual(t, reasons, map[encoder.Reason]int{encoder.ReasonNone: 3})
@@ -299,7 +297,7 @@
 	var reply encoder.SubReply
 	var group sync.WaitGroup
 	group.Go(func() { reply = s.Execute(t.Context(), s.query(2*time.Second)) })
-	eventually(t, "runs", func() bool { executed, _ := s.fake.seen(); return len(executed) == 1 })
+	eventually(t, "runs", func() bool { return len(s.fake.seen()) == 1 })
 	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
 	defer cancel()
 	assert.ErrorIs(t, s.Close(ctx), context.DeadlineExceeded)
@@ -329,8 +327,7 @@
 	assert.DeepEqual(t, s.run(3, time.Second), map[encoder.Reason]int{encoder.ReasonNoLease: 3})
 	s.Learn(encoder.TargetFact{Target: "t", Incarnation: "i1", State: encoder.LoadStateWarm}, "other")
 	assert.DeepEqual(t, s.run(3, time.Second), map[encoder.Reason]int{encoder.ReasonNone: 3})
-	_, highest := s.fake.seen()
-	assert.Equal(t, highest, 1)
+	assert.Equal(t, s.highest(), 1)
 }
 
 // A target that is no longer owned must lose its connections, and a known version must come from its report.
--- a/internal/target/loopback/fake_test.go
+++ b/internal/target/loopback/fake_test.go
@@ -132,10 +132,16 @@
 	f.CloseClientConnections()
 }
 
-func (f *fake) seen() (executed []string, highest int) {
+// read reads the state.
+func (f *fake) read(look func()) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return append([]string(nil), f.executed...), f.highest
+	look()
+}
+
+func (f *fake) seen() (executed []string) {
+	f.read(func() { executed = append(executed, f.executed...) })
+	return executed
 }
 
 func (f *fake) serve(w http.ResponseWriter, r *http.Request) {
--- a/internal/target/router/router_test.go
+++ b/internal/target/router/router_test.go
@@ -169,7 +169,7 @@
 func TestEveryItemIsDeliveredOnce(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		count := rapid.IntRange(1, 6).Draw(rt, "count")
-		actions := rapid.SliceOf(rapid.SampledFrom([]string{"answer", "duplicate", "crossed", "foreign", "late", "pause"})).Draw(rt, "actions")
+		actions := rapid.SliceOf(rapid.SampledFrom([]string{"answer", "duplicate", "crossed", "foreign", "late"})).Draw(rt, "actions")
 		picks := rapid.SliceOfN(rapid.IntRange(0, 5), len(actions), len(actions)).Draw(rt, "picks")
 		end := rapid.SampledFrom([]string{"ok", "lost", "hang"}).Draw(rt, "end")
 		synctest.Test(t, func(*testing.T) {
@@ -179,22 +179,20 @@
 					q := request.Items[picks[k]%len(request.Items)]
 					r := answer(q)
 					switch action {
-					case "answer":
-						n.deliver(peer, request.Batch, r)
 					case "duplicate":
 						n.deliver(peer, request.Batch, r)
-						n.deliver(peer, request.Batch, r)
 					case "crossed":
 						r.Shard = "other"
-						n.deliver(peer, request.Batch, r)
 					case "foreign":
 						r.Documents = 99
 						n.deliver("q", request.Batch, r)
+						continue
 					case "late":
 						time.AfterFunc(3*time.Second, func() { n.deliver(peer, request.Batch, r) })
-					case "pause":
-						time.Sleep(100 * time.Millisecond)
+						continue
 					}
+					n.deliver(peer, request.Batch, r)
+					time.Sleep(time.Duration(k%3) * 50 * time.Millisecond)
 				}
 				switch end {
 				case "lost":
