Do not answer requests whose handlers were ended by Close

Ruled out: a slow start of the handler (the request had been sent in the failing runs). Change: after Close has ended the handlers, no reply is written. Conclusion: a caller sees a lost request whenever the other end closed before the handler was done.

--- a/internal/cluster/messenger/link.go
+++ b/internal/cluster/messenger/link.go
@@ -74,7 +74,8 @@
 
 func (l *link) answer(ctx context.Context, request *jsonrpc2.Request) {
 	result, failure := l.run(ctx, request)
-	if request.Notif {
+	// After Close has ended the handlers their results mean nothing; the closed connection tells the other end.
+	if request.Notif || l.owner.ctx.Err() != nil {
 		return
 	}
 	if failure == nil {
