--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GOBIN := $(CURDIR)/bin
 export GOBIN
 
-.PHONY: build tools generate format lint test demo bench soak
+.PHONY: build tools generate format lint test demo examples bench soak
 
 build:
 	go build -o out/ . ./cmd/standin
@@ -25,3 +25,7 @@
 
 demo: build
 	out/standin demo
+
+examples: build
+	out/standin manifest --deployment ulaanbaatar --scale 1 > examples/ulaanbaatar.json
+	out/standin manifest --deployment dar-es-salaam --scale 1 > examples/dar-es-salaam.json
