--- a/internal/caller/assembler/cluster.go
+++ b/internal/caller/assembler/cluster.go
@@ -104,14 +104,14 @@
 
 func newGossiper(
 	settings loader.Settings, incarnation Incarnation, m *messenger.Messenger, configuration *configurer.Configurer,
-	platform *watcher.Watcher, reachable *reachability, f *facts,
+	platform *watcher.Watcher, reachable *reachability, f *facts, events *recorder.Recorder,
 ) *gossiper.Gossiper {
 	seeds := make([]string, 0, len(settings.Seeds()))
 	for _, s := range settings.Seeds() {
 		seeds = append(seeds, s.String())
 	}
 	g := gossiper.New(settings.Instance(), string(incarnation), m, configuration, platform, timekeeper.BootTime,
-		gossiper.WithSeeds(seeds...), gossiper.WithTargets(f))
+		gossiper.WithSeeds(seeds...), gossiper.WithTargets(f), gossiper.WithEvents(events))
 	reachable.gossiper.Store(g)
 	return g
 }
--- a/internal/cluster/configurer/configurer.go
+++ b/internal/cluster/configurer/configurer.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -177,10 +178,25 @@
 		return nil, false
 	}
 	c.members.Store(&membersState{members: members, raw: slices.Clone(raw)})
-	c.events.Record(recorder.KindMembersApplied, source, "", fmt.Sprintf("revision %d", members.Revision()))
+	c.events.Record(recorder.KindMembersApplied, source, "", describe(members))
 	return slices.Clone(c.subscribers), true
 }
 
+// describe returns the revision of a member list with what the list says about leaving instances and targets.
+func describe(members *resolver.Members) string {
+	text := fmt.Sprintf("revision %d, %d live instances", members.Revision(), len(members.Instances()))
+	var leaving []string
+	for _, n := range members.Listed() {
+		if n.State == encoder.MemberInstanceStateLeaving {
+			leaving = append(leaving, n.Name)
+		}
+	}
+	if len(leaving) > 0 {
+		text += ", leaving: " + strings.Join(leaving, " ")
+	}
+	return text
+}
+
 func checkMembers(list encoder.MemberList) error {
 	names := make(map[string]bool, len(list.Instances))
 	for i, n := range list.Instances {
--- a/internal/cluster/gossiper/gossiper.go
+++ b/internal/cluster/gossiper/gossiper.go
@@ -13,6 +13,7 @@
 
 	"apricotflow/internal/cluster/messenger"
 	"apricotflow/internal/manifest/resolver"
+	"apricotflow/internal/operator/recorder"
 	"apricotflow/internal/wire/encoder"
 )
 
@@ -84,6 +85,16 @@
 	return func(g *Gossiper) { g.targets = targets }
 }
 
+// Events records peers that announce their shutdown.
+type Events interface {
+	Record(kind recorder.Kind, subject, query, detail string)
+}
+
+// WithEvents sets where events are recorded.
+func WithEvents(events Events) Option {
+	return func(g *Gossiper) { g.events = events }
+}
+
 // Gossiper exchanges state for one instance.
 type Gossiper struct {
 	instance      string
@@ -92,6 +103,7 @@
 	configuration Configuration
 	platform      Platform
 	targets       Targets
+	events        Events
 	seeds         []string
 	peers         *peers
 
@@ -120,7 +132,7 @@
 ) *Gossiper {
 	g := &Gossiper{
 		instance: instance, incarnation: incarnation, messenger: m, configuration: configuration,
-		platform: platform, targets: noTargets{}, ownership: noOwnership{}, peers: newPeers(clock),
+		platform: platform, targets: noTargets{}, events: noEvents{}, ownership: noOwnership{}, peers: newPeers(clock),
 		push: make(chan struct{}, 1), announced: make(chan encoder.ExchangeMessage, announcedLimit),
 	}
 	for _, option := range options {
@@ -400,7 +412,9 @@
 
 // note takes the state of another instance.
 func (g *Gossiper) note(message encoder.ExchangeMessage) {
-	g.peers.heard(message)
+	if g.peers.heard(message) {
+		g.events.Record(recorder.KindPeerLeaving, message.Instance, "", message.Incarnation)
+	}
 	for _, fact := range message.Targets {
 		g.targets.Learn(fact, message.Instance)
 	}
@@ -513,6 +527,11 @@
 func (noTargets) Facts() []encoder.TargetFact      { return nil }
 func (noTargets) Learn(encoder.TargetFact, string) {}
 
+// noEvents is used when no events are recorded.
+type noEvents struct{}
+
+func (noEvents) Record(recorder.Kind, string, string, string) {}
+
 // noOwnership is used until SetOwnership.
 type noOwnership struct{}
 
--- a/internal/cluster/gossiper/peers.go
+++ b/internal/cluster/gossiper/peers.go
@@ -60,16 +60,18 @@
 }
 
 // heard notes a message of a peer. Messages of one peer may be handled out of order, so leaving is never taken back
-// within an incarnation.
-func (p *peers) heard(message encoder.ExchangeMessage) {
+// within an incarnation. It reports whether the peer announces its shutdown for the first time.
+func (p *peers) heard(message encoder.ExchangeMessage) (leaves bool) {
 	p.update(message.Instance, func(s *PeerState) {
 		if s.Incarnation != message.Incarnation {
 			*s = PeerState{Instance: message.Instance, Incarnation: message.Incarnation}
 		}
 		s.Generation, s.Digest, s.MembersRevision = message.Generation, message.Digest, message.MembersRevision
+		leaves = message.Leaving && !s.Leaving
 		s.Leaving = s.Leaving || message.Leaving
 		s.Reachable, s.Heard, s.failures = true, p.clock(), 0
 	})
+	return leaves
 }
 
 // failed notes an exchange that failed.
--- a/internal/operator/recorder/recorder.go
+++ b/internal/operator/recorder/recorder.go
@@ -2,6 +2,8 @@
 package recorder
 
 import (
+	"fmt"
+	"strings"
 	"sync"
 
 	"apricotflow/internal/wire/encoder"
@@ -22,6 +24,7 @@
 	KindPlatformLost        Kind = "platform-lost"
 	KindPlatformRegained    Kind = "platform-regained"
 	KindPeerConnected       Kind = "peer-connected"
+	KindPeerLeaving         Kind = "peer-leaving"
 	KindPeerLost            Kind = "peer-lost"
 	KindOwnershipGained     Kind = "ownership-gained"
 	KindOwnershipLost       Kind = "ownership-lost"
@@ -35,12 +38,11 @@
 	KindTargetUp            Kind = "target-up"
 	KindTargetShed          Kind = "target-shed"
 	KindConnectionSilent    Kind = "connection-silent"
-	KindQueryHedged         Kind = "query-hedged"
 	KindQueryRefused        Kind = "query-refused"
 	KindQueryPartial        Kind = "query-partial"
 	KindQueryUnknown        Kind = "query-unknown"
 	KindQueryRestarted      Kind = "query-restarted"
-	KindTicketForwarded     Kind = "ticket-forwarded"
+	KindTicketUnknown       Kind = "ticket-unknown"
 	KindBudgetEmpty         Kind = "budget-empty"
 	KindInvariantViolated   Kind = "invariant-violated"
 	KindReplyDropped        Kind = "reply-dropped"
@@ -50,6 +52,20 @@
 	KindFailureDomainClosed Kind = "failure-domain-closed"
 )
 
+const (
+	// frequentLimit bounds the events of each frequent kind in one second. At this rate a kind needs over 13 minutes
+	// to fill the ring; without it, one second of refused queries hides what happened before.
+	frequentLimit = 10
+	// clockSecond is one second of the hybrid logical clock, whose lower 16 bits are a counter.
+	clockSecond = 1000 << 16
+)
+
+// frequent holds the kinds that a fault can cause with every query.
+var frequent = map[Kind]bool{
+	KindConnectionSilent: true, KindQueryPartial: true, KindQueryRefused: true, KindQueryRestarted: true,
+	KindQueryUnknown: true, KindReplyDropped: true, KindTargetShed: true, KindTicketUnknown: true,
+}
+
 // DefaultCapacity is the number of events kept.
 const DefaultCapacity = 8192
 
@@ -68,19 +84,39 @@
 	ring    []encoder.Event
 	next    int
 	dropped int
+	// rates holds the recent number of events of each frequent kind.
+	rates map[Kind]rate
+}
+
+// rate counts the events of one kind in the second that starts at a clock value.
+type rate struct {
+	since, recorded int
+	// omitted counts the events that were left out since the last one that was recorded.
+	omitted int
 }
 
 // New creates a recorder that keeps up to capacity events, at least one.
 func New(instance string, clock Clock, capacity int) *Recorder {
-	return &Recorder{instance: instance, clock: clock, ring: make([]encoder.Event, 0, max(capacity, 1))}
+	return &Recorder{
+		instance: instance, clock: clock, ring: make([]encoder.Event, 0, max(capacity, 1)), rates: make(map[Kind]rate),
+	}
 }
 
-// Record adds an event; subject, query and detail may be empty.
+// Record adds an event; subject, query and detail may be empty. Of the kinds that a fault can cause with every query,
+// only the first ones in each second are kept; the next event of the kind tells how many were left out.
 func (r *Recorder) Record(kind Kind, subject, query, detail string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	now := r.clock.Now()
+	omitted, kept := r.admit(kind, now)
+	if !kept {
+		return
+	}
+	if omitted > 0 {
+		detail = strings.TrimPrefix(fmt.Sprintf("%s (%d more left out before)", detail, omitted), " ")
+	}
 	event := encoder.Event{
-		Clock: r.clock.Now(), Instance: r.instance, Kind: string(kind),
+		Clock: now, Instance: r.instance, Kind: string(kind),
 		Subject: subject, Query: query, Detail: detail,
 	}
 	if len(r.ring) < cap(r.ring) {
@@ -92,6 +128,26 @@
 	r.dropped++
 }
 
+// admit counts an event of a frequent kind; it reports how many were left out before, and whether to keep this one.
+func (r *Recorder) admit(kind Kind, now int) (omitted int, kept bool) {
+	if !frequent[kind] {
+		return 0, true
+	}
+	s := r.rates[kind]
+	if now-s.since >= clockSecond {
+		s.since, s.recorded = now, 0
+	}
+	kept = s.recorded < frequentLimit
+	if kept {
+		omitted, s.omitted = s.omitted, 0
+		s.recorded++
+	} else {
+		s.omitted++
+	}
+	r.rates[kind] = s
+	return omitted, kept
+}
+
 // Events returns the events after the clock value, oldest first, and how many have left the ring so far.
 func (r *Recorder) Events(after int) ([]encoder.Event, int) {
 	r.mu.Lock()
--- a/internal/query/executor/fanout.go
+++ b/internal/query/executor/fanout.go
@@ -1,12 +1,10 @@
 package executor
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
 	"apricotflow/internal/operator/checker"
-	"apricotflow/internal/operator/recorder"
 	"apricotflow/internal/wire/encoder"
 )
 
@@ -108,11 +106,8 @@
 			sent++
 		}
 	}
-	if sent == 0 {
-		return
-	}
+	r.hedged += sent
 	r.e.counters.hedged.Inc(int64(sent))
-	r.record(recorder.KindQueryHedged, "", fmt.Sprintf("%d sub-queries", sent))
 }
 
 // hedgeDelay returns zero for a query that is not hedged.
--- a/internal/query/executor/run.go
+++ b/internal/query/executor/run.go
@@ -64,6 +64,8 @@
 
 	// opened and notRun count attempts over all restarts; taken and extra count units of budget.
 	opened, notRun, taken, extra int
+	// hedged counts hedges over all restarts.
+	hedged int
 
 	replies chan encoder.SubReply
 	done    chan struct{}
@@ -279,6 +281,12 @@
 	if len(reply.Missing) > 0 {
 		detail += ", first missing: " + reply.Missing[0].Shard + " " + string(reply.Missing[0].Reason)
 	}
+	if r.hedged > 0 {
+		detail += fmt.Sprintf(", %d hedged", r.hedged)
+	}
+	detail = r.request.QueryClass + ": " + detail
+	r.e.counters.shards.Inc(int64(reply.Coverage.Shards))
+	r.e.counters.shardsAnswered.Inc(int64(reply.Coverage.ShardsAnswered))
 	switch reply.Outcome {
 	case encoder.QueryOutcomeComplete:
 		r.e.counters.complete.Inc(1)
--- a/internal/query/ticketer/ticketer.go
+++ b/internal/query/ticketer/ticketer.go
@@ -35,7 +35,7 @@
 	RunTicket(ctx context.Context, instance string, request encoder.RunTicketRequest) (encoder.RunTicketReply, error)
 }
 
-// Events records forwarded tickets.
+// Events records tickets without an answer.
 type Events interface {
 	Record(kind recorder.Kind, subject, query, detail string)
 }
@@ -147,7 +147,7 @@
 
 func (t *Ticketer) runOwn(ctx context.Context, n name, request encoder.QueryRequest, f RunFunc) (Answer, error) {
 	if n.instance != t.instance || n.incarnation != t.incarnation {
-		return t.lose("the incarnation that issued the ticket has ended", nil)
+		return t.lose(n, "the incarnation that issued the ticket has ended", nil)
 	}
 	e, first, err := t.enter(n, request)
 	if err != nil {
@@ -159,7 +159,7 @@
 	} else {
 		t.resent.Inc(1)
 	}
-	return t.await(ctx, e)
+	return t.await(ctx, n, e)
 }
 
 // enter finds the ticket and reports whether this call has to run its query.
@@ -169,8 +169,8 @@
 	defer t.mu.Unlock()
 	e, found := t.table.find(n.random, time.Now())
 	if !found {
-		t.unknown.Inc(1)
-		return nil, false, &UnknownError{Detail: "the ticket is unknown or has expired"}
+		_, err := t.lose(n, "the ticket is unknown or has expired", nil)
+		return nil, false, err
 	}
 	if e.class != request.QueryClass {
 		return nil, false, &ConflictError{Detail: fmt.Sprintf("issued for query class %q", e.class)}
@@ -206,17 +206,17 @@
 	return f(ctx)
 }
 
-func (t *Ticketer) await(ctx context.Context, e *entry) (Answer, error) {
+func (t *Ticketer) await(ctx context.Context, n name, e *entry) (Answer, error) {
 	select {
 	case <-e.done:
 	case <-ctx.Done():
-		return t.lose("the query is still running", ctx.Err())
+		return t.lose(n, "the query is still running", ctx.Err())
 	}
 	t.mu.Lock()
 	answer := e.answer
 	t.mu.Unlock()
 	if answer == nil {
-		return t.lose("the query ran and its answer is no longer kept", nil)
+		return t.lose(n, "the query ran and its answer is no longer kept", nil)
 	}
 	return *answer, nil
 }
@@ -225,20 +225,21 @@
 // ticket may have run through another instance before.
 func (t *Ticketer) forward(ctx context.Context, n name, request encoder.QueryRequest) (Answer, error) {
 	t.forwarded.Inc(1)
-	t.events.Record(recorder.KindTicketForwarded, n.instance, "", "")
 	message := encoder.RunTicketRequest{Request: request, DeadlineMs: remainingMs(ctx)}
 	reply, err := t.peers.RunTicket(ctx, n.instance, message)
 	if err != nil {
-		return t.lose("the instance that issued the ticket did not answer", err)
+		return t.lose(n, "the instance that issued the ticket did not answer", err)
 	}
 	if reply.Status < leastStatus || reply.Status > mostStatus {
-		return t.lose(fmt.Sprintf("the instance that issued the ticket sent status %d", reply.Status), nil)
+		return t.lose(n, fmt.Sprintf("the instance that issued the ticket sent status %d", reply.Status), nil)
 	}
 	return Answer{Status: reply.Status, Body: []byte(reply.Body)}, nil
 }
 
-func (t *Ticketer) lose(detail string, cause error) (Answer, error) {
+// lose reports that the outcome of a ticket is not known.
+func (t *Ticketer) lose(n name, detail string, cause error) (Answer, error) {
 	t.unknown.Inc(1)
+	t.events.Record(recorder.KindTicketUnknown, n.instance, "", detail)
 	return Answer{}, &UnknownError{Detail: detail, Cause: cause}
 }
 
--- a/internal/query/ticketer/ticketer_test.go
+++ b/internal/query/ticketer/ticketer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -26,6 +27,8 @@
 type world struct {
 	peers map[string]*ticketer.Ticketer
 	runs  atomic.Int64
+	// events holds the recorder of each ticketer.
+	events []*recorder.Recorder
 }
 
 func (w *world) RunTicket(ctx context.Context, instance string, request encoder.RunTicketRequest) (encoder.RunTicketReply, error) {
@@ -50,6 +53,7 @@
 
 func (w *world) ticketer(instance, incarnation string, opts ...ticketer.Option) *ticketer.Ticketer {
 	events := recorder.New("i", timekeeper.NewHybridClock(time.Now), 100)
+	w.events = append(w.events, events)
 	return ticketer.New(instance, incarnation, func() time.Duration { return lifetime }, w, events, checker.New(events, tally.NoopScope.Counter(""), true), tally.NoopScope, opts...)
 }
 
@@ -70,6 +74,18 @@
 	return string(a.Body)
 }
 
+// recorded returns the kinds and subjects of the events of all ticketers.
+func (w *world) recorded() []string {
+	var kinds []string
+	for _, r := range w.events {
+		events, _ := r.Events(0)
+		for _, e := range events {
+			kinds = append(kinds, e.Kind+" "+e.Subject)
+		}
+	}
+	return kinds
+}
+
 const (
 	unknown   = "*ticketer.UnknownError"
 	conflict  = "*ticketer.ConflictError"
@@ -136,6 +152,8 @@
 		request := issue(t, issuer)
 		assert.Equal(t, w.send(t, other, request), "answer 1")
 		assert.Equal(t, w.send(t, issuer, request), "answer 1")
+		// Forwarding is normal work, which leaves no events; the loss of an outcome must be visible.
+		assert.Equal(t, len(w.recorded()), 0)
 		w.peers["a.b"] = w.ticketer("a.b", "2")
 		assert.Equal(t, w.send(t, other, request), unknown)
 		// Another instance may have forwarded the same ticket before, so an unreachable issuer does not mean not-run.
@@ -143,6 +161,7 @@
 		assert.Equal(t, w.send(t, other, request), unknown)
 		_, err := other.RunForwarded(t.Context(), *request.Ticket, request, w.count)
 		assert.ErrorType(t, err, &ticketer.UnknownError{})
+		assert.DeepEqual(t, w.recorded(), slices.Repeat([]string{"ticket-unknown a.b"}, 4))
 		assert.Equal(t, w.runs.Load(), int64(1))
 	})
 }
--- a/internal/target/dispatcher/dispatcher.go
+++ b/internal/target/dispatcher/dispatcher.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"maps"
 	"slices"
@@ -90,6 +91,9 @@
 	drained chan struct{}
 	swept   chan struct{}
 	once    sync.Once
+	// groups holds the rank of this instance, from 1, for every group it owns.
+	groupsMu sync.Mutex
+	groups   map[string]int
 	// dropped counts the entries that are being closed.
 	dropped sync.WaitGroup
 }
@@ -100,6 +104,7 @@
 		instance: instance, configuration: configuration, owners: owners, allowance: allowance,
 		events: events, checks: checks, logger: log.New(io.Discard), scope: tally.NoopScope,
 		attempts: newAttempts(), drained: make(chan struct{}), swept: make(chan struct{}),
+		groups: make(map[string]int),
 	}
 	for _, opt := range opts {
 		opt(d)
@@ -137,6 +142,7 @@
 		return
 	}
 	members := d.configuration.Members()
+	ranks := make(map[string]int)
 	for _, g := range m.Groups() {
 		for _, name := range g.Targets {
 			t, _ := m.Target(name)
@@ -144,14 +150,37 @@
 			if own.Share == 0 {
 				continue
 			}
+			ranks[g.Name] = own.Rank + 1
 			if e := d.entry(t, own); e != nil {
 				e.serve(m.Serving(name) && !members.TargetLeaving(name))
 			}
 		}
 	}
+	d.noteOwnership(ranks)
 	d.drop()
 }
 
+// noteOwnership records the groups for which the rank of this instance has changed.
+func (d *Dispatcher) noteOwnership(ranks map[string]int) {
+	d.groupsMu.Lock()
+	defer d.groupsMu.Unlock()
+	for _, group := range slices.Sorted(maps.Keys(ranks)) {
+		rank, before := ranks[group], d.groups[group]
+		switch {
+		case before == 0:
+			d.events.Record(recorder.KindOwnershipGained, group, "", fmt.Sprintf("as owner %d", rank))
+		case rank != before:
+			d.events.Record(recorder.KindOwnershipGained, group, "", fmt.Sprintf("as owner %d, before owner %d", rank, before))
+		}
+	}
+	for _, group := range slices.Sorted(maps.Keys(d.groups)) {
+		if ranks[group] == 0 {
+			d.events.Record(recorder.KindOwnershipLost, group, "", fmt.Sprintf("before owner %d", d.groups[group]))
+		}
+	}
+	d.groups = ranks
+}
+
 // entry returns the entry of an owned target with the ownership applied; nil after Close.
 func (d *Dispatcher) entry(t resolver.Target, own limiter.Ownership) *entry {
 	e, found := (*d.entries.Load())[t.Name]
@@ -241,16 +270,31 @@
 	return e.holds(index, version)
 }
 
-// Statuses returns the owned targets sorted by name.
+// States in a status reply of targets that the configuration has taken out of service.
+const (
+	stateClosed  = "closed"
+	stateLeaving = "leaving"
+)
+
+// Statuses returns the owned targets sorted by name. What the configuration says goes before what is known of the
+// target, because a target out of service may be stopped.
 func (d *Dispatcher) Statuses() []encoder.TargetStatus {
 	entries := *d.entries.Load()
-	m := d.configuration.Manifest()
+	current := d.snapshot()
+	m := current.manifest
 	statuses := make([]encoder.TargetStatus, 0, len(entries))
 	for _, name := range slices.Sorted(maps.Keys(entries)) {
 		s := entries[name].status()
 		if m != nil {
 			t, _ := m.Target(name)
 			s.FailureDomain = t.FailureDomain
+			_, reason := current.allowed(name)
+			switch reason {
+			case encoder.ReasonFailureDomainClosed:
+				s.State = stateClosed
+			case encoder.ReasonTargetLeaving:
+				s.State = stateLeaving
+			}
 		}
 		statuses = append(statuses, s)
 	}
--- a/internal/target/dispatcher/entry.go
+++ b/internal/target/dispatcher/entry.go
@@ -85,11 +85,17 @@
 	e.settings.Store(&next)
 }
 
-// serve notes whether the configuration allows new work; a target that returns to service is treated as cold.
+// serve notes whether the configuration allows new work; a target that leaves or returns to service is treated as
+// cold.
 func (e *entry) serve(serving bool) {
-	if e.serving.Swap(serving) != serving {
+	if e.serving.Swap(serving) == serving {
+		return
+	}
+	if serving {
 		e.limiter.ReturnToService()
+		return
 	}
+	e.limiter.LeaveService()
 }
 
 // refresh asks for reports until ctx ends. The interval is jittered, so that owners don't ask at the same time.
--- a/internal/target/hedger/hedger.go
+++ b/internal/target/hedger/hedger.go
@@ -118,7 +118,7 @@
 	if !h.budget.take() {
 		h.scope.Counter("hedger-budget-empty").Inc(1)
 		if h.account.refuse() {
-			h.events.Record(recorder.KindBudgetEmpty, "", "", "")
+			h.events.Record(recorder.KindBudgetEmpty, "", "", "hedges and retries are refused until it fills again")
 		}
 		return false
 	}
--- a/internal/target/hedger/hedger_test.go
+++ b/internal/target/hedger/hedger_test.go
@@ -11,6 +11,7 @@
 	"apricotflow/internal/manifest/resolver"
 	"apricotflow/internal/operator/checker"
 	"apricotflow/internal/operator/recorder"
+	"apricotflow/internal/operator/timekeeper"
 	"apricotflow/internal/target/hedger"
 	"apricotflow/internal/wire/encoder"
 )
@@ -102,6 +103,21 @@
 	assert.Assert(t, taken <= 1000+burst, "the new limit is not in effect: %d", taken)
 }
 
+// A budget that is always in use empties many times a second, which must not flood the time line.
+func TestEmptyBudgetIsRecordedOnce(t *testing.T) {
+	c := &configuration{}
+	c.publish(t, 2, 90)
+	r := recorder.New("a", timekeeper.NewHybridClock(time.Now), 100)
+	h := hedger.New(c, r, checker.New(r, counter{}, true))
+	for range 1000 {
+		h.Needed(50)
+		h.Take()
+		h.Take()
+	}
+	recorded, _ := r.Events(0)
+	assert.Equal(t, len(recorded), 1)
+}
+
 // The hedge delay must be the quantile of the recent latencies only, and follow the manifest.
 func TestDelayFollowsRecentLatency(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/target/limiter/evidence.go
+++ b/internal/target/limiter/evidence.go
@@ -35,6 +35,14 @@
 	l.announced = ""
 }
 
+// LeaveService treats the target as cold while its failure domain or the target itself is out of service.
+func (l *Limiter) LeaveService() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reset("taken out of service")
+	l.announced = ""
+}
+
 // see takes the incarnation and state in a report or reply into account, unless something newer is known; the
 // caller holds the mutex.
 func (l *Limiter) see(incarnation string, state encoder.LoadState, at time.Duration) {
