Show the limit of a leased cold target in status and limit frequent events further

Cause: status asked the lessor for an allowance up to the present, which has passed when it is checked, so that every cold target showed a limit of 0. Change: status asks 10 ms ahead; frequent kinds are limited to two a second.

--- a/internal/operator/commander/timeline.go
+++ b/internal/operator/commander/timeline.go
@@ -25,7 +25,7 @@
 the kind of event, its subject (a target, group, peer or failure domain), the query and further text.
 
 Each instance keeps its latest 8,192 events in memory only, so that those of a stopped or killed instance are lost.
-Normal work leaves no events. Of the kinds that a fault can cause with every query, each instance keeps ten a second;
+Normal work leaves no events. Of the kinds that a fault can cause with every query, each instance keeps two a second;
 the next event of the kind tells how many were left out. Instances that did not answer are named at the end;
 the exit code is then 5.
 
--- a/internal/operator/recorder/recorder.go
+++ b/internal/operator/recorder/recorder.go
@@ -53,9 +53,9 @@
 )
 
 const (
-	// frequentLimit bounds the events of each frequent kind in one second. At this rate a kind needs over 13 minutes
-	// to fill the ring; without it, one second of refused queries hides what happened before.
-	frequentLimit = 10
+	// frequentLimit bounds the events of each frequent kind in one second. At this rate a kind needs over an hour to
+	// fill the ring; without it, seconds of refused queries hide what happened before.
+	frequentLimit = 2
 	// clockSecond is one second of the hybrid logical clock, whose lower 16 bits are a counter.
 	clockSecond = 1000 << 16
 )
--- a/internal/target/limiter/limiter.go
+++ b/internal/target/limiter/limiter.go
@@ -32,6 +32,8 @@
 	// serviceHalfLife halves the average while there are no new service times, so that one slow answer does not
 	// refuse all later sub-queries.
 	serviceHalfLife = time.Second
+	// statusAhead is how far ahead the status asks for the limit: a lease allows nothing up to a time that has passed.
+	statusAhead = 10 * time.Millisecond
 )
 
 // Allowance is the number of sub-queries this instance may have in flight to the cold target until then, in boot time.
@@ -306,7 +308,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return encoder.TargetStatus{
-		Target: l.target, InFlight: l.inFlight, Limit: l.current(l.now()), Queued: len(l.queue),
+		Target: l.target, InFlight: l.inFlight, Limit: l.current(l.now() + statusAhead), Queued: len(l.queue),
 		Share: l.own.Share, State: string(l.stateNow()),
 	}
 }
--- a/internal/target/limiter/limiter_test.go
+++ b/internal/target/limiter/limiter_test.go
@@ -116,6 +116,22 @@
 	assert.Equal(t, reason, encoder.ReasonNoLease)
 }
 
+// A lease allows nothing up to a time that has passed, so that the status must not ask for the present: every cold
+// target would look unusable.
+func TestStatusShowsTheLimitOfALease(t *testing.T) {
+	now := time.Hour
+	clock := func() time.Duration { now++; return now }
+	allowance := func(_ string, until time.Duration) int {
+		if until < clock() {
+			return 0
+		}
+		return 1
+	}
+	l := limiter.New("t", allowance, checker.New(events{}, counter{}, true), events{}, limiter.WithClock(clock))
+	l.Configure(first(3))
+	assert.Equal(t, l.Status().Limit, 1)
+}
+
 // The limit must rise by one for 8 consecutive answers only, and only while the target is warm.
 func TestRampUpIsGradual(t *testing.T) {
 	b := newBench(first(3), 1)
