Show refused manifests, readiness and a period in status

Cause: a manifest that every instance refused left status healthy with the old generation; an instance that was stopping was shown as ready, since status asked whether it has a configuration; counters since the start hide what callers get now. Ruled out: a new field of the status reply for the refusal, since the events have it already.

--- a/internal/caller/assembler/caller.go
+++ b/internal/caller/assembler/caller.go
@@ -58,6 +58,7 @@
 func newAdminServer(
 	settings loader.Settings, incarnation Incarnation, version Version, events *recorder.Recorder, totals *reporter.Reporter,
 	clock *timekeeper.HybridClock, configuration *configurer.Configurer, w *watcher.Watcher, g *gossiper.Gossiper, d *dispatcher.Dispatcher,
+	callers *server.Server,
 ) *admin.Server {
 	identity := admin.Identity{
 		Instance: settings.Instance(), Incarnation: string(incarnation), FailureDomain: settings.FailureDomain(), Version: string(version),
@@ -70,7 +71,7 @@
 		return current
 	}
 	return admin.New(identity, events, totals, clock,
-		admin.WithConfiguration(inForce), admin.WithReady(g.Ready),
+		admin.WithConfiguration(inForce), admin.WithReady(callers.Ready),
 		admin.WithMembers(func() []encoder.MemberStatus { return memberStatuses(configuration, g) }),
 		admin.WithTargets(d.Statuses))
 }
--- a/internal/caller/server/server.go
+++ b/internal/caller/server/server.go
@@ -164,6 +164,11 @@
 	}
 }
 
+// Ready returns what the balancer is told.
+func (s *Server) Ready() bool {
+	return s.ready.Load()
+}
+
 // AwaitBalancer reports not ready and keeps accepting until the balancer has stopped sending, or the context ends.
 func (s *Server) AwaitBalancer(ctx context.Context) {
 	s.SetReady(false)
--- a/internal/operator/commander/commander_test.go
+++ b/internal/operator/commander/commander_test.go
@@ -281,6 +281,23 @@
 	assert.Assert(t, strings.Contains(r.out, "1 target cold and may receive no work, because no owner holds a lease: t3"), "%s", r.out)
 }
 
+// A refused manifest leaves the generation unchanged, so that only a reason tells the operator that it took no effect;
+// the counters since the start would hide what callers get now.
+func TestStatusOfRefusedManifestAndPeriod(t *testing.T) {
+	counters := totals{"queries-complete": 10, "coverage-shards": 10, "coverage-shards-answered": 10}
+	a, ra := startInstance(t, "a", 7, counters)
+	ra.Record(recorder.KindManifestRefused, "platform", "", "too old")
+	ra.Record(recorder.KindManifestApplied, "platform", "", "generation 7")
+	r := run(nil, "status", "--instances", a, "--period", "100ms")
+	assert.Equal(t, r.code, commander.ExitSuccess, "%s", r.out)
+	assert.Assert(t, strings.Contains(r.out, "EXTRA LOAD  in 100ms") && !strings.Contains(r.out, "queries-complete"), "%s", r.out)
+	ra.Record(recorder.KindManifestRefused, "platform", "", "2 problems")
+	r = run(nil, "status", "--instances", a)
+	assert.Equal(t, r.code, commander.ExitUnhealthy)
+	assert.Assert(t, strings.Contains(r.out, "the latest manifest was refused by a: 2 problems"), "%s", r.out)
+	assert.Equal(t, run(nil, "status", "--instances", a, "--period", "-1s").code, commander.ExitUsage)
+}
+
 // A planned restart must not be reported as a failure, and the member list must name the instances to ask.
 func TestStatusAllowsLeavingInstances(t *testing.T) {
 	a, _ := startInstance(t, "a", 7, nil)
--- a/internal/operator/commander/health.go
+++ b/internal/operator/commander/health.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"apricotflow/internal/operator/collector"
+	"apricotflow/internal/operator/recorder"
 	"apricotflow/internal/wire/encoder"
 )
 
@@ -33,14 +34,18 @@
 type health struct {
 	Healthy bool `json:"healthy"`
 	// Reasons is empty if the deployment is healthy.
-	Reasons        []string              `json:"reasons"`
-	Configurations []configuration       `json:"configurations"`
-	PlatformAgeMs  int                   `json:"platform-age-ms"`
-	FailureDomains []domainHealth        `json:"failure-domains"`
-	Targets        []targetHealth        `json:"targets"`
-	Counters       map[string]int        `json:"counters"`
-	Unanswered     []unanswered          `json:"unanswered"`
-	Statuses       []encoder.StatusReply `json:"instances"`
+	Reasons        []string        `json:"reasons"`
+	Configurations []configuration `json:"configurations"`
+	PlatformAgeMs  int             `json:"platform-age-ms"`
+	FailureDomains []domainHealth  `json:"failure-domains"`
+	Targets        []targetHealth  `json:"targets"`
+	Counters       map[string]int  `json:"counters"`
+	// PeriodMs is 0, or the time over which Recent was counted.
+	PeriodMs int `json:"period-ms"`
+	// Recent holds the counters of the period, or those since the start of each instance.
+	Recent     map[string]int        `json:"recent-counters"`
+	Unanswered []unanswered          `json:"unanswered"`
+	Statuses   []encoder.StatusReply `json:"instances"`
 }
 
 // configuration is one manifest with the instances on which it is in force.
@@ -80,8 +85,8 @@
 	Cause        string `json:"cause"`
 }
 
-// assess derives the health from the replies.
-func assess(statuses collector.Statuses) health {
+// assess derives the health from the replies and from the latest events about manifests applied and refused.
+func assess(statuses collector.Statuses, refusals []encoder.Event) health {
 	h := health{
 		Reasons:        []string{},
 		Configurations: configurations(statuses.Replies),
@@ -98,9 +103,11 @@
 		}
 	}
 	h.FailureDomains = domains(h.Statuses, h.Targets)
+	h.judgeRefusals(refusals)
 	h.judgeInstances()
 	h.judgeConfiguration()
 	h.judgeTargets()
+	h.Recent = h.Counters
 	h.judgeCounters()
 	h.Healthy = len(h.Reasons) == 0
 	return h
@@ -113,7 +120,7 @@
 func (h *health) judgeInstances() {
 	unreachable := make(map[string][]string)
 	for _, s := range h.Statuses {
-		if !s.Ready {
+		if !s.Ready && !listedLeaving(s) {
 			h.blame("instance %s is not ready", s.Instance)
 		}
 		for _, m := range s.Members {
@@ -127,6 +134,13 @@
 	}
 }
 
+// listedLeaving reports whether the instance knows that it is listed as leaving.
+func listedLeaving(s encoder.StatusReply) bool {
+	return slices.ContainsFunc(s.Members, func(m encoder.MemberStatus) bool {
+		return m.Instance == s.Instance && m.State == memberLeaving
+	})
+}
+
 func (h *health) judgeConfiguration() {
 	for i, c := range h.Configurations {
 		if i > 0 {
@@ -138,6 +152,23 @@
 	}
 }
 
+// judgeRefusals blames a manifest that an instance refused after it applied the one in force.
+func (h *health) judgeRefusals(events []encoder.Event) {
+	latest := make(map[string]encoder.Event)
+	for _, e := range events {
+		latest[e.Instance] = e
+	}
+	refusing := make(map[string][]string)
+	for _, name := range slices.Sorted(maps.Keys(latest)) {
+		if e := latest[name]; e.Kind == string(recorder.KindManifestRefused) {
+			refusing[e.Detail] = append(refusing[e.Detail], name)
+		}
+	}
+	for _, detail := range slices.Sorted(maps.Keys(refusing)) {
+		h.blame("the latest manifest was refused by %s: %s", names(refusing[detail]), detail)
+	}
+}
+
 func (h *health) judgeTargets() {
 	for _, t := range h.Targets {
 		if t.State == targetDown {
@@ -257,6 +288,23 @@
 	return i
 }
 
+// since returns the counters of the replies without what was counted in the earlier ones. An instance that has been
+// restarted meanwhile counts from its start.
+func since(earlier, replies []encoder.StatusReply) map[string]int {
+	sums := sumCounters(replies)
+	for _, s := range replies {
+		i := slices.IndexFunc(earlier, func(e encoder.StatusReply) bool { return e.Instance == s.Instance && e.Incarnation == s.Incarnation })
+		if i < 0 {
+			continue
+		}
+		for name, value := range earlier[i].Counters {
+			sums[name] -= value
+		}
+	}
+	maps.DeleteFunc(sums, func(_ string, value int) bool { return value == 0 })
+	return sums
+}
+
 func sumCounters(replies []encoder.StatusReply) map[string]int {
 	sums := make(map[string]int)
 	for _, s := range replies {
--- a/internal/operator/commander/status.go
+++ b/internal/operator/commander/status.go
@@ -11,6 +11,9 @@
 	"time"
 
 	"github.com/urfave/cli/v3"
+
+	"apricotflow/internal/operator/collector"
+	"apricotflow/internal/operator/recorder"
 )
 
 // maxRows bounds each part of the screen.
@@ -42,20 +45,26 @@
 and the counters of coverage and extra load, added up over the instances.
 
 Unhealthy means that an instance does not answer, is not ready or cannot reach another one, that instances use
-different manifests, that a target is down, that a cold target has no owner with a lease, that the platform has
+different manifests or refused the latest one, that a target is down, that a cold target has no owner with a lease, that the platform has
 answered no instance for a minute, or that an invariant was violated. The exit code is then 4. An instance that is
 listed as leaving may be gone. --json prints everything that the instances reported.
 
 Examples:
-  apricotflow status --platform 127.0.0.1:7900
+  apricotflow status --platform 127.0.0.1:7900 --period 5s
   apricotflow status --instances 127.0.0.1:7201,127.0.0.1:7202 --json`,
-		Flags: append(instanceFlags(), jsonFlag("print the state as one JSON object")),
+		Flags: append(instanceFlags(),
+			&cli.DurationFlag{Name: "period", Usage: "count coverage and extra load over this `DURATION` instead of since the start"},
+			jsonFlag("print the state as one JSON object")),
 		Action: withoutArguments(func(ctx context.Context, command *cli.Command) error {
 			c, instances, err := findInstances(ctx, command)
 			if err != nil {
 				return err
 			}
-			h := assess(c.Status(ctx, instances))
+			period := command.Duration("period")
+			if period < 0 {
+				return usageError("--period must not be below 0")
+			}
+			h := inspect(ctx, c, instances, period)
 			if command.Bool("json") {
 				printJSON(command.Root().Writer, h)
 			} else {
@@ -69,6 +78,27 @@
 	}
 }
 
+// inspect asks the instances, twice if there is a period.
+func inspect(ctx context.Context, c *collector.Collector, instances []collector.Instance, period time.Duration) health {
+	var earlier collector.Statuses
+	if period > 0 {
+		earlier = c.Status(ctx, instances)
+		select {
+		case <-ctx.Done():
+		case <-time.After(period):
+		}
+	}
+	statuses := c.Status(ctx, instances)
+	manifests := c.Events(ctx, instances, collector.Filter{
+		Kinds: []string{string(recorder.KindManifestApplied), string(recorder.KindManifestRefused)},
+	})
+	h := assess(statuses, manifests.Events)
+	if period > 0 {
+		h.PeriodMs, h.Recent = int(period.Milliseconds()), since(earlier.Replies, statuses.Replies)
+	}
+	return h
+}
+
 // screen renders the health as text.
 type screen struct {
 	w io.Writer
@@ -164,26 +194,30 @@
 }
 
 func (s *screen) counters(h health) {
-	s.line("\nCOVERAGE AND EXTRA LOAD  since each instance started")
-	complete, partial, notRun, unknown := h.Counters[counterComplete], h.Counters[counterPartial], h.Counters[counterNotRun], h.Counters[counterUnknown]
+	period := "since each instance started"
+	if h.PeriodMs > 0 {
+		period = "in " + age(h.PeriodMs)
+	}
+	s.line("\nCOVERAGE AND EXTRA LOAD  %s", period)
+	complete, partial, notRun, unknown := h.Recent[counterComplete], h.Recent[counterPartial], h.Recent[counterNotRun], h.Recent[counterUnknown]
 	if queries := complete + partial + notRun + unknown; queries > 0 {
 		s.line("  complete answers: %.3f %% of %d queries; %d partial, %d not-run, %d unknown", share(complete, queries), queries, partial, notRun, unknown)
 	}
-	if shards := h.Counters[counterShards]; shards > 0 {
-		s.line("  coverage: %.3f %% of %d shards", share(h.Counters[counterShardsAnswered], shards), shards)
+	if shards := h.Recent[counterShards]; shards > 0 {
+		s.line("  coverage: %.3f %% of %d shards", share(h.Recent[counterShardsAnswered], shards), shards)
 	}
-	if needed := h.Counters[counterNeeded]; needed > 0 {
-		s.line("  extra load: %.4f sub-queries that may have reached a target per sub-query needed", 1+float64(h.Counters[counterExtra])/float64(needed))
+	if needed := h.Recent[counterNeeded]; needed > 0 {
+		s.line("  extra load: %.4f sub-queries that may have reached a target per sub-query needed", 1+float64(h.Recent[counterExtra])/float64(needed))
 	}
 	var shown []string
-	for _, name := range slices.Sorted(maps.Keys(h.Counters)) {
+	for _, name := range slices.Sorted(maps.Keys(h.Recent)) {
 		if slices.ContainsFunc(shownCounters, func(part string) bool { return strings.Contains(name, part) }) {
 			shown = append(shown, name)
 		}
 	}
 	table := tabwriter.NewWriter(s.w, 0, 0, 2, ' ', 0)
 	for _, name := range shown {
-		_, _ = fmt.Fprintf(table, "  %s\t%d\n", printable(name), h.Counters[name])
+		_, _ = fmt.Fprintf(table, "  %s\t%d\n", printable(name), h.Recent[name])
 	}
 	_ = table.Flush()
 }
