--- a/internal/caller/assembler/cluster.go
+++ b/internal/caller/assembler/cluster.go
@@ -87,14 +87,15 @@
 }
 
 func newGossiper(
-	settings loader.Settings, incarnation Incarnation, m *messenger.Messenger, configuration *configurer.Configurer, f *facts,
+	settings loader.Settings, incarnation Incarnation, m *messenger.Messenger, configuration *configurer.Configurer,
+	f *facts, events *recorder.Recorder,
 ) *gossiper.Gossiper {
 	seeds := make([]string, 0, len(settings.Seeds()))
 	for _, s := range settings.Seeds() {
 		seeds = append(seeds, s.String())
 	}
 	return gossiper.New(settings.Instance(), string(incarnation), m, configuration, timekeeper.BootTime,
-		gossiper.WithSeeds(seeds...), gossiper.WithTargets(f))
+		gossiper.WithSeeds(seeds...), gossiper.WithTargets(f), gossiper.WithEvents(events))
 }
 
 func newOwner(settings loader.Settings, configuration *configurer.Configurer, g *gossiper.Gossiper) *owner.Owner {
--- a/internal/operator/commander/commander_test.go
+++ b/internal/operator/commander/commander_test.go
@@ -17,6 +17,7 @@
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 
+	"apricotflow/internal/manifest/parser"
 	"apricotflow/internal/operator/commander"
 	"apricotflow/internal/operator/loader"
 	"apricotflow/internal/operator/recorder"
@@ -95,9 +96,17 @@
 func TestExamplesAreValid(t *testing.T) {
 	files, err := filepath.Glob("../../../examples/*.json")
 	assert.NilError(t, err)
-	for _, name := range files {
+	first, err := filepath.Glob("../../../examples/first/*.json")
+	assert.NilError(t, err)
+	assert.Assert(t, len(files) >= 3 && len(first) >= 4)
+	for _, name := range append(files, first...) {
 		raw, err := os.ReadFile(name)
 		assert.NilError(t, err)
+		if bytes.Contains(raw, []byte(`"revision"`)) {
+			_, err := parser.ParseMembers(raw)
+			assert.NilError(t, err)
+			continue
+		}
 		flag := "--settings"
 		if bytes.Contains(raw, []byte(`"generation"`)) {
 			flag = "--manifest"
@@ -228,23 +237,26 @@
 func TestStatus(t *testing.T) {
 	cold := encoder.TargetStatus{Target: "t-cold", FailureDomain: "west", State: "cold", Limit: 1, InFlight: 1, Queued: 3}
 	down := encoder.TargetStatus{Target: "t-down", FailureDomain: "west", State: "down", Limit: 2}
-	a, _ := startInstance(t, "a", 7, totals{"queries-partial": 1, "queries-complete": 5, "sub-queries-needed": 100, "sub-queries-sent": 102, "other": 9}, cold)
+	a, _ := startInstance(t, "a", 7, totals{"queries-partial": 1, "queries-complete": 5, "sub-queries-needed": 100, "sub-queries-sent": 130, "hedger-extra-sub-queries": 2, "coverage-shards": 8, "coverage-shards-answered": 6, "other": 9}, cold)
 	b, _ := startInstance(t, "b", 7, totals{"queries-partial": 2}, encoder.TargetStatus{Target: "t-down", State: "warm"})
 	c, _ := startInstance(t, "c", 6, totals{"invariants-violated": 1}, down)
 
 	r := run(nil, "status", "--instances", a+","+b)
 	assert.Equal(t, r.code, commander.ExitSuccess, "%s", r.out)
-	for _, text := range []string{"HEALTHY", "generation 7, digest d, for up to 1m30s, on a, b", "cold      t-cold", "t-cold: 1 of 1 in flight, 3 queued", "complete answers: 62.500 % of 8", "extra load: 1.0200", "queries-partial     3"} {
+	for _, text := range []string{"HEALTHY", "generation 7, digest d, for up to 1m30s, on a, b", "cold         t-cold", "t-cold: 1 of 1 in flight, 3 queued", "complete answers: 62.500 % of 8 queries; 3 partial, 0 not-run, 0 unknown", "coverage: 75.000 % of 8 shards", "reached at a", "extra load: 1.0200", "queries-partial           3"} {
 		assert.Assert(t, strings.Contains(r.out, text), "%s", r.out)
 	}
 	assert.Assert(t, !strings.Contains(r.out, "other"))
 
 	r = run(nil, "status", "--instances", a+","+b+","+c+",127.0.0.1:1")
 	assert.Equal(t, r.code, commander.ExitUnhealthy)
-	for _, text := range []string{"UNHEALTHY", "3 of 4 instances answered", "instance 127.0.0.1:1 did not answer", "generation 6 is still in force on c", "target t-down is down, says b, c", "an invariant was violated"} {
+	for _, text := range []string{"UNHEALTHY", "3 of 4 instances answered", "instance 127.0.0.1:1 did not answer", "generation 6 is still in force on c", "target t-down cannot be reached by c, but by b", "partly-down  t-down", "an invariant was violated"} {
 		assert.Assert(t, strings.Contains(r.out, text), "%s", r.out)
 	}
 
+	r = run(nil, "status", "--instances", c)
+	assert.Assert(t, strings.Contains(r.out, "target t-down is down, says c"), "%s", r.out)
+
 	r = run(nil, "status", "--json", "--instances", c)
 	assert.Equal(t, r.code, commander.ExitUnhealthy)
 	var state struct {
@@ -256,6 +268,39 @@
 	assert.Equal(t, run(nil, "status").code, commander.ExitUsage)
 }
 
+// A pulled failure domain must be visible and healthy, also with its targets stopped; a cold target that nobody may
+// use must not look healthy, and one lost instance must be one reason.
+func TestStatusOfFailureDomains(t *testing.T) {
+	a, _ := startInstance(t, "a", 7, nil, encoder.TargetStatus{Target: "t1", FailureDomain: "east", State: "closed", Limit: 1, InFlight: 1})
+	b, _ := startInstance(t, "b", 7, nil, encoder.TargetStatus{Target: "t2", FailureDomain: "east", State: "leaving"})
+	r := run(nil, "status", "--instances", a+","+b)
+	assert.Equal(t, r.code, commander.ExitSuccess, "%s", r.out)
+	for _, text := range []string{"east  0          1 closed, 1 leaving  1", "west  2          none                 0", "closed       t1", "leaving      t2"} {
+		assert.Assert(t, strings.Contains(r.out, text), "%s", r.out)
+	}
+	c, _ := startInstance(t, "c", 7, nil, encoder.TargetStatus{Target: "t3", FailureDomain: "east", State: "cold"})
+	r = run(nil, "status", "--instances", a+","+c)
+	assert.Equal(t, r.code, commander.ExitUnhealthy)
+	assert.Assert(t, strings.Contains(r.out, "1 target cold and may receive no work, because no owner holds a lease: t3"), "%s", r.out)
+}
+
+// A refused manifest leaves the generation unchanged, so that only a reason tells the operator that it took no effect;
+// the counters since the start would hide what callers get now.
+func TestStatusOfRefusedManifestAndPeriod(t *testing.T) {
+	counters := totals{"queries-complete": 10, "coverage-shards": 10, "coverage-shards-answered": 10}
+	a, ra := startInstance(t, "a", 7, counters)
+	ra.Record(recorder.KindManifestRefused, "platform", "", "too old")
+	ra.Record(recorder.KindManifestApplied, "platform", "", "generation 7")
+	r := run(nil, "status", "--instances", a, "--period", "100ms")
+	assert.Equal(t, r.code, commander.ExitSuccess, "%s", r.out)
+	assert.Assert(t, strings.Contains(r.out, "EXTRA LOAD  in 100ms") && !strings.Contains(r.out, "queries-complete"), "%s", r.out)
+	ra.Record(recorder.KindManifestRefused, "platform", "", "2 problems")
+	r = run(nil, "status", "--instances", a)
+	assert.Equal(t, r.code, commander.ExitUnhealthy)
+	assert.Assert(t, strings.Contains(r.out, "the latest manifest was refused by a: 2 problems"), "%s", r.out)
+	assert.Equal(t, run(nil, "status", "--instances", a, "--period", "-1s").code, commander.ExitUsage)
+}
+
 // A planned restart must not be reported as a failure, and the member list must name the instances to ask.
 func TestStatusAllowsLeavingInstances(t *testing.T) {
 	a, _ := startInstance(t, "a", 7, nil)
@@ -277,7 +322,7 @@
 	b, rb := startInstance(t, "b", 7, nil)
 	ra.Record(recorder.KindTargetCold, "t1", "", "restarted\nnow")
 	rb.Record(recorder.KindTargetWarm, "t1", "", "")
-	ra.Record(recorder.KindQueryHedged, "t2", "q1", "")
+	ra.Record(recorder.KindQueryPartial, "t2", "q1", "")
 
 	r := run(nil, "timeline", "--instances", a+","+b, "--since", "10m", "--target", "t1")
 	assert.Equal(t, r.code, commander.ExitSuccess, "%s", r.errOut)
@@ -291,7 +336,7 @@
 	assert.Assert(t, strings.Contains(r.errOut, "127.0.0.1:1 did not answer"))
 	event, err := encoder.Decode[encoder.Event]([]byte(strings.TrimSpace(r.out)))
 	assert.NilError(t, err)
-	assert.Equal(t, event.Kind, "query-hedged")
+	assert.Equal(t, event.Kind, "query-partial")
 
 	later := time.Now().Add(time.Hour).UTC().Format(time.RFC3339)
 	assert.Equal(t, run(nil, "timeline", "--instances", a, "--since", later).out, "")
