Try another replica for a non-idempotent sub-query before its first byte

Ruled out: retrying after any not-run reply (a target that refuses has been reached; its word alone would decide). Change: the executor retries a refusal that reached no target; the at-most-once invariant now forbids a dispatch while an attempt is open or after one that may have reached a target. Conclusion: a lost replica loses no order; the first-byte rule is unchanged.

--- a/internal/query/executor/fanout.go
+++ b/internal/query/executor/fanout.go
@@ -28,7 +28,8 @@
 		return false
 	}
 	class := r.plan.Class()
-	if !r.e.parts.Checker.Check(class.Idempotent || len(s.used) == 0, checker.AtMostOnce, target, "second dispatch for shard "+r.plan.Shards()[shard].Name) {
+	once := class.Idempotent || s.open == 0 && !s.reached
+	if !r.e.parts.Checker.Check(once, checker.AtMostOnce, target, "second dispatch for shard "+r.plan.Shards()[shard].Name) {
 		return false
 	}
 	id := r.e.newAttempt()
@@ -58,7 +59,8 @@
 
 // retry sends a failed sub-query to another replica if the rules allow it, or settles the shard.
 func (r *run) retry(shard int, reply encoder.SubReply) {
-	if !r.plan.Class().Idempotent {
+	paid := reachedTarget(reply)
+	if paid && !r.plan.Class().Idempotent {
 		r.settle(shard, reply.Reason)
 		return
 	}
@@ -67,7 +69,6 @@
 		r.settle(shard, reply.Reason)
 		return
 	}
-	paid := reachedTarget(reply)
 	if paid && !r.take() {
 		r.settle(shard, encoder.ReasonBudgetEmpty)
 		return
--- a/internal/query/executor/run.go
+++ b/internal/query/executor/run.go
@@ -26,8 +26,10 @@
 	// used lists the replicas tried; each is tried at most once.
 	used []string
 	// open counts attempts in flight; sent is the time of the latest.
-	open    int
-	sent    time.Time
+	open int
+	sent time.Time
+	// reached is set when a byte of a closed attempt may have reached a target.
+	reached bool
 	hedged  bool
 	settled bool
 }
@@ -177,6 +179,7 @@
 	a := r.attempts[reply.Attempt]
 	delete(r.attempts, reply.Attempt)
 	r.shards[a.shard].open--
+	r.shards[a.shard].reached = r.shards[a.shard].reached || reachedTarget(reply)
 	latency := time.Since(a.sent)
 	r.e.parts.Selector.Observe(reply, latency)
 	return latency
