Skip joining instances in the ownership order and spare released ones

Cause: an instance that has just started became first owner at once although its lessor grants and holds nothing for one lease time, and current holders could not renew with it. The successor of a planned stop waited for the lagging member list.

The ownership order skips joining instances; when every live instance is joining or leaving it uses all of them. A joining instance confirms a renewal of a group for which the requester holds an unexpired grant under its name; the requester counts the confirmation only if that grant is still valid on arrival, since then the predecessor granted the group to nobody else and has ended. A lease stays valid to the end of its term when the rivals change. A withheld refusal neither ends a lease nor a static share. An owner that has lost the group gives its idle lease up on request. A released incarnation needs not be asked for two lease times from before a request whose reply said so; instances outside the failure domain also ask all that precede them, so that two possible holders with one list ask each other. Readiness waits for the lessor to settle.

Ruled out: trusting an announced release without a time bound.

--- a/internal/caller/assembler/lifecycle.go
+++ b/internal/caller/assembler/lifecycle.go
@@ -83,7 +83,7 @@
 	if err != nil {
 		return errors.Join(err, operators.Close())
 	}
-	n.Gossiper.Attach(n.Watcher, n.Owner)
+	n.Gossiper.Attach(n.Watcher, n.Owner, n.Lessor.Settled)
 	if err := n.Messenger.Start(); err != nil {
 		return errors.Join(err, operators.Close(), callers.Close())
 	}
@@ -123,7 +123,7 @@
 	}
 }
 
-// awaitReady reports the instance ready to the balancer once it has a configuration.
+// awaitReady reports the instance ready to the balancer once it has a configuration and may hold leases.
 func (n *instance) awaitReady(ctx context.Context) {
 	defer close(n.ready)
 	ticker := time.NewTicker(readyInterval)
@@ -133,7 +133,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			if !n.Gossiper.Ready() || n.Configuration.Manifest() == nil {
+			if !n.Gossiper.Ready() || n.Configuration.Manifest() == nil || !n.Lessor.Settled() {
 				continue
 			}
 			n.Callers.SetReady(true)
@@ -159,6 +159,7 @@
 	errs := []error{n.Callers.Stop(ctx), n.Executor.Drain(ctx)}
 	errs = append(errs, n.Dispatcher.Close(ctx))
 	n.Lessor.Release(ctx)
+	n.announceReleased(ctx)
 	n.cancel()
 	errs = append(errs, n.Messenger.Close(ctx))
 	n.Events.Record(recorder.KindInstanceStopped, n.Settings.Instance(), "", "")
@@ -174,3 +175,13 @@
 	defer cancel()
 	n.Gossiper.Leave(ctx)
 }
+
+// announceReleased lets the successors of this instance do without its grants.
+func (n *instance) announceReleased(ctx context.Context) {
+	if !n.Lessor.Retire() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	n.Gossiper.AnnounceReleased(ctx)
+}
--- a/internal/cluster/gossiper/gossiper.go
+++ b/internal/cluster/gossiper/gossiper.go
@@ -38,6 +38,10 @@
 	announcedLimit = 256
 	// pushParallel bounds the exchanges of one push that run at the same time.
 	pushParallel = 64
+	// settledPoll is how often an instance that has just started looks whether it may grant and hold leases.
+	settledPoll = 20 * time.Millisecond
+	// confirmPoll is how often a stopping instance looks whether its rivals know of its release.
+	confirmPoll = 5 * time.Millisecond
 	// startRetry is the pause between two attempts to get a first configuration.
 	startRetry = 250 * time.Millisecond
 )
@@ -94,12 +98,15 @@
 	seeds         []string
 	peers         *peers
 
-	// platform and ownership are set once before Run.
+	// platform, ownership and settled are set once before Run.
 	platform  Platform
 	ownership Ownership
+	settled   func() bool
 
-	ready   atomic.Bool
-	leaving atomic.Bool
+	ready    atomic.Bool
+	leaving  atomic.Bool
+	joining  atomic.Bool
+	released atomic.Bool
 	// push holds a token when all peers are to be told of a newer value.
 	push chan struct{}
 	// announced holds messages of peers that have a newer value.
@@ -110,6 +117,8 @@
 	pushFull atomic.Bool
 	// fetching serialises the transfer of values, so that one newer value is fetched once.
 	fetching sync.Mutex
+	// confirmed holds the instances that have asked this one since its release.
+	confirmed sync.Map
 	// refused holds the digests of announced manifests that did not apply.
 	refused sync.Map
 }
@@ -126,15 +135,18 @@
 	for _, option := range options {
 		option(g)
 	}
+	g.joining.Store(true)
+	m.Introduce(g.joining.Load, g.peers.greeted)
 	messenger.Handle(m, methodExchange, g.answerExchange)
 	messenger.Handle(m, methodFetch, g.answerFetch)
 	configuration.Subscribe(g.changed)
 	return g
 }
 
-// Attach sets the platform and the ownership, which themselves depend on the gossiper. It is called before Run.
-func (g *Gossiper) Attach(platform Platform, ownership Ownership) {
-	g.platform, g.ownership = platform, ownership
+// Attach sets the platform, the ownership and whether this instance may grant and hold leases, which themselves depend
+// on the gossiper. It is called before Run.
+func (g *Gossiper) Attach(platform Platform, ownership Ownership, settled func() bool) {
+	g.platform, g.ownership, g.settled = platform, ownership, settled
 }
 
 // Ready reports whether this instance has the newest configuration among those that answered at its start.
@@ -169,9 +181,34 @@
 	return found && s.Leaving
 }
 
-// LeavingVersion changes with every change of Leaving.
-func (g *Gossiper) LeavingVersion() uint64 {
-	return g.peers.leavingVersion.Load()
+// Joining reports whether the instance may not grant or hold leases yet.
+func (g *Gossiper) Joining(instance string) bool {
+	if instance == g.instance {
+		return g.joining.Load()
+	}
+	s, found := g.peers.get(instance)
+	return found && s.Joining
+}
+
+// Released reports whether the incarnation of the instance never grants or holds a lease again.
+func (g *Gossiper) Released(instance string) bool {
+	if instance == g.instance {
+		return g.released.Load()
+	}
+	s, found := g.peers.get(instance)
+	return found && s.Released
+}
+
+// ReleasedAt returns the boot time from before the latest request whose reply said that the incarnation of the instance
+// never grants or holds a lease again, or 0.
+func (g *Gossiper) ReleasedAt(instance string) time.Duration {
+	s, _ := g.peers.get(instance)
+	return s.ReleasedAt
+}
+
+// AnnouncementVersion changes with every change of Leaving, Joining and Released.
+func (g *Gossiper) AnnouncementVersion() uint64 {
+	return g.peers.version.Load()
 }
 
 // Leave announces the shutdown of this instance to all peers.
@@ -179,7 +216,54 @@
 	if !g.leaving.CompareAndSwap(false, true) {
 		return
 	}
-	g.peers.leavingVersion.Add(1)
+	g.peers.version.Add(1)
+	g.exchangeAll(ctx, g.names())
+}
+
+// AnnounceReleased tells the rivals that this incarnation never grants or holds a lease again, and waits until those that
+// answer have asked back, at most until the context ends.
+func (g *Gossiper) AnnounceReleased(ctx context.Context) {
+	g.released.Store(true)
+	g.peers.version.Add(1)
+	rivals := g.rivals()
+	g.exchangeAll(ctx, rivals)
+	for ctx.Err() == nil && slices.ContainsFunc(rivals, g.unconfirmed) {
+		sleep(ctx, confirmPoll)
+	}
+}
+
+// unconfirmed reports whether a rival that answers has not asked since the release.
+func (g *Gossiper) unconfirmed(rival string) bool {
+	_, asked := g.confirmed.Load(rival)
+	return !asked && g.Reachable(rival)
+}
+
+// confirmRelease asks an instance that announced its release: only the time of an own request bounds the age of the
+// answer.
+func (g *Gossiper) confirmRelease(message encoder.ExchangeMessage) {
+	if g.released.Load() {
+		g.confirmed.Store(message.Instance, true)
+	}
+	if !message.Released || g.ReleasedAt(message.Instance) > 0 {
+		return
+	}
+	select {
+	case g.announced <- message:
+	default:
+		// The next exchange asks again.
+	}
+}
+
+// awaitSettled announces that this instance may grant and hold leases once it may.
+func (g *Gossiper) awaitSettled(ctx context.Context) {
+	for !g.settled() {
+		sleep(ctx, settledPoll)
+		if ctx.Err() != nil {
+			return
+		}
+	}
+	g.joining.Store(false)
+	g.peers.version.Add(1)
 	g.exchangeAll(ctx, g.names())
 }
 
@@ -187,6 +271,7 @@
 func (g *Gossiper) Run(ctx context.Context) {
 	var running sync.WaitGroup
 	running.Go(func() { g.start(ctx) })
+	running.Go(func() { g.awaitSettled(ctx) })
 	running.Go(func() { g.every(ctx, func() time.Duration { return exchangeInterval }, g.exchangeRandom) })
 	running.Go(func() { g.every(ctx, g.rivalInterval, g.exchangeRivals) })
 	running.Go(func() { g.pushChanges(ctx) })
@@ -333,13 +418,18 @@
 }
 
 func (g *Gossiper) exchangeRivals(ctx context.Context) {
+	g.exchangeAll(ctx, g.rivals())
+}
+
+// rivals returns the instances that compete with this one for any group.
+func (g *Gossiper) rivals() []string {
 	rivals := make(map[string]bool)
 	for _, group := range g.ownership.Candidates() {
 		for _, name := range g.ownership.Rivals(group) {
 			rivals[name] = true
 		}
 	}
-	g.exchangeAll(ctx, slices.Sorted(maps.Keys(rivals)))
+	return slices.Sorted(maps.Keys(rivals))
 }
 
 func (g *Gossiper) exchangeAll(ctx context.Context, names []string) {
@@ -359,6 +449,7 @@
 func (g *Gossiper) exchange(ctx context.Context, name string) {
 	timeout, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
+	sent := g.peers.clock()
 	reply, err := messenger.Call[encoder.ExchangeMessage, encoder.ExchangeMessage](timeout, g.messenger, name, methodExchange, g.message())
 	if err != nil {
 		if ctx.Err() == nil {
@@ -366,7 +457,8 @@
 		}
 		return
 	}
-	g.note(reply)
+	g.peers.answered(reply, sent)
+	g.learn(reply)
 	g.fetchNewer(ctx, reply)
 }
 
@@ -375,7 +467,9 @@
 		return encoder.ExchangeMessage{}, &SenderError{Expected: peer.Instance, Actual: message.Instance}
 	}
 	reply := g.message()
-	g.note(message)
+	g.peers.heard(message)
+	g.learn(message)
+	g.confirmRelease(message)
 	if g.newer(message) {
 		select {
 		case g.announced <- message:
@@ -396,7 +490,8 @@
 
 func (g *Gossiper) message() encoder.ExchangeMessage {
 	message := encoder.ExchangeMessage{
-		Instance: g.instance, Incarnation: g.incarnation, Leaving: g.leaving.Load(),
+		Instance: g.instance, Incarnation: g.incarnation,
+		Leaving: g.leaving.Load(), Joining: g.joining.Load(), Released: g.released.Load(),
 		MembersRevision: g.configuration.Members().Revision(), Targets: g.targets.Facts(),
 	}
 	if message.Targets == nil {
@@ -408,9 +503,8 @@
 	return message
 }
 
-// note takes the state of another instance.
-func (g *Gossiper) note(message encoder.ExchangeMessage) {
-	g.peers.heard(message)
+// learn takes what another instance knows of targets.
+func (g *Gossiper) learn(message encoder.ExchangeMessage) {
 	for _, fact := range message.Targets {
 		g.targets.Learn(fact, message.Instance)
 	}
@@ -446,6 +540,9 @@
 		case <-ctx.Done():
 			return
 		case message := <-g.announced:
+			if message.Released && g.ReleasedAt(message.Instance) == 0 {
+				g.exchange(ctx, message.Instance)
+			}
 			g.fetchNewer(ctx, message)
 		}
 	}
--- a/internal/cluster/gossiper/peers.go
+++ b/internal/cluster/gossiper/peers.go
@@ -19,7 +19,13 @@
 	Digest          string
 	MembersRevision int
 	Leaving         bool
-	Reachable       bool
+	// Joining tells that the incarnation may not grant or hold leases yet.
+	Joining bool
+	// Released tells that the incarnation never grants or holds a lease again.
+	Released bool
+	// ReleasedAt is the boot time from before the latest request whose reply said so, or 0.
+	ReleasedAt time.Duration
+	Reachable  bool
 	// Heard is the boot time of the last message.
 	Heard time.Duration
 	// failures counts the exchanges that failed since the last message.
@@ -34,8 +40,8 @@
 	states sync.Map
 	// mu serialises writers.
 	mu sync.Mutex
-	// leavingVersion changes after a change of any Leaving.
-	leavingVersion atomic.Uint64
+	// version changes after a change of any announcement.
+	version atomic.Uint64
 }
 
 func newPeers(clock func() time.Duration) *peers {
@@ -59,19 +65,54 @@
 	return list
 }
 
-// heard notes a message of a peer. Messages of one peer may be handled out of order, so leaving is never taken back
-// within an incarnation.
+// announcement is what a peer tells of its own state.
+type announcement struct {
+	leaving, joining, released bool
+}
+
+func (s PeerState) announcement() announcement {
+	return announcement{leaving: s.Leaving, joining: s.Joining, released: s.Released}
+}
+
+// greeted notes the hello of a peer.
+func (p *peers) greeted(hello encoder.HelloMessage) {
+	p.update(hello.Instance, func(s *PeerState) {
+		if s.Incarnation != hello.Incarnation {
+			*s = PeerState{Instance: hello.Instance, Incarnation: hello.Incarnation, Joining: hello.Joining}
+		}
+		s.Joining = s.Joining && hello.Joining
+		s.Reachable, s.Heard, s.failures = true, p.clock(), 0
+	})
+}
+
+// heard notes a message of a peer. Messages of one peer may be handled out of order, so within an incarnation leaving
+// and released are never taken back, and joining never comes back.
 func (p *peers) heard(message encoder.ExchangeMessage) {
 	p.update(message.Instance, func(s *PeerState) {
 		if s.Incarnation != message.Incarnation {
-			*s = PeerState{Instance: message.Instance, Incarnation: message.Incarnation}
+			*s = PeerState{Instance: message.Instance, Incarnation: message.Incarnation, Joining: message.Joining}
 		}
 		s.Generation, s.Digest, s.MembersRevision = message.Generation, message.Digest, message.MembersRevision
 		s.Leaving = s.Leaving || message.Leaving
+		s.Joining = s.Joining && message.Joining
+		s.Released = s.Released || message.Released
 		s.Reachable, s.Heard, s.failures = true, p.clock(), 0
 	})
 }
 
+// answered notes the reply to a request sent at the boot time.
+func (p *peers) answered(reply encoder.ExchangeMessage, sent time.Duration) {
+	p.heard(reply)
+	if !reply.Released {
+		return
+	}
+	p.update(reply.Instance, func(s *PeerState) {
+		if s.Incarnation == reply.Incarnation {
+			s.ReleasedAt = max(s.ReleasedAt, sent)
+		}
+	})
+}
+
 // failed notes an exchange that failed.
 func (p *peers) failed(instance string) {
 	p.update(instance, func(s *PeerState) {
@@ -92,8 +133,8 @@
 			continue
 		}
 		p.states.Delete(s.Instance)
-		if s.Leaving {
-			p.leavingVersion.Add(1)
+		if s.announcement() != (announcement{}) {
+			p.version.Add(1)
 		}
 	}
 }
@@ -102,10 +143,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	s, _ := p.get(instance)
-	leaving := s.Leaving
+	before := s.announcement()
 	change(&s)
 	p.states.Store(instance, s)
-	if s.Leaving != leaving {
-		p.leavingVersion.Add(1)
+	if s.announcement() != before {
+		p.version.Add(1)
 	}
 }
--- a/internal/cluster/lessor/holding.go
+++ b/internal/cluster/lessor/holding.go
@@ -29,6 +29,8 @@
 	exposed time.Duration
 	// grants holds the end of each rival's grant, measured from before the request.
 	grants map[string]time.Duration
+	// rivals are those of the last round.
+	rivals []string
 	// abandoned is the last round whose grants no longer count.
 	abandoned uint64
 	// release tells that the rivals are to be sent a release.
--- a/internal/cluster/lessor/lessor.go
+++ b/internal/cluster/lessor/lessor.go
@@ -23,6 +23,10 @@
 	defaultLease = 3 * time.Second
 	// roundsPerLease is the number of renewals in one lease time.
 	roundsPerLease = 3
+	// releasedLeases is the number of lease times for which a released incarnation needs no longer to be asked. The next
+	// one under its name grants and holds nothing for the first, and uses no static share before it has been without
+	// answers for the second.
+	releasedLeases = 2
 	// maxWait bounds the rounds skipped after a refusal.
 	maxWait = 3
 )
@@ -33,6 +37,7 @@
 	Rivals(group string) []string
 	StaticOwners(group string) []string
 	Candidates() []string
+	ReleasedAt(instance string) time.Duration
 }
 
 // Configuration provides the manifest and member list in force.
@@ -94,8 +99,10 @@
 
 	mu sync.Mutex
 	// started is boot time.
-	started  time.Duration
-	closed   bool
+	started time.Duration
+	closed  bool
+	// retired tells that this incarnation never grants or holds again.
+	retired  bool
 	round    uint64
 	granted  map[string]grant
 	holdings map[string]*holding
@@ -171,12 +178,17 @@
 	return leased
 }
 
+// Settled reports whether this instance may grant and hold: nothing that its predecessor granted is still valid.
+func (l *Lessor) Settled() bool {
+	return l.clock()-l.started >= l.lease()
+}
+
 // Begin starts a round: it returns the requests and releases to send now. Each request must be reported to Finish.
 func (l *Lessor) Begin() ([]Ask, []Release) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock()
-	if l.closed || l.policy == encoder.PolicyColdLimitEqual || now-l.started < l.lease() {
+	if l.closed || l.policy == encoder.PolicyColdLimitEqual || !l.Settled() {
 		return nil, nil
 	}
 	l.round++
@@ -205,19 +217,29 @@
 		s.fail(ask.sent, now)
 		return
 	}
-	delete(l.silences, ask.Rival)
 	if err != nil {
 		reply = encoder.GrantReply{Refused: ask.Request.Groups}
 	}
+	if !reply.Withheld {
+		// A rival that has just started does not end a static share before it can grant.
+		delete(l.silences, ask.Rival)
+	}
 	until := ask.sent + time.Duration(ask.Request.DurationMs)*time.Millisecond
 	for _, group := range reply.Granted {
 		if h := l.holdings[group]; h != nil && ask.round > h.abandoned {
 			h.grants[ask.Rival] = max(h.grants[ask.Rival], until)
 		}
 	}
+	for _, group := range reply.Confirmed {
+		// While the predecessor's grant to this instance has not expired, the predecessor granted the group to no other
+		// instance, and its successor exists already.
+		if h := l.holdings[group]; h != nil && ask.round > h.abandoned && h.grants[ask.Rival] > now {
+			h.grants[ask.Rival] = max(h.grants[ask.Rival], until)
+		}
+	}
 	for _, group := range reply.Refused {
 		h := l.holdings[group]
-		if h == nil || ask.round <= h.abandoned || h.exposed > now {
+		if h == nil || reply.Withheld || ask.round <= h.abandoned || h.exposed > now {
 			continue
 		}
 		h.drop(l.round)
@@ -230,13 +252,17 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock()
-	reply := encoder.GrantReply{Granted: []string{}, Refused: []string{}}
+	joining := !l.Settled()
+	reply := encoder.GrantReply{Granted: []string{}, Confirmed: []string{}, Refused: []string{}, Withheld: joining || l.retired}
 	for _, group := range request.Groups {
-		if l.grant(group, request, now) {
+		switch {
+		case l.retired || joining && !slices.Contains(request.Held, group) || !l.grant(group, request, now):
+			reply.Refused = append(reply.Refused, group)
+		case joining:
+			reply.Confirmed = append(reply.Confirmed, group)
+		default:
 			reply.Granted = append(reply.Granted, group)
-			continue
 		}
-		reply.Refused = append(reply.Refused, group)
 	}
 	return reply
 }
@@ -255,12 +281,12 @@
 
 // beginGroup prepares the requests and releases of one group.
 func (l *Lessor) beginGroup(group string, now time.Duration, asks, releases map[string][]string) {
-	rivals := l.ownership.Rivals(group)
 	h := l.holdings[group]
 	if h == nil {
 		h = &holding{grants: make(map[string]time.Duration)}
 		l.holdings[group] = h
 	}
+	rivals := l.inherit(h, group)
 	if static := l.ownership.StaticOwners(group); len(static) > 1 && static[1] == l.instance {
 		// Only the unanswered requests of this instance allow it to use its static share.
 		asks[static[0]] = append(asks[static[0]], "")
@@ -295,6 +321,28 @@
 	}
 }
 
+// inherit takes up a change of the rivals, and returns them. A lease stays valid to the end of the term for which the
+// former rivals granted it; the new ones are asked to confirm it. A released rival counts as granting.
+func (l *Lessor) inherit(h *holding, group string) []string {
+	leased, _ := l.cover(h, group)
+	ended := make(map[string]time.Duration)
+	for _, rival := range l.ownership.Rivals(group) {
+		if at := l.ownership.ReleasedAt(rival); at > 0 {
+			ended[rival] = at + releasedLeases*l.lease()
+		}
+	}
+	// The rivals are read last: they depend on which of them are released.
+	rivals := l.ownership.Rivals(group)
+	for _, rival := range rivals {
+		if !slices.Contains(h.rivals, rival) {
+			h.grants[rival] = max(h.grants[rival], leased)
+		}
+		h.grants[rival] = max(h.grants[rival], ended[rival])
+	}
+	h.rivals = rivals
+	return rivals
+}
+
 // wanted reports whether this instance should hold the group: as first owner, or as second one in the static
 // division once the first is silent, if that gives it a share of any target.
 func (l *Lessor) wanted(group string) bool {
@@ -325,13 +373,24 @@
 		names := groups[rival]
 		request := encoder.GrantRequest{
 			Instance: l.instance, Incarnation: l.incarnation, Clock: l.logical.Now(),
-			Groups: nonEmpty(names), DurationMs: int(l.lease() / time.Millisecond),
+			Groups: nonEmpty(names), Held: l.held(names, rival, now), DurationMs: int(l.lease() / time.Millisecond),
 		}
 		asks = append(asks, Ask{Rival: rival, Request: request, sent: now, round: l.round})
 	}
 	return asks
 }
 
+// held returns the groups for which the rival's grant has not expired.
+func (l *Lessor) held(groups []string, rival string, now time.Duration) []string {
+	held := make([]string, 0, len(groups))
+	for _, group := range groups {
+		if h := l.holdings[group]; h != nil && h.grants[rival] > now {
+			held = append(held, group)
+		}
+	}
+	return held
+}
+
 func (l *Lessor) releases(groups map[string][]string) []Release {
 	releases := make([]Release, 0, len(groups))
 	for _, rival := range slices.Sorted(maps.Keys(groups)) {
@@ -345,11 +404,12 @@
 }
 
 func (l *Lessor) grant(group string, request encoder.GrantRequest, now time.Duration) bool {
-	if now-l.started < l.lease() {
-		return false
-	}
 	if h := l.holdings[group]; h != nil && h.own > now {
-		return false
+		if h.exposed > now || l.wanted(group) {
+			return false
+		}
+		// The group has gone to another owner, which need not wait for the next round.
+		h.drop(l.round)
 	}
 	g := l.granted[group]
 	same := g.heldBy(request.Instance, request.Incarnation)
@@ -384,7 +444,7 @@
 func (l *Lessor) cover(h *holding, group string) (leased, static time.Duration) {
 	leased, static = h.own, h.own
 	silent := false
-	for _, rival := range l.ownership.Rivals(group) {
+	for _, rival := range h.rivals {
 		leased = min(leased, h.grants[rival])
 		if l.silences[rival].full(l.lease()) {
 			silent = true
--- a/internal/cluster/lessor/run.go
+++ b/internal/cluster/lessor/run.go
@@ -101,13 +101,32 @@
 			continue
 		}
 		h.drop(l.round)
-		for _, rival := range l.ownership.Rivals(group) {
+		for _, rival := range h.rivals {
 			groups[rival] = append(groups[rival], group)
 		}
 	}
 	return l.releases(groups), next
 }
 
+// Retire ends the grants of this incarnation for good, after Release, and reports whether it did. Afterwards its rivals
+// need no grant from it: whatever it granted before, two possible holders also ask each other.
+func (l *Lessor) Retire() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock()
+	// Sub-queries of the predecessor may be in flight for one lease time.
+	if !l.closed || !l.Settled() {
+		return false
+	}
+	for _, h := range l.holdings {
+		if max(h.own, h.exposed) > now {
+			return false
+		}
+	}
+	l.retired = true
+	return true
+}
+
 func (l *Lessor) send(ctx context.Context, running *sync.WaitGroup, asks []Ask, releases []Release, timeout time.Duration) {
 	for _, release := range releases {
 		running.Go(func() {
--- a/internal/cluster/messenger/connect.go
+++ b/internal/cluster/messenger/connect.go
@@ -168,7 +168,7 @@
 	defer m.mu.Unlock()
 	return encoder.HelloMessage{
 		Instance: m.identity.Instance, Incarnation: m.identity.Incarnation, FailureDomain: m.identity.FailureDomain,
-		PeerAddress: m.advertised, Clock: m.clock.Now(),
+		PeerAddress: m.advertised, Joining: m.joining(), Clock: m.clock.Now(),
 	}
 }
 
@@ -180,6 +180,7 @@
 	if !l.peer.CompareAndSwap(nil, peer) {
 		return
 	}
+	m.heard(hello)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	defer close(l.ready)
--- a/internal/cluster/messenger/messenger.go
+++ b/internal/cluster/messenger/messenger.go
@@ -11,6 +11,7 @@
 	"github.com/charmbracelet/log"
 
 	"apricotflow/internal/operator/recorder"
+	"apricotflow/internal/wire/encoder"
 )
 
 const (
@@ -92,6 +93,10 @@
 	sizeLimit  int
 	idleLimit  time.Duration
 
+	// joining and heard are set before Start; see Introduce.
+	joining func() bool
+	heard   func(encoder.HelloMessage)
+
 	// ctx ends with Close.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -124,6 +129,7 @@
 	m := &Messenger{
 		identity: identity, address: address, resolver: resolver, clock: clock, events: events,
 		heartbeat: defaultHeartbeat, silence: defaultSilence, sizeLimit: defaultSize, idleLimit: defaultIdle,
+		joining: func() bool { return false }, heard: func(encoder.HelloMessage) {},
 		ctx: ctx, cancel: cancel,
 		handlers: make(map[string]handler), links: make(map[*link]bool), preferred: make(map[string]*link),
 		dials: make(map[string]*dial), failures: make(map[string]dialFailure), addresses: make(map[string]string), known: make(map[string]string),
@@ -135,6 +141,12 @@
 	return m
 }
 
+// Introduce sets what hello tells of this instance, and the function that takes the hello of others. It is called
+// before Start.
+func (m *Messenger) Introduce(joining func() bool, heard func(encoder.HelloMessage)) {
+	m.joining, m.heard = joining, heard
+}
+
 // Start listens.
 func (m *Messenger) Start() error {
 	listener, err := net.Listen("tcp", m.address)
--- a/internal/cluster/owner/owner.go
+++ b/internal/cluster/owner/owner.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"apricotflow/internal/manifest/resolver"
 )
@@ -13,18 +14,25 @@
 	Members() *resolver.Members
 }
 
-// Leavers knows instances that announced their shutdown before the member list shows it.
-type Leavers interface {
-	// LeavingVersion changes with every change of Leaving.
-	LeavingVersion() uint64
+// Announcements are what instances tell of themselves before the member list shows it.
+type Announcements interface {
+	// AnnouncementVersion changes with every change of the others.
+	AnnouncementVersion() uint64
+	// Leaving reports an instance that is shutting down.
 	Leaving(instance string) bool
+	// Joining reports an instance that may not grant or hold leases yet.
+	Joining(instance string) bool
+	// Released reports an instance whose incarnation never grants or holds a lease again.
+	Released(instance string) bool
+	// ReleasedAt returns the boot time from before the latest request whose reply said so, or 0.
+	ReleasedAt(instance string) time.Duration
 }
 
 // Owner answers ownership questions of one instance.
 type Owner struct {
 	self          string
 	configuration Configuration
-	leavers       Leavers
+	announcements Announcements
 
 	current atomic.Pointer[table]
 	// building serialises the construction of tables.
@@ -32,8 +40,8 @@
 }
 
 // New creates an owner for the named instance.
-func New(self string, configuration Configuration, leavers Leavers) *Owner {
-	return &Owner{self: self, configuration: configuration, leavers: leavers}
+func New(self string, configuration Configuration, announcements Announcements) *Owner {
+	return &Owner{self: self, configuration: configuration, announcements: announcements}
 }
 
 // Shares returns the owners of a target in order; callers must not change the result.
@@ -70,6 +78,15 @@
 	return nil
 }
 
+// ReleasedAt returns the boot time from before a request whose reply said that the instance never grants or holds a
+// lease again, or 0. Rivals takes such an instance into account already.
+func (o *Owner) ReleasedAt(instance string) time.Duration {
+	if !o.table().released[instance] {
+		return 0
+	}
+	return o.announcements.ReleasedAt(instance)
+}
+
 func (o *Owner) table() *table {
 	if t := o.current.Load(); o.fresh(t) {
 		return t
@@ -79,13 +96,13 @@
 	if t := o.current.Load(); o.fresh(t) {
 		return t
 	}
-	version := o.leavers.LeavingVersion()
-	t := newTable(o.self, o.configuration.Manifest(), o.configuration.Members(), version, o.leavers.Leaving)
+	version := o.announcements.AnnouncementVersion()
+	t := newTable(o.self, o.configuration.Manifest(), o.configuration.Members(), version, o.announcements)
 	o.current.Store(t)
 	return t
 }
 
 func (o *Owner) fresh(t *table) bool {
 	return t != nil && t.manifest == o.configuration.Manifest() && t.members == o.configuration.Members() &&
-		t.version == o.leavers.LeavingVersion()
+		t.version == o.announcements.AnnouncementVersion()
 }
--- a/internal/cluster/owner/table.go
+++ b/internal/cluster/owner/table.go
@@ -16,13 +16,20 @@
 	Rank int
 }
 
-// table is the ownership for one manifest, member list and set of leaving instances; it never changes.
+// spareOutside is the number of rivals outside the failure domain while an instance is released. Instances whose
+// lists differ then need not have a common rival left; the further rivals make them meet unless the lists differ by more
+// than two instances outside.
+const spareOutside = 3
+
+// table is the ownership for one manifest, member list and set of announcements; it never changes.
 type table struct {
 	manifest *resolver.Manifest
 	members  *resolver.Members
 	version  uint64
 	groups   map[string]*place
 	shares   map[string][]Share
+	// released holds the listed instances that announced that they never grant or hold a lease again.
+	released map[string]bool
 	// candidates are the groups that this instance may own, sorted by name.
 	candidates []string
 }
@@ -36,16 +43,22 @@
 	static []string
 }
 
-func newTable(self string, manifest *resolver.Manifest, members *resolver.Members, version uint64, leaving func(string) bool) *table {
+func newTable(self string, manifest *resolver.Manifest, members *resolver.Members, version uint64, a Announcements) *table {
 	t := &table{
 		manifest: manifest, members: members, version: version,
 		groups: make(map[string]*place), shares: make(map[string][]Share),
+		released: make(map[string]bool),
 	}
 	if manifest == nil {
 		return t
 	}
-	live := slices.DeleteFunc(slices.Clone(members.Instances()), func(n encoder.MemberInstance) bool { return leaving(n.Name) })
+	live := eligible(members.Instances(), a)
 	listed := members.Listed()
+	for _, n := range listed {
+		if a.Released(n.Name) {
+			t.released[n.Name] = true
+		}
+	}
 	for _, g := range manifest.Groups() {
 		t.addGroup(self, g, live, listed)
 	}
@@ -58,7 +71,7 @@
 	inside, outside := domainOrder(g.Name, g.FailureDomain, listed)
 	static := staticOrder(inside, outside)
 	p := &place{
-		rivals: rivals(self, inside, outside),
+		rivals: t.rivals(self, inside, outside),
 		rank:   slices.Index(owners, self) + 1,
 		static: static[:min(2, len(static))],
 	}
@@ -79,18 +92,44 @@
 	}
 }
 
-// rivals returns every other listed instance of the group's failure domain and the first other one from outside.
-// Without a listed instance in the failure domain all listed instances are rivals, since the first outside one
-// may differ between two member lists.
-func rivals(self string, inside, outside []string) []string {
+// eligible returns the live instances that take part in the ownership order: those that are neither leaving nor joining
+// or, if there are none, all.
+func eligible(live []encoder.MemberInstance, a Announcements) []encoder.MemberInstance {
+	settled := slices.DeleteFunc(slices.Clone(live), func(n encoder.MemberInstance) bool {
+		return a.Leaving(n.Name) || a.Joining(n.Name)
+	})
+	if len(settled) == 0 {
+		return live
+	}
+	return settled
+}
+
+// rivals returns every other listed instance of the group's failure domain and the first other one from outside; an
+// instance from outside also asks all that precede it, so that of two possible holders with the same list at least one
+// asks the other. Without a listed instance in the failure domain all listed instances are rivals, since the first
+// outside one may differ between two member lists. Released instances do not count.
+func (t *table) rivals(self string, inside, outside []string) []string {
 	others := func(names []string) []string {
 		return slices.DeleteFunc(slices.Clone(names), func(name string) bool { return name == self })
 	}
+	rest := others(outside)
 	if len(inside) == 0 {
-		return others(outside)
+		return rest
 	}
-	rest := others(outside)
-	return slices.Concat(others(inside), rest[:min(1, len(rest))])
+	released := func(name string) bool { return t.released[name] }
+	count := 1
+	if slices.ContainsFunc(inside, released) || slices.ContainsFunc(outside, released) {
+		count = spareOutside
+	}
+	preceding := slices.Index(outside, self)
+	taken := 0
+	for taken < len(rest) && (count > 0 || taken < preceding) {
+		if !released(rest[taken]) {
+			count--
+		}
+		taken++
+	}
+	return slices.Concat(others(inside), rest[:taken])
 }
 
 // staticOrder returns the instances that static shares are divided among. It holds leaving instances too, since
--- a/internal/wire/encoder/types.go
+++ b/internal/wire/encoder/types.go
@@ -113,12 +113,19 @@
 	// Name of the instance.
 	Instance string `json:"instance"`
 
+	// The sender has just started and neither grants nor holds leases yet.
+	Joining bool `json:"joining"`
+
 	// The sender is shutting down.
 	Leaving bool `json:"leaving"`
 
 	// Revision of the member list in force.
 	MembersRevision int `json:"members-revision"`
 
+	// The sender has released its leases; this incarnation neither grants nor holds
+	// any again.
+	Released bool `json:"released"`
+
 	// What the sender knows of targets that the receiver may own: draining, cold or
 	// warm incarnations.
 	Targets []TargetFact `json:"targets"`
@@ -194,11 +201,20 @@
 	// Hybrid logical clock of the sender.
 	Clock int `json:"clock"`
 
+	// Groups refused to others by an instance that has just started; a confirmation
+	// counts only while the grant of its predecessor to the requester has not
+	// expired.
+	Confirmed []string `json:"confirmed"`
+
 	// Granted.
 	Granted []string `json:"granted"`
 
 	// Refused.
 	Refused []string `json:"refused"`
+
+	// The sender has just started or has released its leases; a refusal does not mean
+	// that another instance holds the group.
+	Withheld bool `json:"withheld"`
 }
 
 // Asks the receiver not to grant these groups to others for the duration.
@@ -212,6 +228,10 @@
 	// Target groups.
 	Groups []string `json:"groups"`
 
+	// Those of the groups for which the sender holds a grant of the receiver, by any
+	// incarnation, that has not expired.
+	Held []string `json:"held"`
+
 	// Changes with each start of the process.
 	Incarnation string `json:"incarnation"`
 
@@ -242,6 +262,9 @@
 	// Name of the instance.
 	Instance string `json:"instance"`
 
+	// The sender has just started and neither grants nor holds leases yet.
+	Joining bool `json:"joining"`
+
 	// Address for other instances.
 	PeerAddress string `json:"peer-address"`
 }
