--- a/internal/cluster/gossiper/gossiper_test.go
+++ b/internal/cluster/gossiper/gossiper_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -60,6 +61,7 @@
 	config    *configurer.Configurer
 	targets   *targets
 	events    *recorder.Recorder
+	settled   atomic.Bool
 	stop      func()
 }
 
@@ -76,6 +78,7 @@
 	clock := timekeeper.NewHybridClock(time.Now)
 	events := recorder.New(name, clock, 1000)
 	n := &node{targets: &targets{}, events: events}
+	n.settled.Store(true)
 	n.config = configurer.New(parse, timekeeper.BootTime, events, checker.New(events, tally.NoopScope.Counter("violations"), true))
 	incarnation := fmt.Sprint(name, clock.Now())
 	resolve := messenger.ResolverFunc(func(instance string) (string, bool) {
@@ -85,7 +88,7 @@
 	n.messenger = messenger.New(messenger.Identity{Instance: name, Incarnation: incarnation}, "127.0.0.1:0", resolve, clock, events)
 	n.Gossiper = gossiper.New(name, incarnation, n.messenger, n.config,
 		timekeeper.BootTime, gossiper.WithSeeds(seeds...), gossiper.WithTargets(n.targets), gossiper.WithEvents(events))
-	n.Attach(platformFunc(func() error { return platform(n) }), owner.New(name, n.config, n))
+	n.Attach(platformFunc(func() error { return platform(n) }), owner.New(name, n.config, n), n.settled.Load)
 	assert.NilError(c.t, n.messenger.Start())
 	c.nodes[name] = n
 	c.list.Revision++
@@ -209,24 +212,33 @@
 	c := start(t, "1", "a", "b")
 	a, b := c.nodes["a"], c.nodes["b"]
 	eventually(t, func() bool { return a.Reachable("b") && b.Reachable("a") })
-	version := a.LeavingVersion()
+	again := c.add("z", c.serve("1"))
+	again.settled.Store(false)
+	c.run(again)
+	eventually(t, func() bool { return a.Joining("z") })
+	again.settled.Store(true)
+	eventually(t, func() bool { return !a.Joining("z") && b.Reachable("a") })
+	version := a.AnnouncementVersion()
 	b.Leave(context.Background())
 	assert.Assert(t, b.Leaving("b"))
 	eventually(t, func() bool { return a.Leaving("b") })
-	assert.Assert(t, a.LeavingVersion() != version)
+	assert.Assert(t, a.AnnouncementVersion() != version)
 	// Without the event, a planned stop looks like a loss in the time line.
 	announced := func() int {
 		events, _ := a.events.Events(0)
 		return len(slices.DeleteFunc(events, func(e encoder.Event) bool { return e.Kind != string(recorder.KindPeerLeaving) || e.Subject != "b" }))
 	}
 	eventually(t, func() bool { return announced() == 1 })
+	before := timekeeper.BootTime()
+	b.AnnounceReleased(t.Context())
+	eventually(t, func() bool { return a.Released("b") && a.ReleasedAt("b") >= before })
 	b.stop()
 	eventually(t, func() bool { return !a.Reachable("b") })
 	old, _ := a.Peer("b")
 	c.list.Instances = c.list.Instances[:1]
-	again := c.add("b", c.serve("1"))
+	again = c.add("b", c.serve("1"))
 	c.run(again)
-	eventually(t, func() bool { return a.Reachable("b") && !a.Leaving("b") })
+	eventually(t, func() bool { return a.Reachable("b") && !a.Leaving("b") && !a.Released("b") && a.ReleasedAt("b") == 0 })
 	restarted, _ := a.Peer("b")
 	assert.Assert(t, restarted.Incarnation != old.Incarnation)
 }
