Add soak: random faults from a seed under verified load

Real processes behind links run with strict invariants while a schedule that depends on the seed only applies and undoes faults. The driver verifies windows of load; an observer checks cold overload, connection caps, closures, generations, invariants and unexpected exits. A violation ends the run and leaves the time line, the schedule and the output of all processes.

--- a/Makefile
+++ b/Makefile
@@ -25,3 +25,6 @@
 
 demo: build
 	out/standin demo
+
+soak: build
+	out/standin soak --duration $(or $(DURATION),5m) --seed $(or $(SEED),1) $(if $(DEPLOYMENT),--deployment $(DEPLOYMENT))
--- /dev/null
+++ b/internal/standin/commander/soak.go
@@ -0,0 +1,48 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"apricotflow/internal/standin/deployer"
+	"apricotflow/internal/standin/soaker"
+)
+
+func soak() *cli.Command {
+	return &cli.Command{
+		Name:  "soak",
+		Usage: "run a deployment under load with random faults and check the guarantees",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "apricotflow", Usage: "path of the product; by default beside this program"},
+			&cli.StringFlag{Name: "deployment", Value: deployer.Ulaanbaatar, Usage: deployer.Ulaanbaatar + " or " + deployer.DarEsSalaam},
+			&cli.DurationFlag{Name: "duration", Value: 5 * time.Minute, Usage: "time with faults"},
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the faults and the load"},
+			&cli.Float64Flag{Name: "rate", Value: 60, Usage: "queries per second"},
+			&cli.StringFlag{Name: "directory", Usage: "receives the output of all processes and the findings; by default beside this program"},
+		},
+		Action: runSoak,
+	}
+}
+
+func runSoak(ctx context.Context, c *cli.Command) error {
+	own, err := os.Executable()
+	if err != nil {
+		return fmt.Errorf("commander: %w", err)
+	}
+	product, directory := c.String("apricotflow"), c.String("directory")
+	if product == "" {
+		product = filepath.Join(filepath.Dir(own), "apricotflow")
+	}
+	if directory == "" {
+		directory = filepath.Join(filepath.Dir(own), fmt.Sprintf("soak-%s-%d", c.String("deployment"), c.Uint64("seed")))
+	}
+	return soaker.Run(ctx, soaker.Settings{
+		Standin: own, Apricotflow: product, Deployment: c.String("deployment"), Duration: c.Duration("duration"),
+		Seed: c.Uint64("seed"), Rate: c.Float64("rate"), Directory: directory, Output: c.Root().Writer,
+	})
+}
