End the draining state of a target with two owners

Cause: each owner announced every draining target that it knew of, also when it knew only from the other owner. Each announcement renewed the time that the state is held, so the two owners renewed each other's knowledge for ever and the target got no work again after it stopped draining. Ruled out: the report of the target (other owners read it each second), a lost connection (no target-down event), the selector (its hold time is 5 s). Change: draining is announced only within 2 s of own evidence, like cold.

--- a/internal/target/limiter/evidence.go
+++ b/internal/target/limiter/evidence.go
@@ -50,7 +50,7 @@
 	l.state = state
 	switch state {
 	case encoder.LoadStateDraining:
-		l.drain(incarnation)
+		l.sawDraining(incarnation)
 	case encoder.LoadStateCold:
 		l.coldAt = l.now()
 		l.reset("target is cold")
@@ -94,6 +94,12 @@
 	l.events.Record(recorder.KindTargetCold, l.target, "", cause)
 }
 
+// sawDraining takes own evidence into account that the incarnation drains.
+func (l *Limiter) sawDraining(incarnation string) {
+	l.drainSeenAt = l.now()
+	l.drain(incarnation)
+}
+
 // drain stops new work for an incarnation. Only a later report or a new incarnation ends it, because replies that
 // were sent before can arrive after.
 func (l *Limiter) drain(incarnation string) {
@@ -146,8 +152,10 @@
 	}
 	fact := encoder.TargetFact{Target: l.target, Incarnation: l.incarnation}
 	switch {
-	case l.draining():
+	case l.draining() && l.drainSeenAt != 0 && l.now()-l.drainSeenAt < factLifetime:
 		fact.State = encoder.LoadStateDraining
+	case l.draining():
+		return nil
 	case l.warm && l.ramped && l.limit >= l.own.Share:
 		fact.State = encoder.LoadStateWarm
 	case !l.warm && l.coldAt != 0 && l.now()-l.coldAt < factLifetime:
--- a/internal/target/limiter/limiter.go
+++ b/internal/target/limiter/limiter.go
@@ -22,8 +22,9 @@
 	rampAnswers = 8
 	// queueCapacity bounds the waiting sub-queries of one target.
 	queueCapacity = 128
-	// factLifetime is how long own evidence of a cold target is announced, and how long announcements that it is
-	// warm are ignored after it. It covers two periods of the exchange between instances.
+	// factLifetime is how long own evidence of a cold or draining target is announced, and how long announcements
+	// that it is warm are ignored after it. It covers two periods of the exchange between instances. Without a
+	// bound, two owners would renew each other's knowledge for ever after the target stopped draining.
 	factLifetime = 2 * time.Second
 	// drainHold is how long a draining reply outweighs reports, which can be delayed.
 	drainHold = 3 * time.Second
@@ -116,6 +117,8 @@
 	// drained is the incarnation that was known to be draining at the time drainedAt.
 	drained   string
 	drainedAt time.Duration
+	// drainSeenAt is the time of the latest own evidence that the target drains.
+	drainSeenAt time.Duration
 	// inFlight counts granted slots; it is bounded by the limit at the time of each grant.
 	inFlight int
 	// bound counts the slots by the incarnation that their sub-queries are sent to.
--- a/internal/target/limiter/limiter_test.go
+++ b/internal/target/limiter/limiter_test.go
@@ -240,6 +240,30 @@
 	assert.Assert(t, !b.Draining())
 }
 
+// A target that stops draining must get work again, although two owners tell each other that it drains.
+func TestDrainingEndsAtAllOwners(t *testing.T) {
+	a, b := newBench(first(2), 1), newBench(limiter.Ownership{Share: 2, Rank: 1, First: "a", ColdLimit: 1}, 0)
+	for second := range 12 {
+		state := warm
+		if second < 3 {
+			state = encoder.LoadStateDraining
+		}
+		for _, owner := range []*bench{a, b} {
+			owner.now += time.Second
+			owner.Report("i1", state)
+			assert.Assert(t, second >= 3 || owner.Draining())
+		}
+		for _, fact := range a.Facts() {
+			b.Learn(fact, "a")
+		}
+		for _, fact := range b.Facts() {
+			a.Learn(fact, "b")
+		}
+	}
+	assert.Assert(t, !a.Draining())
+	assert.Assert(t, !b.Draining())
+}
+
 // A sub-query that can't be answered before its deadline must be refused at once, and one slow answer must not
 // refuse all later ones.
 func TestDeadlineThatCannotBeMetIsRefused(t *testing.T) {
--- a/internal/target/limiter/slot.go
+++ b/internal/target/limiter/slot.go
@@ -124,7 +124,7 @@
 	case r.Reason == encoder.ReasonShed || r.Reason == encoder.ReasonOverloaded:
 		l.shed()
 	case r.Reason == encoder.ReasonDraining:
-		l.drain(r.Incarnation)
+		l.sawDraining(r.Incarnation)
 	case r.Outcome == encoder.OutcomeAnswered:
 		l.serviceTime(l.now() - s.granted)
 		if r.State == encoder.LoadStateWarm {
