--- /dev/null
+++ b/internal/standin/soaker/processes_test.go
@@ -0,0 +1,227 @@
+package soaker_test
+
+import (
+	"bytes"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"apricotflow/internal/standin/forwarder"
+	"apricotflow/internal/standin/replier"
+	"apricotflow/internal/wire/encoder"
+)
+
+// Scales with 8 and with 16 targets; the larger one has targets of each index in each failure domain.
+const small, large = 30, 10
+
+// A killed owner must not take the targets with it, and a fresh one must neither overload nor disturb them.
+func TestKilledOwnerIsReplaced(t *testing.T) {
+	d := start(t, small)
+	owner := d.holder(d.targets()[0].Name)
+	load := d.background(5*time.Second, d.except(owner.Name)...)
+	time.Sleep(time.Second)
+	assert.NilError(t, d.Kill(owner.Name))
+	time.Sleep(time.Second)
+	during := d.load(time.Second, d.except(owner.Name)...)
+	assert.Assert(t, complete(during), "while the owner is down: %v, codes %v", during.Outcomes, during.Codes)
+	assert.NilError(t, d.Restart(t.Context(), owner.Name))
+	load()
+	d.awaitComplete(10 * time.Second)
+}
+
+// An owner that was paused must not use its old lease on a cold target that has a new owner.
+func TestPausedOwnerLosesItsLease(t *testing.T) {
+	d := start(t, small)
+	target := d.targets()[0].Name
+	owner := d.holder(target)
+	assert.NilError(t, d.Kill(target))
+	assert.NilError(t, d.Restart(t.Context(), target))
+	load := d.background(9*time.Second, d.except(owner.Name)...)
+	time.Sleep(500 * time.Millisecond)
+	busy := d.background(time.Second, owner.Caller)
+	time.Sleep(200 * time.Millisecond)
+	assert.NilError(t, d.Stop(owner.Name))
+	assert.NilError(t, d.ForgetInstance(t.Context(), owner.Name))
+	d.eventually(8*time.Second, "a new owner", func() bool {
+		_, before := d.statistics(target)
+		time.Sleep(300 * time.Millisecond)
+		_, after := d.statistics(target)
+		return after > before
+	})
+	assert.NilError(t, d.Continue(owner.Name))
+	busy()
+	load()
+	s, _ := d.statistics(target)
+	assert.Equal(t, s.ColdOverload, 0)
+}
+
+// Connections that stop for good must be replaced, and must not mark a target down that new connections reach.
+func TestSilentConnectionsAreReplaced(t *testing.T) {
+	d := start(t, small)
+	for _, target := range d.targets() {
+		d.Link(target.Name).Control(forwarder.Control{Mode: forwarder.ModeSilent})
+	}
+	for _, n := range d.Instances() {
+		d.Link(n.Name).Control(forwarder.Control{Mode: forwarder.ModeSilent})
+	}
+	d.awaitComplete(10 * time.Second)
+	for _, n := range d.Instances() {
+		for _, target := range d.status(n).Targets {
+			assert.Assert(t, target.State != "down", "%s at %s", target.Target, n.Name)
+		}
+	}
+}
+
+// A planned stop must cut off no request of a caller or of another instance.
+func TestPlannedStopCutsNothingOff(t *testing.T) {
+	d := start(t, small)
+	leaving := d.Instances()[0]
+	load := d.background(4*time.Second, d.except(leaving.Name)...)
+	time.Sleep(500 * time.Millisecond)
+	stopped := make(chan error, 1)
+	var senders sync.WaitGroup
+	text, limit := "text 1", 10
+	body := encoder.Encode(encoder.QueryRequest{QueryClass: "buyer-search", Text: &text, Limit: &limit})
+	for range 4 {
+		senders.Go(func() {
+			// Like a balancer, sends until the instance reports that it is not ready.
+			for ready := true; ready; {
+				response, err := http.Get("http://" + leaving.Caller + "/v1/ready")
+				if !assert.Check(t, err) {
+					return
+				}
+				ready = response.StatusCode == http.StatusOK
+				_ = response.Body.Close()
+				response, err = http.Post("http://"+leaving.Caller+"/v1/queries", "application/json", bytes.NewReader(body))
+				if !assert.Check(t, err) {
+					return
+				}
+				assert.Check(t, response.StatusCode == http.StatusOK, "status %d", response.StatusCode)
+				_ = response.Body.Close()
+			}
+		})
+	}
+	time.Sleep(500 * time.Millisecond)
+	go func() {
+		code, err := d.RemoveInstance(t.Context(), leaving.Name, 30*time.Second)
+		assert.Check(t, code == 0, "exit code %d", code)
+		stopped <- err
+	}()
+	senders.Wait()
+	assert.NilError(t, <-stopped)
+	r := load()
+	assert.Assert(t, complete(r), "outcomes %v, codes %v", r.Outcomes, r.Codes)
+}
+
+// A ticket must run once wherever it is sent, and never after its issuing instance was killed.
+func TestTicketRunsOnceOverRestarts(t *testing.T) {
+	d := start(t, small)
+	issuer, other := d.Instances()[0], d.Instances()[1]
+	limit, key := 10, "key 1"
+	order := func(text string) encoder.QueryRequest {
+		ticket := d.ticket(issuer.Caller)
+		return encoder.QueryRequest{QueryClass: orderClass, Text: &text, Limit: &limit, Key: &key, Ticket: &ticket}
+	}
+	ran, fresh := order("order ran"), order("order fresh")
+	first, outcome := d.ask(t.Context(), issuer.Caller, ran)
+	assert.Equal(t, outcome, encoder.QueryOutcomeComplete)
+	again, _ := d.ask(t.Context(), other.Caller, ran)
+	assert.Equal(t, again.Query, first.Query)
+	assert.DeepEqual(t, again.Hits, first.Hits)
+
+	assert.NilError(t, d.Kill(issuer.Name))
+	for range 2 {
+		for _, q := range []encoder.QueryRequest{ran, fresh} {
+			_, outcome := d.ask(t.Context(), other.Caller, q)
+			assert.Equal(t, outcome, encoder.QueryOutcomeUnknown, *q.Text)
+		}
+		assert.NilError(t, d.Restart(t.Context(), issuer.Name))
+		assert.NilError(t, d.WaitReady(t.Context(), 10*time.Second))
+	}
+	_, outcome = d.ask(t.Context(), issuer.Caller, fresh)
+	assert.Equal(t, outcome, encoder.QueryOutcomeUnknown)
+	assert.Equal(t, d.runs("order ran"), 1)
+	assert.Equal(t, d.runs("order fresh"), 0)
+}
+
+// A fresh instance must not bring an old manifest into force because the platform serves one.
+func TestFreshInstanceMeetsStalePlatform(t *testing.T) {
+	d := start(t, small)
+	old := d.Manifest()
+	assert.NilError(t, d.NewVersion(t.Context(), old.Indexes[0].Name))
+	newest := d.Manifest().Generation
+	inForce := func() bool {
+		for _, n := range d.Instances() {
+			if d.status(n).Generation != newest {
+				return false
+			}
+		}
+		return true
+	}
+	d.eventually(5*time.Second, "the new generation", inForce)
+	assert.NilError(t, replier.Put(t.Context(), "http://"+d.Platform()+"/v1/control/values/manifest", encoder.Encode(old)))
+	fresh := d.Instances()[0]
+	assert.NilError(t, d.Kill(fresh.Name))
+	assert.NilError(t, d.Restart(t.Context(), fresh.Name))
+	assert.NilError(t, d.WaitReady(t.Context(), 10*time.Second))
+	d.eventually(5*time.Second, "the newest generation everywhere", inForce)
+	d.awaitComplete(10 * time.Second)
+	assert.Assert(t, inForce())
+}
+
+// A pulled failure domain must get no work 3 s later, and its targets, which are cold when they return, no overload.
+func TestPulledDomainReturns(t *testing.T) {
+	d := start(t, small)
+	domain := d.Manifest().FailureDomains[0].Name
+	load := d.background(12 * time.Second)
+	time.Sleep(500 * time.Millisecond)
+	assert.NilError(t, d.WithDomain(t.Context(), domain, encoder.FailureDomainStateClosed))
+	time.Sleep(3 * time.Second)
+	received := make(map[string]int)
+	for _, target := range d.targets() {
+		if target.FailureDomain == domain {
+			_, received[target.Name] = d.statistics(target.Name)
+		}
+	}
+	time.Sleep(1500 * time.Millisecond)
+	for name, before := range received {
+		_, after := d.statistics(name)
+		assert.Equal(t, after, before, name)
+		assert.NilError(t, d.Kill(name))
+		assert.NilError(t, d.Restart(t.Context(), name))
+	}
+	assert.NilError(t, d.WithDomain(t.Context(), domain, encoder.FailureDomainStateOpen))
+	r := load()
+	assert.Assert(t, r.CoverageMinimum == 1, "coverage %v, minimum %v", r.CoverageMean, r.CoverageMinimum)
+	for name := range received {
+		s, after := d.statistics(name)
+		assert.Equal(t, s.ColdOverload, 0, name)
+		assert.Assert(t, after > 0, "%s gets no work again", name)
+	}
+}
+
+// Both sides of a partition must go on answering, with the coverage that they reach, and recover from it.
+func TestPartitionLeavesBothSidesServing(t *testing.T) {
+	d := start(t, large)
+	d.load(3 * time.Second)
+	domains := d.Manifest().FailureDomains
+	for _, other := range domains[1:] {
+		d.Partition(domains[0].Name, other.Name, forwarder.ModeSilentAll)
+	}
+	// Cold targets get nothing until a lease time after the lease ended.
+	time.Sleep(7 * time.Second)
+	for _, n := range d.Instances() {
+		r := d.load(time.Second, n.Caller)
+		assert.Assert(t, r.Rate > 20, "%s in %s: outcomes %v, codes %v", n.Name, n.FailureDomain, r.Outcomes, r.Codes)
+		if n.FailureDomain == domains[0].Name {
+			assert.Assert(t, r.CoverageMinimum < 1, "the links do not divide the failure domains")
+		}
+	}
+	for _, other := range domains[1:] {
+		d.Partition(domains[0].Name, other.Name, forwarder.ModeNormal)
+	}
+	d.awaitComplete(15 * time.Second)
+}
