--- a/Makefile
+++ b/Makefile
@@ -29,3 +29,6 @@
 examples: build
 	out/standin manifest --deployment ulaanbaatar --scale 1 > examples/ulaanbaatar.json
 	out/standin manifest --deployment dar-es-salaam --scale 1 > examples/dar-es-salaam.json
+
+soak: build
+	out/standin soak --duration $(or $(DURATION),5m) --seed $(or $(SEED),1) $(if $(DEPLOYMENT),--deployment $(DEPLOYMENT))
