Add the benchmark of policies and scenarios, first version

Cause: no command compares the policies with their baselines. Change: standin bench runs the variants of a policy side by side and measures them in turn; scenarios pull a failure domain, change the configuration, stop and kill an instance. The driver reports single queries to an observer and chooses entries through a balancer that polls their readiness.

--- a/Makefile
+++ b/Makefile
@@ -25,3 +25,6 @@
 
 demo: build
 	out/standin demo
+
+bench: build
+	out/standin bench
--- /dev/null
+++ b/internal/standin/bencher/fixture.go
@@ -0,0 +1,174 @@
+package bencher
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"apricotflow/internal/standin/driver"
+	"apricotflow/internal/standin/launcher"
+	"apricotflow/internal/wire/encoder"
+)
+
+const (
+	// scale leaves 14 targets of Ulaanbaatar and 16 of Dar es Salaam.
+	scale = 10
+	// instances is the number of entry instances of each deployment.
+	instances = 4
+	// readyLimit is how long the instances may take until they are ready, warmLimit until answers are complete.
+	readyLimit, warmLimit = 30 * time.Second, 40 * time.Second
+	// warmRun is the length of one run of the warm-up; warmRuns complete ones in a row end it.
+	warmRun, warmRuns = 500 * time.Millisecond, 3
+	// coldAnswers is the number of answers until a cold target is warm.
+	coldAnswers = 20
+	// listDelay is the time until the member list no longer holds an instance that was killed.
+	listDelay = time.Second
+)
+
+// NotWarmError reports a deployment whose answers stay incomplete.
+type NotWarmError struct {
+	Last map[encoder.QueryOutcome]int
+}
+
+func (e *NotWarmError) Error() string {
+	return fmt.Sprintf("bencher: answers are not complete after %s: %v", warmLimit, e.Last)
+}
+
+// variant is one way to run a deployment.
+type variant struct {
+	name string
+	// policy is that of all instances; nil means the default.
+	policy *encoder.Policy
+	// owners replaces the limit in the manifest unless it is 0.
+	owners int
+	// cold makes targets start cold.
+	cold bool
+}
+
+// fixture is a running deployment.
+type fixture struct {
+	*launcher.Launcher
+	bench    *bench
+	latency  time.Duration
+	balancer *driver.Balancer
+	stop     context.CancelFunc
+	serial   uint64
+}
+
+// start starts a deployment and waits until its answers are complete.
+func (b *bench) start(ctx context.Context, v variant) (*fixture, error) {
+	plan, err := b.plan()
+	if err != nil {
+		return nil, err
+	}
+	if v.owners > 0 {
+		plan.Manifest.Limits.Owners = v.owners
+	}
+	seed := b.settings.Seed
+	l, err := launcher.Start(ctx, launcher.Settings{
+		Standin: b.settings.Standin, Apricotflow: b.settings.Apricotflow, Plan: plan, Instances: instances,
+		TargetFlags: func(encoder.Target) []string {
+			seed++
+			flags := append(plan.TargetFlags(), "--seed", fmt.Sprint(seed))
+			if v.cold {
+				flags = append(flags, "--cold-answers", fmt.Sprint(coldAnswers))
+			}
+			return flags
+		},
+		Change: func(s *encoder.Settings) { s.Policy = v.policy },
+	})
+	if err != nil {
+		return nil, err
+	}
+	ctx, stop := context.WithCancel(ctx)
+	f := &fixture{Launcher: l, bench: b, latency: plan.ClientLatency, stop: stop}
+	f.balancer = driver.StartBalancer(ctx, l.Callers())
+	if err := f.warm(ctx); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+// Close stops everything that the fixture started.
+func (f *fixture) Close() {
+	f.stop()
+	f.Launcher.Close()
+}
+
+// warm waits until leases are usable and answers are complete.
+func (f *fixture) warm(ctx context.Context) error {
+	if err := f.WaitReady(ctx, readyLimit); err != nil {
+		return err
+	}
+	// An instance neither grants nor holds a lease for this time after its start.
+	time.Sleep(time.Duration(f.Manifest().Limits.LeaseMs) * time.Millisecond)
+	last := recording{}
+	complete := 0
+	for end := time.Now().Add(warmLimit); complete < warmRuns; complete++ {
+		if time.Now().After(end) {
+			return &NotWarmError{Last: last.result.Outcomes}
+		}
+		if last = f.load(ctx, warmRun); last.result.Outcomes[encoder.QueryOutcomeComplete] < last.result.Sent {
+			complete = -1
+		}
+	}
+	return ctx.Err()
+}
+
+// recording is one run of the load.
+type recording struct {
+	began        time.Time
+	observations []driver.Observation
+	result       driver.Result
+}
+
+// phase returns the service from begin, counted from the start of the load, for a time; length 0 means up to its
+// end.
+func (r recording) phase(begin, length time.Duration) Phase {
+	from := r.began.Add(begin)
+	to := r.began.Add(time.Hour)
+	if length > 0 {
+		to = from.Add(length)
+	}
+	return newPhase(r.observations, from, to)
+}
+
+// load sends queries for a time.
+func (f *fixture) load(ctx context.Context, duration time.Duration) recording {
+	f.serial++
+	r := recording{began: time.Now()}
+	var mu sync.Mutex
+	r.result = driver.New(driver.Settings{
+		Manifest: f.Manifest(), Newest: f.Manifest, Entries: f.Callers(), Balancer: f.balancer,
+		Targets: f.Controls(), Admins: f.Admins(), Rate: f.bench.settings.Rate, Duration: duration,
+		Seed: f.bench.settings.Seed + f.serial, Latency: f.latency,
+		Observe: func(o driver.Observation) {
+			mu.Lock()
+			defer mu.Unlock()
+			r.observations = append(r.observations, o)
+		},
+	}).Run(ctx)
+	return r
+}
+
+// during sends queries for a time while act runs; act gets the start of the load.
+func (f *fixture) during(ctx context.Context, duration time.Duration, act func(began time.Time) error) (recording, error) {
+	began := time.Now()
+	done := make(chan error, 1)
+	go func() { done <- act(began) }()
+	r := f.load(ctx, duration)
+	return r, errors.Join(<-done, ctx.Err())
+}
+
+// sleep waits until a time after began.
+func sleep(ctx context.Context, began time.Time, after time.Duration) error {
+	select {
+	case <-time.After(time.Until(began.Add(after))):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/standin/bencher/phase.go
@@ -0,0 +1,111 @@
+package bencher
+
+import (
+	"slices"
+	"time"
+
+	"apricotflow/internal/standin/driver"
+	"apricotflow/internal/wire/encoder"
+)
+
+// Phase is the service that callers saw in a part of a run.
+type Phase struct {
+	Queries int     `json:"queries"`
+	P50Ms   float64 `json:"p50-ms"`
+	P99Ms   float64 `json:"p99-ms"`
+	P999Ms  float64 `json:"p999-ms"`
+	// Coverage counts answers only; 1 without an answer.
+	CoverageMean    float64 `json:"coverage-mean"`
+	CoverageMinimum float64 `json:"coverage-minimum"`
+	Partial         int     `json:"partial"`
+	NotRun          int     `json:"not-run"`
+	Unknown         int     `json:"unknown"`
+	NoReply         int     `json:"no-reply"`
+}
+
+// newPhase summarizes the queries with an intended time from from until to.
+func newPhase(observations []driver.Observation, from, to time.Time) Phase {
+	p := Phase{CoverageMean: 1, CoverageMinimum: 1}
+	var latencies []time.Duration
+	covered := 0.0
+	for _, o := range observations {
+		if o.At.Before(from) || !o.At.Before(to) {
+			continue
+		}
+		p.Queries++
+		switch o.Outcome {
+		case encoder.QueryOutcomeNotRun:
+			p.NotRun++
+		case encoder.QueryOutcomeUnknown:
+			p.Unknown++
+		case driver.NoReply:
+			p.NoReply++
+		case encoder.QueryOutcomePartial:
+			p.Partial++
+		}
+		if answered(o) {
+			latencies = append(latencies, o.Latency)
+			covered += o.Coverage
+			p.CoverageMinimum = min(p.CoverageMinimum, o.Coverage)
+		}
+	}
+	if len(latencies) == 0 {
+		return p
+	}
+	slices.Sort(latencies)
+	p.P50Ms, p.P99Ms, p.P999Ms = quantile(latencies, 0.5), quantile(latencies, 0.99), quantile(latencies, 0.999)
+	p.CoverageMean = covered / float64(len(latencies))
+	return p
+}
+
+func answered(o driver.Observation) bool {
+	return o.Outcome == encoder.QueryOutcomeComplete || o.Outcome == encoder.QueryOutcomePartial
+}
+
+// quantile returns the smallest value that at least the share q does not exceed, in milliseconds.
+func quantile(sorted []time.Duration, q float64) float64 {
+	rank := int(q * float64(len(sorted)))
+	if float64(rank) < q*float64(len(sorted)) {
+		rank++
+	}
+	return milliseconds(sorted[max(rank, 1)-1])
+}
+
+func milliseconds(d time.Duration) float64 {
+	return float64(d.Microseconds()) / 1000
+}
+
+// last returns the time from from until the last reply with an outcome to a query sent since; 0 when there is none.
+func last(observations []driver.Observation, from time.Time, outcome encoder.QueryOutcome) time.Duration {
+	last := time.Duration(0)
+	for _, o := range observations {
+		if !o.At.Before(from) && o.Outcome == outcome {
+			last = max(last, o.At.Add(o.Latency).Sub(from))
+		}
+	}
+	return last
+}
+
+// sample is the number of sub-queries that a target has run at a time since its start.
+type sample struct {
+	at       time.Duration
+	executed int
+}
+
+// recovery returns the start of the first window in which a target runs at least the share of rate, in sub-queries
+// per second; false when there is none.
+func recovery(samples []sample, rate, share float64, window time.Duration) (time.Duration, bool) {
+	for i, first := range samples {
+		for _, last := range samples[i+1:] {
+			length := last.at - first.at
+			if length < window {
+				continue
+			}
+			if float64(last.executed-first.executed) >= share*rate*length.Seconds() {
+				return first.at, true
+			}
+			break
+		}
+	}
+	return 0, false
+}
--- /dev/null
+++ b/internal/standin/commander/bench.go
@@ -0,0 +1,42 @@
+package commander
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"apricotflow/internal/standin/bencher"
+	"apricotflow/internal/standin/deployer"
+)
+
+func bench() *cli.Command {
+	return &cli.Command{
+		Name:  "bench",
+		Usage: "measure each policy against a simpler one, and the service during changes",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "apricotflow", Usage: "path of the product; by default beside this program"},
+			&cli.StringSliceFlag{Name: "deployment", Usage: deployer.Ulaanbaatar + " or " + deployer.DarEsSalaam + "; both by default"},
+			&cli.IntFlag{Name: "rounds", Value: 3, Usage: "measurements of each policy"},
+			&cli.DurationFlag{Name: "duration", Value: 5 * time.Second, Usage: "time of one measurement"},
+			&cli.Float64Flag{Name: "rate", Value: 200, Usage: "queries per second"},
+			&cli.StringFlag{Name: "only", Usage: "one of " + strings.Join(bencher.Names(), ", ")},
+			&cli.Uint64Flag{Name: "seed", Value: 1},
+			&cli.StringFlag{Name: "json", Usage: "`file` that receives the report"},
+		},
+		Action: runBench,
+	}
+}
+
+func runBench(ctx context.Context, c *cli.Command) error {
+	own, product, err := programs(c)
+	if err != nil {
+		return err
+	}
+	return bencher.Run(ctx, bencher.Settings{
+		Standin: own, Apricotflow: product, Deployments: c.StringSlice("deployment"), Rounds: c.Int("rounds"),
+		Duration: c.Duration("duration"), Rate: c.Float64("rate"), Only: c.String("only"), Seed: c.Uint64("seed"),
+		JSON: c.String("json"), Output: c.Root().Writer,
+	})
+}
--- a/internal/standin/commander/load.go
+++ b/internal/standin/commander/load.go
@@ -105,13 +105,9 @@
 }
 
 func runDemo(ctx context.Context, c *cli.Command) error {
-	own, err := os.Executable()
+	own, product, err := programs(c)
 	if err != nil {
-		return fmt.Errorf("commander: %w", err)
-	}
-	product := c.String("apricotflow")
-	if product == "" {
-		product = filepath.Join(filepath.Dir(own), "apricotflow")
+		return err
 	}
 	return demonstrator.Run(ctx, demonstrator.Settings{
 		Standin: own, Apricotflow: product, Rate: c.Float64("rate"), Duration: c.Duration("duration"),
@@ -119,6 +115,17 @@
 	})
 }
 
+// programs returns the paths of this program and of the product.
+func programs(c *cli.Command) (own, product string, err error) {
+	if own, err = os.Executable(); err != nil {
+		return "", "", fmt.Errorf("commander: %w", err)
+	}
+	if product = c.String("apricotflow"); product == "" {
+		product = filepath.Join(filepath.Dir(own), "apricotflow")
+	}
+	return own, product, nil
+}
+
 func printJSON(c *cli.Command, value any) error {
 	e := json.NewEncoder(c.Root().Writer)
 	e.SetIndent("", "  ")
--- a/internal/standin/demonstrator/demonstrator.go
+++ b/internal/standin/demonstrator/demonstrator.go
@@ -69,12 +69,7 @@
 	}
 	l, err := launcher.Start(ctx, launcher.Settings{
 		Standin: s.Standin, Apricotflow: s.Apricotflow, Environment: s.Environment, Plan: plan, Instances: instances,
-		TargetFlags: func(encoder.Target) []string {
-			return []string{
-				"--latency-ms", fmt.Sprint(plan.DomainLatency.Seconds() * 1000),
-				"--service-ms", "1", "--straggler-percent", "1", "--straggler-ms", "20",
-			}
-		},
+		TargetFlags: func(encoder.Target) []string { return plan.TargetFlags() },
 	})
 	if err != nil {
 		return driver.Result{}, err
--- a/internal/standin/deployer/changes.go
+++ b/internal/standin/deployer/changes.go
@@ -31,6 +31,13 @@
 	return c
 }
 
+// WithLimits sets the limits.
+func WithLimits(m encoder.Manifest, l encoder.Limits) encoder.Manifest {
+	c := next(m)
+	c.Limits = l
+	return c
+}
+
 // WithTarget sets the state of a target.
 func WithTarget(m encoder.Manifest, name string, state encoder.TargetState) encoder.Manifest {
 	c := next(m)
--- a/internal/standin/deployer/deployer.go
+++ b/internal/standin/deployer/deployer.go
@@ -33,6 +33,15 @@
 	Connect map[string]time.Duration
 }
 
+// TargetFlags returns the flags of "standin target" for the latency, the service time and the stragglers, about 1 in
+// 100 sub-queries.
+func (p Plan) TargetFlags() []string {
+	return []string{
+		"--latency-ms", fmt.Sprint(p.DomainLatency.Seconds() * 1000),
+		"--service-ms", "1", "--straggler-percent", "1", "--straggler-ms", "20",
+	}
+}
+
 // UnknownDeploymentError reports a name that is not a deployment.
 type UnknownDeploymentError struct {
 	Name string
--- a/internal/standin/driver/driver.go
+++ b/internal/standin/driver/driver.go
@@ -37,6 +37,10 @@
 	Newest func() encoder.Manifest
 	// Entries are the caller addresses of the instances.
 	Entries []string
+	// Balancer chooses among the entries that are ready; it may be nil.
+	Balancer *Balancer
+	// Observe is called for each query after its last reply, from several goroutines at a time; it may be nil.
+	Observe func(Observation)
 	// Targets are the control addresses of the targets; without them the extra load and the runs of
 	// non-idempotent queries stay unknown.
 	Targets []string
@@ -54,6 +58,16 @@
 	Latency time.Duration
 }
 
+// Observation is what a caller saw of one query.
+type Observation struct {
+	// At is the intended time of the query; Latency counts from it.
+	At      time.Time
+	Latency time.Duration
+	Outcome encoder.QueryOutcome
+	// Coverage is 0 without an answer.
+	Coverage float64
+}
+
 // Driver is one run.
 type Driver struct {
 	settings Settings
@@ -81,8 +95,8 @@
 	first    *encoder.QueryReply
 }
 
-// noReply is counted when no typed reply arrived.
-const noReply encoder.QueryOutcome = "no-reply"
+// NoReply is the outcome of a query, and the code of a request, without a typed reply.
+const NoReply encoder.QueryOutcome = "no-reply"
 
 // New prepares a run.
 func New(s Settings) *Driver {
@@ -172,9 +186,10 @@
 		n.text = fmt.Sprintf("order %s.%d", d.run, i)
 	}
 	n.key = fmt.Sprintf("key %d", d.random.IntN(keys))
-	entry := d.random.IntN(len(d.settings.Entries))
-	n.entry = d.settings.Entries[entry]
-	n.resendTo = d.settings.Entries[(entry+1)%len(d.settings.Entries)]
+	entries := d.settings.Balancer.ready(d.settings.Entries)
+	entry := d.random.IntN(len(entries))
+	n.entry = entries[entry]
+	n.resendTo = entries[(entry+1)%len(entries)]
 	n.resend = d.random.IntN(100) < d.settings.ResendPercent
 	d.result.Sent++
 	return n
@@ -211,7 +226,11 @@
 
 func (d *Driver) takeTicket(ctx context.Context, n intent) (string, bool) {
 	status, raw, err := d.post(ctx, n, n.entry, "/v1/tickets", encoder.Encode(encoder.TicketRequest{QueryClass: n.class.Name}))
-	if err != nil || status != http.StatusOK && status != http.StatusCreated {
+	if err != nil {
+		d.code(string(NoReply))
+		return "", false
+	}
+	if status != http.StatusOK && status != http.StatusCreated {
 		d.code("no-ticket")
 		return "", false
 	}
@@ -231,13 +250,14 @@
 		d.late()
 	}
 	if err != nil {
-		return nil, noReply
+		d.code(string(NoReply))
+		return nil, NoReply
 	}
 	if status != http.StatusOK {
 		refusal, err := encoder.Decode[encoder.ErrorReply](raw)
 		if err != nil {
 			d.violate("invalid-reply", fmt.Sprintf("status %d: %v", status, err))
-			return nil, noReply
+			return nil, NoReply
 		}
 		d.code(refusal.Code)
 		return nil, refusal.Outcome
@@ -245,7 +265,7 @@
 	reply, err := encoder.Decode[encoder.QueryReply](raw)
 	if err != nil {
 		d.violate("invalid-reply", err.Error())
-		return nil, noReply
+		return nil, NoReply
 	}
 	if d.settings.Newest != nil && !d.maps.known(reply.Snapshot) {
 		d.maps.add(d.settings.Newest())
@@ -300,6 +320,10 @@
 // record counts one query; reply is nil without an answer.
 func (d *Driver) record(n intent, reply *encoder.QueryReply, outcome encoder.QueryOutcome) {
 	latency := time.Since(n.at)
+	share := coverage(reply)
+	if d.settings.Observe != nil {
+		d.settings.Observe(Observation{At: n.at, Latency: latency, Outcome: outcome, Coverage: share})
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.result.Outcomes[outcome]++
@@ -309,10 +333,6 @@
 	if reply == nil {
 		return
 	}
-	share := 1.0
-	if reply.Coverage.Documents > 0 {
-		share = float64(reply.Coverage.DocumentsAnswered) / float64(reply.Coverage.Documents)
-	}
 	d.coverage += share
 	d.covered++
 	d.result.CoverageMinimum = min(d.result.CoverageMinimum, share)
@@ -326,6 +346,17 @@
 	_ = d.histogram.RecordValue(micros)
 }
 
+// coverage returns the share of the documents that an answer covers; 0 without an answer.
+func coverage(reply *encoder.QueryReply) float64 {
+	if reply == nil {
+		return 0
+	}
+	if reply.Coverage.Documents == 0 {
+		return 1
+	}
+	return float64(reply.Coverage.DocumentsAnswered) / float64(reply.Coverage.Documents)
+}
+
 func (d *Driver) late() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/standin/driver/result.go
+++ b/internal/standin/driver/result.go
@@ -41,7 +41,7 @@
 	Outcomes        map[encoder.QueryOutcome]int `json:"outcomes"`
 	// Late counts queries without a reply within the deadline of their class.
 	Late int `json:"late"`
-	// Codes counts error replies by code.
+	// Codes counts error replies by code, and requests without a reply.
 	Codes   map[string]int         `json:"codes"`
 	Classes map[string]ClassResult `json:"classes"`
 	// Needed is the number of sub-queries that the queries need, TargetSent the number that reached the targets.
@@ -49,6 +49,10 @@
 	TargetSent int `json:"target-sent"`
 	// ExtraLoad is TargetSent per Needed; 0 when it is unknown.
 	ExtraLoad float64 `json:"extra-load"`
+	// Sheds, OverSlots and ColdOverload are counted by the targets; a target that restarted counts from its start.
+	Sheds        int `json:"sheds"`
+	OverSlots    int `json:"over-slots"`
+	ColdOverload int `json:"cold-overload"`
 	// TargetsRead is the number of targets whose counters cover the whole run.
 	TargetsRead int `json:"targets-read"`
 	// Counters are the counters of the instances, summed up.
@@ -96,10 +100,13 @@
 		} else {
 			b = targetCounts{}
 		}
+		d.result.Sheds += a.Shed - b.Shed
+		d.result.OverSlots += a.OverSlots - b.OverSlots
 		for text, n := range a.NonIdempotentRuns {
 			runs[text] += n
 		}
 		if n := a.ColdOverload - b.ColdOverload; n > 0 {
+			d.result.ColdOverload += n
 			d.violateLocked("cold-overload", fmt.Sprintf("%s: %d times", name, n))
 		}
 		for attempt, n := range a.RepeatedAttempts {
--- a/internal/standin/launcher/launcher.go
+++ b/internal/standin/launcher/launcher.go
@@ -217,19 +217,24 @@
 	if err := l.writeSettings(&n, platform); err != nil {
 		return n, err
 	}
-	err = l.changeMembers(ctx, func(m *encoder.MemberList) {
+	return n, l.ReturnInstance(ctx, n)
+}
+
+// ReturnInstance lists an instance that is not in the member list and starts it, at the same addresses as before.
+func (l *Launcher) ReturnInstance(ctx context.Context, n Instance) error {
+	err := l.changeMembers(ctx, func(m *encoder.MemberList) {
 		m.Instances = append(m.Instances, encoder.MemberInstance{
-			Name: name, FailureDomain: domain, PeerAddress: n.Peer, AdminAddress: n.Admin,
+			Name: n.Name, FailureDomain: n.FailureDomain, PeerAddress: n.Peer, AdminAddress: n.Admin,
 			State: encoder.MemberInstanceStateLive,
 		})
 	})
 	if err != nil {
-		return n, err
+		return err
 	}
 	l.mu.Lock()
-	l.instances[name] = n
+	l.instances[n.Name] = n
 	l.mu.Unlock()
-	return n, l.run(name, domain, l.settings.Apricotflow, "serve", "--settings", n.settings)
+	return l.run(n.Name, n.FailureDomain, l.settings.Apricotflow, "serve", "--settings", n.settings)
 }
 
 func (l *Launcher) writeSettings(n *Instance, platform string) error {
--- a/internal/standin/responder/responder.go
+++ b/internal/standin/responder/responder.go
@@ -99,6 +99,8 @@
 	NonIdempotentRuns map[string]int `json:"non-idempotent-runs"`
 	// RepeatedAttempts counts the runs of each attempt that ran more than once.
 	RepeatedAttempts map[string]int `json:"repeated-attempts"`
+	// UptimeMs is the time since the start of the target.
+	UptimeMs int `json:"uptime-ms"`
 	// LastExecuteMs is the time of the last start of a sub-query since the start of the target; -1 if there is none.
 	LastExecuteMs int `json:"last-execute-ms"`
 }
@@ -253,6 +255,7 @@
 	defer t.mu.Unlock()
 	s := t.counts
 	s.State, s.InFlight = t.state(), t.inFlight
+	s.UptimeMs = int(time.Since(t.start).Milliseconds())
 	s.ConnectionsMax = int(t.listener.most.Load())
 	s.ConnectionsRefused = int(t.listener.refused.Load())
 	s.NotRun = make(map[encoder.Reason]int)
