--- a/internal/standin/bencher/bencher.go
+++ b/internal/standin/bencher/bencher.go
@@ -12,7 +12,9 @@
 	"time"
 
 	"apricotflow/internal/standin/deployer"
+	"apricotflow/internal/standin/driver"
 	"apricotflow/internal/standin/launcher"
+	"apricotflow/internal/standin/tabulator"
 )
 
 // Settings describe a benchmark.
@@ -58,7 +60,9 @@
 type bench struct {
 	settings   Settings
 	deployment string
-	report     *Report
+	report     *tabulator.Report
+	// extra is the extra-load-percent of the manifest.
+	extra float64
 }
 
 // step is a comparison or a scenario.
@@ -95,7 +99,7 @@
 	if len(s.Deployments) == 0 {
 		s.Deployments = []string{deployer.Ulaanbaatar, deployer.DarEsSalaam}
 	}
-	report := &Report{Rounds: s.Rounds, Seconds: s.Duration.Seconds(), Rate: s.Rate, Seed: s.Seed}
+	report := &tabulator.Report{}
 	for _, deployment := range s.Deployments {
 		b := &bench{settings: s, deployment: deployment, report: report}
 		for _, p := range steps() {
@@ -112,7 +116,7 @@
 	return finish(s, report)
 }
 
-func finish(s Settings, r *Report) error {
+func finish(s Settings, r *tabulator.Report) error {
 	if s.JSON != "" {
 		raw, err := json.MarshalIndent(r, "", "  ")
 		if err != nil {
@@ -128,28 +132,60 @@
 	return nil
 }
 
-// newRow returns the measurement of a recording and keeps its violations.
-func (b *bench) newRow(r recording, p Phase) *Row {
-	for _, v := range r.result.Violations {
+func (b *bench) plan() (deployer.Plan, error) {
+	return deployer.New(b.deployment, scale, launcher.FreeAddress)
+}
+
+// label names a row.
+func (b *bench) label(row *tabulator.Row, name, variant string) *tabulator.Row {
+	row.Deployment, row.Name, row.Variant, row.Offered = b.deployment, name, variant, b.settings.Rate
+	return row
+}
+
+// runRow returns the row of a run and keeps its violations.
+func (b *bench) runRow(r driver.Recording, p driver.Phase) *tabulator.Row {
+	for _, v := range r.Result.Violations {
 		b.report.Violations = append(b.report.Violations, b.deployment+": "+v.Kind+": "+v.Detail)
 	}
-	return newRow(b.settings.Rate, r.result, p)
+	return tabulator.RunRow(p, r.Result)
+}
+
+// phase adds a phase of a scenario to the report.
+func (b *bench) phase(name, variant string, p driver.Phase) {
+	b.report.Rows = append(b.report.Rows, b.label(tabulator.PhaseRow(p), name, variant))
 }
 
-// row adds the measurement of a phase of a scenario to the report.
-func (b *bench) row(name, variant string, r recording, p Phase) *Row {
-	row := newRow(b.settings.Rate, r.result, p)
-	row.Deployment, row.Name, row.Variant = b.deployment, name, variant
+// whole adds the whole run of a scenario to the report.
+func (b *bench) whole(name string, r driver.Recording) {
+	row := b.label(b.runRow(r, r.Phase(0, 0)), name, "all")
 	b.report.Rows = append(b.report.Rows, row)
-	return row
+	b.guarantees(row, true)
 }
 
-func (b *bench) figure(name, variant, measure string, value float64, unit string, bound Bound) {
-	b.report.Figures = append(b.report.Figures, Figure{
-		Deployment: b.deployment, Name: name, Variant: variant, Measure: measure, Value: value, Unit: unit, Bound: bound,
-	})
+// guarantees adds the figures with the same bounds everywhere. Without reachable, a shard may have lost its replicas.
+func (b *bench) guarantees(r *tabulator.Row, reachable bool) {
+	b.figure(r.Name, r.Variant, "cold overload", r.ColdOverload, atMost(0))
+	b.figure(r.Name, r.Variant, "violations", r.Violations, atMost(0))
+	if reachable {
+		b.figure(r.Name, r.Variant, "least coverage", r.CoverageMinimum, tabulator.Figure.Complete)
+	}
+	if r.ExtraLoad != tabulator.Unknown {
+		b.figure(r.Name, r.Variant, "extra load", r.ExtraLoad, atMost(1+b.extra/100))
+	}
 }
 
-func (b *bench) plan() (deployer.Plan, error) {
-	return deployer.New(b.deployment, scale, launcher.FreeAddress)
+// figure adds a figure; bound may be nil.
+func (b *bench) figure(name, variant, measure string, value float64, bound bound) {
+	f := tabulator.Figure{Deployment: b.deployment, Name: name, Variant: variant, Measure: measure, Value: value}
+	if bound != nil {
+		f = bound(f)
+	}
+	b.report.Figures = append(b.report.Figures, f)
+}
+
+// bound adds a bound to a figure.
+type bound func(tabulator.Figure) tabulator.Figure
+
+func atMost(value float64) bound {
+	return func(f tabulator.Figure) tabulator.Figure { return f.AtMost(value) }
 }
--- a/internal/standin/bencher/fixture.go
+++ b/internal/standin/bencher/fixture.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
-	"sync"
+	"slices"
 	"time"
 
 	"apricotflow/internal/standin/driver"
@@ -21,10 +21,6 @@
 	readyLimit, warmLimit = 30 * time.Second, 40 * time.Second
 	// warmRun is the length of one run of the warm-up; warmRuns complete ones in a row end it.
 	warmRun, warmRuns = 500 * time.Millisecond, 3
-	// coldAnswers is the number of answers until a cold target is warm.
-	coldAnswers = 20
-	// listDelay is the time until the member list no longer holds an instance that was killed.
-	listDelay = time.Second
 )
 
 // NotWarmError reports a deployment whose answers stay incomplete.
@@ -43,8 +39,8 @@
 	policy *encoder.Policy
 	// owners replaces the limit in the manifest unless it is 0.
 	owners int
-	// cold makes targets start cold.
-	cold bool
+	// flags are further flags of the targets.
+	flags []string
 }
 
 // fixture is a running deployment.
@@ -63,6 +59,7 @@
 	if err != nil {
 		return nil, err
 	}
+	b.extra = float64(plan.Manifest.Limits.ExtraLoadPercent)
 	if v.owners > 0 {
 		plan.Manifest.Limits.Owners = v.owners
 	}
@@ -71,11 +68,7 @@
 		Standin: b.settings.Standin, Apricotflow: b.settings.Apricotflow, Plan: plan, Instances: instances,
 		TargetFlags: func(encoder.Target) []string {
 			seed++
-			flags := append(plan.TargetFlags(), "--seed", fmt.Sprint(seed))
-			if v.cold {
-				flags = append(flags, "--cold-answers", fmt.Sprint(coldAnswers))
-			}
-			return flags
+			return slices.Concat(plan.TargetFlags(), []string{"--seed", fmt.Sprint(seed)}, v.flags)
 		},
 		Change: func(s *encoder.Settings) { s.Policy = v.policy },
 	})
@@ -105,57 +98,31 @@
 	}
 	// An instance neither grants nor holds a lease for this time after its start.
 	time.Sleep(time.Duration(f.Manifest().Limits.LeaseMs) * time.Millisecond)
-	last := recording{}
+	last := driver.Recording{}
 	complete := 0
 	for end := time.Now().Add(warmLimit); complete < warmRuns; complete++ {
 		if time.Now().After(end) {
-			return &NotWarmError{Last: last.result.Outcomes}
+			return &NotWarmError{Last: last.Result.Outcomes}
 		}
-		if last = f.load(ctx, warmRun); last.result.Outcomes[encoder.QueryOutcomeComplete] < last.result.Sent {
+		if last = f.load(ctx, warmRun); last.Result.Outcomes[encoder.QueryOutcomeComplete] < last.Result.Sent {
 			complete = -1
 		}
 	}
 	return ctx.Err()
 }
 
-// recording is one run of the load.
-type recording struct {
-	began        time.Time
-	observations []driver.Observation
-	result       driver.Result
-}
-
-// phase returns the service from begin, counted from the start of the load, for a time; length 0 means up to its
-// end.
-func (r recording) phase(begin, length time.Duration) Phase {
-	from := r.began.Add(begin)
-	to := r.began.Add(time.Hour)
-	if length > 0 {
-		to = from.Add(length)
-	}
-	return newPhase(r.observations, from, to)
-}
-
 // load sends queries for a time.
-func (f *fixture) load(ctx context.Context, duration time.Duration) recording {
+func (f *fixture) load(ctx context.Context, duration time.Duration) driver.Recording {
 	f.serial++
-	r := recording{began: time.Now()}
-	var mu sync.Mutex
-	r.result = driver.New(driver.Settings{
+	return driver.Record(ctx, driver.Settings{
 		Manifest: f.Manifest(), Newest: f.Manifest, Entries: f.Callers(), Balancer: f.balancer,
 		Targets: f.Controls(), Admins: f.Admins(), Rate: f.bench.settings.Rate, Duration: duration,
 		Seed: f.bench.settings.Seed + f.serial, Latency: f.latency,
-		Observe: func(o driver.Observation) {
-			mu.Lock()
-			defer mu.Unlock()
-			r.observations = append(r.observations, o)
-		},
-	}).Run(ctx)
-	return r
+	})
 }
 
 // during sends queries for a time while act runs; act gets the start of the load.
-func (f *fixture) during(ctx context.Context, duration time.Duration, act func(began time.Time) error) (recording, error) {
+func (f *fixture) during(ctx context.Context, duration time.Duration, act func(began time.Time) error) (driver.Recording, error) {
 	began := time.Now()
 	done := make(chan error, 1)
 	go func() { done <- act(began) }()
--- a/internal/standin/bencher/scenarios.go
+++ b/internal/standin/bencher/scenarios.go
@@ -7,7 +7,9 @@
 
 	"apricotflow/internal/standin/deployer"
 	"apricotflow/internal/standin/driver"
+	"apricotflow/internal/standin/launcher"
 	"apricotflow/internal/standin/replier"
+	"apricotflow/internal/standin/tabulator"
 	"apricotflow/internal/wire/encoder"
 )
 
@@ -20,6 +22,10 @@
 	statusInterval = 5 * time.Millisecond
 	// stopTime is the time of load from a planned stop on, stopLimit that until the instance has exited.
 	stopTime, stopLimit = 6 * time.Second, 40 * time.Second
+	// killTime is the time of load from a kill on.
+	killTime = 8 * time.Second
+	// listDelay is the time until the member list no longer holds an instance that was killed.
+	listDelay = time.Second
 )
 
 // runChange publishes configuration changes and waits for each until every instance reports it.
@@ -38,9 +44,9 @@
 		times = append(times, took.Seconds())
 		time.Sleep(changePause)
 	}
-	s := newSpread(times)
-	b.figure("change", "all", fmt.Sprintf("median of %d", changes), s.Median, "s", atMost(changeLimit.Seconds()))
-	b.figure("change", "all", fmt.Sprintf("largest of %d", changes), s.Maximum, "s", atMost(changeLimit.Seconds()))
+	s := tabulator.NewSpread(times)
+	b.figure("change", "all", fmt.Sprintf("median of %d, s", changes), s.Median, atMost(changeLimit.Seconds()))
+	b.figure("change", "all", fmt.Sprintf("largest of %d, s", changes), s.Maximum, atMost(changeLimit.Seconds()))
 	return nil
 }
 
@@ -73,30 +79,22 @@
 		return err
 	}
 	defer f.Close()
-	before := b.settings.Duration
-	var code int
-	var stopped time.Time
-	r, err := f.during(ctx, before+stopTime, func(began time.Time) error {
-		if err := sleep(ctx, began, before); err != nil {
+	code := 0
+	r, err := f.during(ctx, b.settings.Duration+stopTime, func(began time.Time) (err error) {
+		if err := sleep(ctx, began, b.settings.Duration); err != nil {
 			return err
 		}
-		stopped = time.Now()
-		var err error
 		code, err = f.RemoveInstance(ctx, f.Instances()[0].Name, stopLimit)
 		return err
 	})
 	if err != nil {
 		return err
 	}
-	at := stopped.Sub(r.began)
-	b.row("stop", "before", r, r.phase(0, at))
-	during := b.row("stop", "during", r, r.phase(at, 0))
-	b.figure("stop", "during", "cut-off requests", float64(r.result.Codes[string(driver.NoReply)]), "", atMost(0))
-	b.figure("stop", "during", "exit code", float64(code), "", atMost(0))
-	b.figure("stop", "during", "coverage minimum", during.CoverageMinimum, "", atLeastOne())
-	b.figure("stop", "during", "not run", float64(during.NotRun), "", noBound())
-	b.figure("stop", "all", "violations", float64(r.result.ViolationCount), "", atMost(0))
-	b.extraLoad("stop", "all", r.result.ExtraLoad)
+	b.phase("stop", "before", r.Phase(0, b.settings.Duration))
+	b.phase("stop", "during", r.Phase(b.settings.Duration, 0))
+	b.whole("stop", r)
+	b.figure("stop", "during", "cut-off requests", float64(r.Result.Codes[string(driver.NoReply)]), atMost(0))
+	b.figure("stop", "during", "exit code", float64(code), atMost(0))
 	return nil
 }
 
@@ -107,17 +105,38 @@
 		return err
 	}
 	defer f.Close()
-	k, err := f.kill(ctx, b.settings.Duration, f.Instances()[0])
+	r, killed, err := f.kill(ctx, f.Instances()[0])
 	if err != nil {
 		return err
 	}
-	at := k.killed.Sub(k.began)
-	b.row("kill", "before", k.recording, k.phase(0, at))
-	after := b.row("kill", "after", k.recording, k.phase(at, 0))
-	for _, o := range []encoder.QueryOutcome{encoder.QueryOutcomeNotRun, encoder.QueryOutcomePartial, encoder.QueryOutcomeUnknown, driver.NoReply} {
-		b.figure("kill", "after", "last "+string(o), last(k.observations, k.killed, o).Seconds(), "s", noBound())
+	b.phase("kill", "before", r.Phase(0, killed))
+	b.phase("kill", "after", r.Phase(killed, 0))
+	b.whole("kill", r)
+	for _, o := range []encoder.QueryOutcome{
+		encoder.QueryOutcomeNotRun, encoder.QueryOutcomePartial, encoder.QueryOutcomeUnknown, driver.NoReply,
+	} {
+		end := driver.Last(r.Observations, r.Began.Add(killed), o)
+		b.figure("kill", "after", "last "+string(o)+", s", end.Seconds(), nil)
 	}
-	b.figure("kill", "after", "coverage minimum", after.CoverageMinimum, "", atLeastOne())
-	b.figure("kill", "all", "violations", float64(k.result.ViolationCount), "", atMost(0))
 	return nil
 }
+
+// kill kills an instance under load; the member list loses it after listDelay. It returns the time of the kill.
+func (f *fixture) kill(ctx context.Context, n launcher.Instance) (driver.Recording, time.Duration, error) {
+	var killed time.Time
+	before := f.bench.settings.Duration
+	r, err := f.during(ctx, before+killTime, func(began time.Time) error {
+		if err := sleep(ctx, began, before); err != nil {
+			return err
+		}
+		killed = time.Now()
+		if err := f.Kill(n.Name); err != nil {
+			return err
+		}
+		if err := sleep(ctx, killed, listDelay); err != nil {
+			return err
+		}
+		return f.ForgetInstance(ctx, n.Name)
+	})
+	return r, killed.Sub(r.Began), err
+}
--- a/internal/standin/deployer/changes.go
+++ b/internal/standin/deployer/changes.go
@@ -87,6 +87,19 @@
 	return c
 }
 
+// TargetsIn returns the names of the targets of a failure domain.
+func TargetsIn(m encoder.Manifest, domain string) []string {
+	var names []string
+	for _, s := range m.Services {
+		for _, t := range s.Targets {
+			if t.FailureDomain == domain {
+				names = append(names, t.Name)
+			}
+		}
+	}
+	return names
+}
+
 // Held returns the versions that a target must hold for the manifest, each once.
 func Held(m encoder.Manifest, target string) []encoder.HeldVersion {
 	held := []encoder.HeldVersion{}
--- a/internal/standin/bencher/phase.go
+++ b/internal/standin/driver/phase.go
@@ -1,10 +1,9 @@
-package bencher
+package driver
 
 import (
 	"slices"
 	"time"
 
-	"apricotflow/internal/standin/driver"
 	"apricotflow/internal/wire/encoder"
 )
 
@@ -23,8 +22,8 @@
 	NoReply         int     `json:"no-reply"`
 }
 
-// newPhase summarizes the queries with an intended time from from until to.
-func newPhase(observations []driver.Observation, from, to time.Time) Phase {
+// NewPhase summarizes the queries with an intended time from from until to.
+func NewPhase(observations []Observation, from, to time.Time) Phase {
 	p := Phase{CoverageMean: 1, CoverageMinimum: 1}
 	var latencies []time.Duration
 	covered := 0.0
@@ -38,7 +37,7 @@
 			p.NotRun++
 		case encoder.QueryOutcomeUnknown:
 			p.Unknown++
-		case driver.NoReply:
+		case NoReply:
 			p.NoReply++
 		case encoder.QueryOutcomePartial:
 			p.Partial++
@@ -58,7 +57,7 @@
 	return p
 }
 
-func answered(o driver.Observation) bool {
+func answered(o Observation) bool {
 	return o.Outcome == encoder.QueryOutcomeComplete || o.Outcome == encoder.QueryOutcomePartial
 }
 
@@ -68,15 +67,11 @@
 	if float64(rank) < q*float64(len(sorted)) {
 		rank++
 	}
-	return milliseconds(sorted[max(rank, 1)-1])
+	return float64(sorted[max(rank, 1)-1].Microseconds()) / 1000
 }
 
-func milliseconds(d time.Duration) float64 {
-	return float64(d.Microseconds()) / 1000
-}
-
-// last returns the time from from until the last reply with an outcome to a query sent since; 0 when there is none.
-func last(observations []driver.Observation, from time.Time, outcome encoder.QueryOutcome) time.Duration {
+// Last returns the time from from until the last reply with an outcome to a query sent since; 0 when there is none.
+func Last(observations []Observation, from time.Time, outcome encoder.QueryOutcome) time.Duration {
 	last := time.Duration(0)
 	for _, o := range observations {
 		if !o.At.Before(from) && o.Outcome == outcome {
@@ -85,27 +80,3 @@
 	}
 	return last
 }
-
-// sample is the number of sub-queries that a target has run at a time since its start.
-type sample struct {
-	at       time.Duration
-	executed int
-}
-
-// recovery returns the start of the first window in which a target runs at least the share of rate, in sub-queries
-// per second; false when there is none.
-func recovery(samples []sample, rate, share float64, window time.Duration) (time.Duration, bool) {
-	for i, first := range samples {
-		for _, last := range samples[i+1:] {
-			length := last.at - first.at
-			if length < window {
-				continue
-			}
-			if float64(last.executed-first.executed) >= share*rate*length.Seconds() {
-				return first.at, true
-			}
-			break
-		}
-	}
-	return 0, false
-}
--- /dev/null
+++ b/internal/standin/driver/recovery.go
@@ -0,0 +1,27 @@
+package driver
+
+import "time"
+
+// Sample is the number of sub-queries that a target has run since its start, at a time.
+type Sample struct {
+	At       time.Duration
+	Executed int
+}
+
+// Recovery returns the start of the first window in which a target ran at least rate sub-queries per second; false
+// when there is none.
+func Recovery(samples []Sample, rate float64, window time.Duration) (time.Duration, bool) {
+	for i, first := range samples {
+		for _, last := range samples[i+1:] {
+			length := last.At - first.At
+			if length < window {
+				continue
+			}
+			if float64(last.Executed-first.Executed) >= rate*length.Seconds() {
+				return first.At, true
+			}
+			break
+		}
+	}
+	return 0, false
+}
--- a/internal/standin/launcher/launcher.go
+++ b/internal/standin/launcher/launcher.go
@@ -353,6 +353,17 @@
 	return replier.Post[responder.Statistics](ctx, "http://"+address+"/v1/control", c)
 }
 
+// Statistics returns the statistics of the targets that can be reached, by name.
+func (l *Launcher) Statistics(ctx context.Context) map[string]responder.Statistics {
+	all := make(map[string]responder.Statistics)
+	for _, address := range l.Controls() {
+		if s, err := replier.Get[responder.Statistics](ctx, "http://"+address+"/v1/statistics"); err == nil {
+			all[s.Name] = s
+		}
+	}
+	return all
+}
+
 // ControlPlatform changes the behaviour of the platform and returns its statistics.
 func (l *Launcher) ControlPlatform(ctx context.Context, c publisher.Control) (publisher.Statistics, error) {
 	return replier.Post[publisher.Statistics](ctx, "http://"+l.platform+"/v1/control", c)
--- a/internal/standin/responder/responder.go
+++ b/internal/standin/responder/responder.go
@@ -105,6 +105,11 @@
 	LastExecuteMs int `json:"last-execute-ms"`
 }
 
+// SinceExecute returns the time since the last start of a sub-query, or since the start of the target without one.
+func (s Statistics) SinceExecute() time.Duration {
+	return time.Duration(s.UptimeMs-max(0, s.LastExecuteMs)) * time.Millisecond
+}
+
 // Responder is a running target.
 type Responder struct {
 	settings Settings
