Measure the cold limit where equal shares are above 0

Cause: with the cold limit of the deployments, 1, each equal share of 4 instances is 0, so that the baseline answers nothing (100 of 100 not-run). Change: this comparison sets the cold limit to the number of instances.

--- a/internal/standin/bencher/comparison.go
+++ b/internal/standin/bencher/comparison.go
@@ -24,9 +24,6 @@
 func comparisons() []comparison {
 	direct, equal := encoder.PolicyRoutingDirect, encoder.PolicyColdLimitEqual
 	choices, random, off := encoder.PolicySelectionTwoChoices, encoder.PolicySelectionRandom, false
-	// With a warm-up by answers, a target whose cold limit is less than the number of instances never gets warm under
-	// equal shares, because each share is 0.
-	cold := []string{"--cold-ms", fmt.Sprint(coldTime.Milliseconds())}
 	return []comparison{
 		{"routing", []variant{{name: "owned"}, {name: "direct", policy: &encoder.Policy{Routing: &direct}}}, steady, true},
 		{"hedging", []variant{{name: "on"}, {name: "off", policy: &encoder.Policy{Hedging: &off}}}, steady, true},
@@ -36,12 +33,17 @@
 			{name: "random", policy: &encoder.Policy{Selection: &random}},
 		}, steady, true},
 		{"cold-limit", []variant{
-			{name: "lease", flags: cold}, {name: "equal", flags: cold, policy: &encoder.Policy{ColdLimit: &equal}},
+			{name: "lease", change: shareable, flags: slowFlags()},
+			{name: "equal", change: shareable, flags: slowFlags(), policy: &encoder.Policy{ColdLimit: &equal}},
 		}, restartTarget, true},
-		{"owners", []variant{{name: "2", owners: 2}, {name: "1", owners: 1}}, killInstance, false},
+		{"owners", []variant{{name: "2", change: owners(2)}, {name: "1", change: owners(1)}}, killInstance, false},
 	}
 }
 
+func owners(n int) func(*encoder.Manifest) {
+	return func(m *encoder.Manifest) { m.Limits.Owners = n }
+}
+
 // compare runs all variants side by side and measures them in turn.
 func (b *bench) compare(ctx context.Context, c comparison) error {
 	var fixtures []*fixture
--- a/internal/standin/bencher/fixture.go
+++ b/internal/standin/bencher/fixture.go
@@ -37,8 +37,8 @@
 	name string
 	// policy is that of all instances; nil means the default.
 	policy *encoder.Policy
-	// owners replaces the limit in the manifest unless it is 0.
-	owners int
+	// change changes the manifest; it may be nil.
+	change func(*encoder.Manifest)
 	// flags are further flags of the targets.
 	flags []string
 }
@@ -60,8 +60,8 @@
 		return nil, err
 	}
 	b.extra = float64(plan.Manifest.Limits.ExtraLoadPercent)
-	if v.owners > 0 {
-		plan.Manifest.Limits.Owners = v.owners
+	if v.change != nil {
+		v.change(&plan.Manifest)
 	}
 	seed := b.settings.Seed
 	l, err := launcher.Start(ctx, launcher.Settings{
--- a/internal/standin/bencher/pull.go
+++ b/internal/standin/bencher/pull.go
@@ -15,8 +15,6 @@
 	pullTime, returnTime = 5 * time.Second, 6 * time.Second
 	// newWorkLimit is the time in which the last new work reaches a failure domain that was taken out of service.
 	newWorkLimit = 3 * time.Second
-	// coldAnswers is the number of answers until a cold target is warm.
-	coldAnswers = "20"
 )
 
 // pull is what happened to the failure domain; times count from the start of the load.
--- a/internal/standin/bencher/recovery.go
+++ b/internal/standin/bencher/recovery.go
@@ -6,11 +6,14 @@
 
 	"apricotflow/internal/standin/driver"
 	"apricotflow/internal/standin/responder"
+	"apricotflow/internal/wire/encoder"
 )
 
 const (
-	// coldTime is the time that a restarted target stays cold.
-	coldTime = 2 * time.Second
+	// coldAnswers is the number of answers until a cold target is warm.
+	coldAnswers = "20"
+	// slowService is a service time, in milliseconds, with which the limit of a cold target bounds its rate.
+	slowService = "10"
 	// recoveryLimit is how long a restarted target is watched.
 	recoveryLimit = 10 * time.Second
 	// recoveryWindow and recoveryShare define full rate: the share of the rate before, over the window.
@@ -19,6 +22,20 @@
 	sampleInterval = 50 * time.Millisecond
 )
 
+// shareable sets the cold limit to the number of instances, since each equal share of a lower one is 0, and gives each
+// target twice as many slots.
+func shareable(m *encoder.Manifest) {
+	for _, s := range m.Services {
+		for i := range s.Targets {
+			s.Targets[i].ColdLimit, s.Targets[i].Slots = instances, 2*instances
+		}
+	}
+}
+
+func slowFlags() []string {
+	return []string{"--cold-answers", coldAnswers, "--service-ms", slowService}
+}
+
 // busiest returns the target that runs most sub-queries under load, and their number per second.
 func (f *fixture) busiest(ctx context.Context, duration time.Duration) (string, float64) {
 	before := f.Statistics(ctx)
