Keep the results of other benchmark steps when one fails

Cause: one deployment that did not warm up discarded the whole report. Change: a failed step is returned as an error after the report.

--- a/internal/standin/bencher/bencher.go
+++ b/internal/standin/bencher/bencher.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -100,20 +101,22 @@
 		s.Deployments = []string{deployer.Ulaanbaatar, deployer.DarEsSalaam}
 	}
 	report := &tabulator.Report{}
+	var failures []error
 	for _, deployment := range s.Deployments {
 		b := &bench{settings: s, deployment: deployment, report: report}
 		for _, p := range steps() {
-			if s.Only != "" && p.name != s.Only {
+			if s.Only != "" && p.name != s.Only || ctx.Err() != nil {
 				continue
 			}
 			_, _ = fmt.Fprintf(s.Output, "running %s of %s\n", p.name, deployment)
+			// A step that fails leaves the results of the others.
 			if err := p.run(ctx, b); err != nil {
-				return fmt.Errorf("bencher: %s of %s: %w", p.name, deployment, err)
+				failures = append(failures, fmt.Errorf("bencher: %s of %s: %w", p.name, deployment, err))
 			}
 		}
 	}
 	report.Print(s.Output)
-	return finish(s, report)
+	return errors.Join(append(failures, finish(s, report))...)
 }
 
 func finish(s Settings, r *tabulator.Report) error {
