--- a/internal/standin/bencher/bencher.go
+++ b/internal/standin/bencher/bencher.go
@@ -100,7 +100,7 @@
 	if len(s.Deployments) == 0 {
 		s.Deployments = []string{deployer.Ulaanbaatar, deployer.DarEsSalaam}
 	}
-	report := &tabulator.Report{}
+	report := &tabulator.Report{DurationMs: int(s.Duration.Milliseconds()), Seed: s.Seed}
 	var failures []error
 	for _, deployment := range s.Deployments {
 		b := &bench{settings: s, deployment: deployment, report: report}
--- a/internal/standin/tabulator/report.go
+++ b/internal/standin/tabulator/report.go
@@ -9,6 +9,9 @@
 
 // Report is the result of a benchmark.
 type Report struct {
+	// DurationMs is the time of one measurement.
+	DurationMs int    `json:"duration-ms"`
+	Seed       uint64 `json:"seed"`
 	// Rows hold one row for each variant or phase, Rounds the single measurements of the comparisons.
 	Rows    []*Row   `json:"rows"`
 	Rounds  []*Row   `json:"rounds"`
