--- a/Makefile
+++ b/Makefile
@@ -30,5 +30,8 @@
 	out/standin manifest --deployment ulaanbaatar --scale 1 > examples/ulaanbaatar.json
 	out/standin manifest --deployment dar-es-salaam --scale 1 > examples/dar-es-salaam.json
 
+bench: build
+	out/standin bench
+
 soak: build
 	out/standin soak --duration $(or $(DURATION),5m) --seed $(or $(SEED),1) $(if $(DEPLOYMENT),--deployment $(DEPLOYMENT))
--- a/internal/standin/deployer/changes.go
+++ b/internal/standin/deployer/changes.go
@@ -31,6 +31,13 @@
 	return c
 }
 
+// WithLimits sets the limits.
+func WithLimits(m encoder.Manifest, l encoder.Limits) encoder.Manifest {
+	c := next(m)
+	c.Limits = l
+	return c
+}
+
 // WithTarget sets the state of a target.
 func WithTarget(m encoder.Manifest, name string, state encoder.TargetState) encoder.Manifest {
 	c := next(m)
@@ -80,6 +87,19 @@
 	return c
 }
 
+// TargetsIn returns the names of the targets of a failure domain.
+func TargetsIn(m encoder.Manifest, domain string) []string {
+	var names []string
+	for _, s := range m.Services {
+		for _, t := range s.Targets {
+			if t.FailureDomain == domain {
+				names = append(names, t.Name)
+			}
+		}
+	}
+	return names
+}
+
 // Held returns the versions that a target must hold for the manifest, each once.
 func Held(m encoder.Manifest, target string) []encoder.HeldVersion {
 	held := []encoder.HeldVersion{}
--- a/internal/standin/launcher/launcher.go
+++ b/internal/standin/launcher/launcher.go
@@ -217,19 +217,24 @@
 	if err := l.writeSettings(&n, platform); err != nil {
 		return n, err
 	}
-	err = l.changeMembers(ctx, func(m *encoder.MemberList) {
+	return n, l.ReturnInstance(ctx, n)
+}
+
+// ReturnInstance lists an instance that is not in the member list and starts it, at the same addresses as before.
+func (l *Launcher) ReturnInstance(ctx context.Context, n Instance) error {
+	err := l.changeMembers(ctx, func(m *encoder.MemberList) {
 		m.Instances = append(m.Instances, encoder.MemberInstance{
-			Name: name, FailureDomain: domain, PeerAddress: n.Peer, AdminAddress: n.Admin,
+			Name: n.Name, FailureDomain: n.FailureDomain, PeerAddress: n.Peer, AdminAddress: n.Admin,
 			State: encoder.MemberInstanceStateLive,
 		})
 	})
 	if err != nil {
-		return n, err
+		return err
 	}
 	l.mu.Lock()
-	l.instances[name] = n
+	l.instances[n.Name] = n
 	l.mu.Unlock()
-	return n, l.run(name, domain, l.settings.Apricotflow, "serve", "--settings", n.settings)
+	return l.run(n.Name, n.FailureDomain, l.settings.Apricotflow, "serve", "--settings", n.settings)
 }
 
 func (l *Launcher) writeSettings(n *Instance, platform string) error {
@@ -348,6 +353,17 @@
 	return replier.Post[responder.Statistics](ctx, "http://"+address+"/v1/control", c)
 }
 
+// Statistics returns the statistics of the targets that can be reached, by name.
+func (l *Launcher) Statistics(ctx context.Context) map[string]responder.Statistics {
+	all := make(map[string]responder.Statistics)
+	for _, address := range l.Controls() {
+		if s, err := replier.Get[responder.Statistics](ctx, "http://"+address+"/v1/statistics"); err == nil {
+			all[s.Name] = s
+		}
+	}
+	return all
+}
+
 // ControlPlatform changes the behaviour of the platform and returns its statistics.
 func (l *Launcher) ControlPlatform(ctx context.Context, c publisher.Control) (publisher.Statistics, error) {
 	return replier.Post[publisher.Statistics](ctx, "http://"+l.platform+"/v1/control", c)
--- a/internal/standin/responder/responder.go
+++ b/internal/standin/responder/responder.go
@@ -99,10 +99,17 @@
 	NonIdempotentRuns map[string]int `json:"non-idempotent-runs"`
 	// RepeatedAttempts counts the runs of each attempt that ran more than once.
 	RepeatedAttempts map[string]int `json:"repeated-attempts"`
+	// UptimeMs is the time since the start of the target.
+	UptimeMs int `json:"uptime-ms"`
 	// LastExecuteMs is the time of the last start of a sub-query since the start of the target; -1 if there is none.
 	LastExecuteMs int `json:"last-execute-ms"`
 }
 
+// SinceExecute returns the time since the last start of a sub-query, or since the start of the target without one.
+func (s Statistics) SinceExecute() time.Duration {
+	return time.Duration(s.UptimeMs-max(0, s.LastExecuteMs)) * time.Millisecond
+}
+
 // Responder is a running target.
 type Responder struct {
 	settings Settings
@@ -253,6 +260,7 @@
 	defer t.mu.Unlock()
 	s := t.counts
 	s.State, s.InFlight = t.state(), t.inFlight
+	s.UptimeMs = int(time.Since(t.start).Milliseconds())
 	s.ConnectionsMax = int(t.listener.most.Load())
 	s.ConnectionsRefused = int(t.listener.refused.Load())
 	s.NotRun = make(map[encoder.Reason]int)
