Warm up before the demo measures

Ruled out: a fixed pause (depends on lease-ms and the ramp-up). Change: the warm-up of the benchmark moves to the driver, and the demo uses it.

--- a/internal/standin/bencher/comparison.go
+++ b/internal/standin/bencher/comparison.go
@@ -82,7 +82,7 @@
 
 // steady measures under load without any change.
 func steady(ctx context.Context, f *fixture, _ int) (*tabulator.Row, error) {
-	f.load(ctx, warmRun)
+	f.load(ctx, time.Second/2)
 	r := f.load(ctx, f.bench.settings.Duration)
 	return f.bench.runRow(r, r.Phase(0, 0)), ctx.Err()
 }
--- a/internal/standin/bencher/fixture.go
+++ b/internal/standin/bencher/fixture.go
@@ -17,21 +17,10 @@
 	scale = 10
 	// instances is the number of entry instances of each deployment.
 	instances = 4
-	// readyLimit is how long the instances may take until they are ready, warmLimit until answers are complete.
-	readyLimit, warmLimit = 30 * time.Second, 40 * time.Second
-	// warmRun is the length of one run of the warm-up; warmRuns complete ones in a row end it.
-	warmRun, warmRuns = 500 * time.Millisecond, 3
+	// readyLimit is how long the instances may take until they are ready.
+	readyLimit = 30 * time.Second
 )
 
-// NotWarmError reports a deployment whose answers stay incomplete.
-type NotWarmError struct {
-	Last map[encoder.QueryOutcome]int
-}
-
-func (e *NotWarmError) Error() string {
-	return fmt.Sprintf("bencher: answers are not complete after %s: %v", warmLimit, e.Last)
-}
-
 // variant is one way to run a deployment.
 type variant struct {
 	name string
@@ -98,27 +87,22 @@
 	}
 	// An instance neither grants nor holds a lease for this time after its start.
 	time.Sleep(time.Duration(f.Manifest().Limits.LeaseMs) * time.Millisecond)
-	last := driver.Recording{}
-	complete := 0
-	for end := time.Now().Add(warmLimit); complete < warmRuns; complete++ {
-		if time.Now().After(end) {
-			return &NotWarmError{Last: last.Result.Outcomes}
-		}
-		if last = f.load(ctx, warmRun); last.Result.Outcomes[encoder.QueryOutcomeComplete] < last.Result.Sent {
-			complete = -1
-		}
-	}
-	return ctx.Err()
+	return driver.WarmUp(ctx, f.driving(0))
 }
 
 // load sends queries for a time.
 func (f *fixture) load(ctx context.Context, duration time.Duration) driver.Recording {
+	return driver.Record(ctx, f.driving(duration))
+}
+
+// driving returns the settings of one load, with a seed of its own.
+func (f *fixture) driving(duration time.Duration) driver.Settings {
 	f.serial++
-	return driver.Record(ctx, driver.Settings{
+	return driver.Settings{
 		Manifest: f.Manifest(), Newest: f.Manifest, Entries: f.Callers(), Balancer: f.balancer,
 		Targets: f.Controls(), Admins: f.Admins(), Rate: f.bench.settings.Rate, Duration: duration,
 		Seed: f.bench.settings.Seed + f.serial, Latency: f.latency,
-	})
+	}
 }
 
 // during sends queries for a time while act runs; act gets the start of the load.
--- a/internal/standin/demonstrator/demonstrator.go
+++ b/internal/standin/demonstrator/demonstrator.go
@@ -78,10 +78,14 @@
 	if err := l.WaitReady(ctx, readyLimit); err != nil {
 		return driver.Result{}, err
 	}
-	return driver.New(driver.Settings{
+	load := driver.Settings{
 		Manifest: l.Manifest(), Newest: l.Manifest, Entries: l.Callers(), Targets: l.Controls(), Admins: l.Admins(),
 		Rate: s.Rate, Duration: s.Duration, Seed: s.Seed, ResendPercent: resendPercent, Latency: plan.ClientLatency,
-	}).Run(ctx), nil
+	}
+	if err := driver.WarmUp(ctx, load); err != nil {
+		return driver.Result{}, err
+	}
+	return driver.New(load).Run(ctx), nil
 }
 
 func report(w io.Writer, names []string, results map[string]driver.Result) error {
