Look at all targets only after a change of the configuration

Cause: Dispatcher.Sync runs every second and asked for the owners of every target in the manifest, although an instance owns few of them.

Ruled out: iterating over owner.Candidates only, which misses third and further owners when limits.owners is above 2.

Change: with dispatcher.WithOwnershipVersion, which the assembler binds to the version of announced leavings, the periodic Sync looks at all targets only when the manifest, the member list or the version has changed; the owned targets are still configured every time. Sync calls are serialised. Without the option Sync works as before.

Package internal/standin/gauger and 'standin capacity' hold the measurements.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GOBIN := $(CURDIR)/bin
 export GOBIN
 
-.PHONY: build tools generate format lint test demo bench soak
+.PHONY: build tools generate format lint test demo bench soak capacity
 
 build:
 	go build -o out/ . ./cmd/standin
@@ -25,3 +25,8 @@
 
 demo: build
 	out/standin demo
+
+# The bench files of all packages and the processes; docs/CAPACITY.md uses the figures.
+capacity: build
+	go test -run '^$$' -bench . -benchtime 200ms -count 3 ./internal/standin/gauger
+	out/standin capacity
--- a/internal/caller/assembler/target.go
+++ b/internal/caller/assembler/target.go
@@ -9,6 +9,7 @@
 	"go.uber.org/fx"
 
 	"apricotflow/internal/cluster/configurer"
+	"apricotflow/internal/cluster/gossiper"
 	"apricotflow/internal/cluster/lessor"
 	"apricotflow/internal/cluster/messenger"
 	"apricotflow/internal/cluster/owner"
@@ -80,9 +81,11 @@
 
 func newDispatcher(
 	settings loader.Settings, configuration *configurer.Configurer, owners dispatcher.Owners, leases *lessor.Lessor,
-	s *selector.Selector, f *facts, events *recorder.Recorder, check *checker.Checker, logger *log.Logger, scope tally.Scope,
+	s *selector.Selector, f *facts, g *gossiper.Gossiper, events *recorder.Recorder, check *checker.Checker, logger *log.Logger, scope tally.Scope,
 ) *dispatcher.Dispatcher {
-	options := []dispatcher.Option{dispatcher.WithLogger(logger), dispatcher.WithScope(scope)}
+	options := []dispatcher.Option{
+		dispatcher.WithLogger(logger), dispatcher.WithScope(scope), dispatcher.WithOwnershipVersion(g.LeavingVersion),
+	}
 	if settings.Policy().Routing == encoder.PolicyRoutingDirect {
 		options = append(options, dispatcher.WithDirect())
 	}
--- /dev/null
+++ b/internal/standin/commander/capacity.go
@@ -0,0 +1,52 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"apricotflow/internal/standin/gauger"
+)
+
+func capacity() *cli.Command {
+	return &cli.Command{
+		Name:  "capacity",
+		Usage: "measure the cost of idle and reconfigured instances by their number",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "apricotflow", Usage: "path of the product; by default beside this program"},
+			&cli.StringSliceFlag{Name: "points", Usage: "`instances/targets/changes-per-minute`, separated by commas"},
+			&cli.IntFlag{Name: "repeat", Value: 3},
+			&cli.DurationFlag{Name: "duration", Value: 10 * time.Second, Usage: "measured time of each run"},
+		},
+		Action: runCapacity,
+	}
+}
+
+func runCapacity(ctx context.Context, c *cli.Command) error {
+	own, err := os.Executable()
+	if err != nil {
+		return fmt.Errorf("commander: %w", err)
+	}
+	product := c.String("apricotflow")
+	if product == "" {
+		product = filepath.Join(filepath.Dir(own), "apricotflow")
+	}
+	points := gauger.Points()
+	if items := c.StringSlice("points"); len(items) > 0 {
+		points = make([]gauger.Point, len(items))
+		for i, item := range items {
+			p := &points[i]
+			if _, err := fmt.Sscanf(item, "%d/%d/%d", &p.Instances, &p.Targets, &p.Changes); err != nil {
+				return fmt.Errorf("commander: point %q: %w", item, err)
+			}
+		}
+	}
+	return gauger.Run(ctx, gauger.Settings{
+		Standin: own, Apricotflow: product, Points: points, Repeat: c.Int("repeat"), Duration: c.Duration("duration"),
+		Output: c.Root().Writer,
+	})
+}
--- a/internal/standin/commander/commander.go
+++ b/internal/standin/commander/commander.go
@@ -24,7 +24,7 @@
 	return &cli.Command{
 		Name:     "standin",
 		Usage:    "stand-ins for the systems around apricotflow",
-		Commands: []*cli.Command{target(), platform(), link(), load(), manifest(), demo()},
+		Commands: []*cli.Command{target(), platform(), link(), load(), manifest(), demo(), capacity()},
 	}
 }
 
--- /dev/null
+++ b/internal/standin/gauger/control_test.go
@@ -0,0 +1,244 @@
+package gauger_test
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"apricotflow/internal/cluster/lessor"
+	"apricotflow/internal/cluster/owner"
+	"apricotflow/internal/manifest/parser"
+	"apricotflow/internal/manifest/resolver"
+	"apricotflow/internal/operator/checker"
+	"apricotflow/internal/operator/recorder"
+	"apricotflow/internal/operator/timekeeper"
+	"apricotflow/internal/standin/gauger"
+	"apricotflow/internal/target/dispatcher"
+	"apricotflow/internal/wire/encoder"
+)
+
+// self is the measured instance.
+const self = "instance-0000"
+
+// fixed is a configuration that does not change.
+type fixed struct {
+	manifest *resolver.Manifest
+	members  *resolver.Members
+}
+
+func (f *fixed) Manifest() *resolver.Manifest { return f.manifest }
+func (f *fixed) Members() *resolver.Members   { return f.members }
+func (f *fixed) LeavingVersion() uint64       { return 0 }
+func (f *fixed) Leaving(string) bool          { return false }
+
+// newFixed spreads instances and targets over at most 13 failure domains.
+func newFixed(instances, targets int) *fixed {
+	domains := min(13, instances, targets)
+	wire := gauger.Plan(domains, targets, gauger.UnusedAddress).Manifest
+	m, problems := resolver.New(wire, "digest")
+	if len(problems) > 0 {
+		panic(problems)
+	}
+	return &fixed{manifest: m, members: resolver.NewMembers(gauger.Members(domains, instances))}
+}
+
+// noEvents is a sink of events and a checker's counter.
+type noEvents struct{}
+
+func (noEvents) Record(recorder.Kind, string, string, string) {}
+
+func newChecker() *checker.Checker {
+	return checker.New(noEvents{}, tally.NoopScope.Counter(""), false)
+}
+
+// processorTime returns the time used by all threads of this process.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// perUnit reports the processor time of the loop f, with units per round, also of other goroutines.
+func perUnit(b *testing.B, units int, f func()) {
+	b.ReportAllocs()
+	before := processorTime()
+	b.ResetTimer()
+	for b.Loop() {
+		f()
+	}
+	b.ReportMetric(float64(processorTime()-before)/float64(b.N)/float64(units), "cpu-ns/unit")
+}
+
+// kept reports the memory of what build returns.
+func kept(b *testing.B, build func() any) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	value := build()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	b.ReportMetric(float64(after.HeapAlloc)-float64(before.HeapAlloc), "kept-B")
+	runtime.KeepAlive(value)
+}
+
+func BenchmarkOwnershipTable(b *testing.B) {
+	for _, size := range [][2]int{{3, 12}, {48, 130}, {48, 1300}, {310, 1300}, {1000, 130}, {1000, 1300}, {3100, 130}} {
+		b.Run(fmt.Sprintf("instances=%d/targets=%d", size[0], size[1]), func(b *testing.B) {
+			f := newFixed(size[0], size[1])
+			build := func() any {
+				o := owner.New(self, f, f)
+				o.Candidates()
+				return o
+			}
+			perUnit(b, size[1], func() { build() })
+			kept(b, build)
+		})
+	}
+}
+
+func BenchmarkManifest(b *testing.B) {
+	for _, targets := range []int{12, 400, 1300, 4000, 13000} {
+		b.Run(fmt.Sprintf("targets=%d", targets), func(b *testing.B) {
+			raw := encoder.Encode(gauger.Plan(min(13, targets), targets, gauger.UnusedAddress).Manifest)
+			b.ReportMetric(float64(len(raw)), "wire-B")
+			parse := func() any {
+				if m, err := parser.Parse(raw); err == nil {
+					return m
+				}
+				// The parser refuses more than 1 MB.
+				wire, _ := encoder.Decode[encoder.Manifest](raw)
+				m, _ := resolver.New(wire, "digest")
+				return m
+			}
+			if _, err := parser.Parse(raw); err != nil {
+				b.ReportMetric(1, "refused")
+			}
+			perUnit(b, targets, func() { parse() })
+			kept(b, parse)
+			b.ReportMetric(float64(len(raw)), "wire-B")
+		})
+	}
+}
+
+func BenchmarkMembers(b *testing.B) {
+	for _, instances := range []int{3, 48, 310, 3100} {
+		b.Run(fmt.Sprintf("instances=%d", instances), func(b *testing.B) {
+			raw := encoder.Encode(gauger.Members(min(13, instances), instances))
+			parse := func() any {
+				m, err := parser.ParseMembers(raw)
+				if err != nil {
+					b.Fatal(err)
+				}
+				return m
+			}
+			perUnit(b, instances, func() { parse() })
+			kept(b, parse)
+			b.ReportMetric(float64(len(raw)), "wire-B")
+		})
+	}
+}
+
+func BenchmarkSync(b *testing.B) {
+	for _, targets := range []int{12, 400, 4000, 13000} {
+		for _, versioned := range []bool{false, true} {
+			b.Run(fmt.Sprintf("targets=%d/versioned=%v", targets, versioned), func(b *testing.B) {
+				f := newFixed(3, targets)
+				shares := make(map[string][]owner.Share)
+				for i, t := range f.manifest.Targets() {
+					name := "other"
+					if i < 9 {
+						name = self
+					}
+					shares[t.Name] = []owner.Share{{Instance: name, Slots: 2, Rank: 1}, {Instance: "another", Slots: 1, Rank: 2}}
+				}
+				owners := func(target string) []dispatcher.Share {
+					converted := make([]dispatcher.Share, len(shares[target]))
+					for i, s := range shares[target] {
+						converted[i] = dispatcher.Share{Instance: s.Instance, Slots: s.Slots, Rank: s.Rank - 1}
+					}
+					return converted
+				}
+				var options []dispatcher.Option
+				if versioned {
+					options = append(options, dispatcher.WithOwnershipVersion(f.LeavingVersion))
+				}
+				d := dispatcher.New(self, f, owners, func(string, time.Duration) int { return 1 }, noEvents{}, newChecker(), options...)
+				perUnit(b, 1, d.Sync)
+				ctx, cancel := context.WithTimeout(b.Context(), time.Second)
+				defer cancel()
+				_ = d.Close(ctx)
+			})
+		}
+	}
+}
+
+// places is an ownership of a number of groups, each with the same number of rivals.
+type places struct{ groups, rivals []string }
+
+func (p places) Rank(string) int              { return 1 }
+func (p places) Rivals(string) []string       { return p.rivals }
+func (p places) StaticOwners(string) []string { return []string{self, "rival-0"} }
+func (p places) Candidates() []string         { return p.groups }
+
+type noNetwork struct{ lessor.Network }
+
+func BenchmarkLessorRound(b *testing.B) {
+	for _, size := range [][2]int{{4, 1}, {4, 16}, {4, 238}, {16, 16}, {64, 16}} {
+		b.Run(fmt.Sprintf("groups=%d/rivals=%d", size[0], size[1]), func(b *testing.B) {
+			var p places
+			for i := range size[0] {
+				p.groups = append(p.groups, fmt.Sprintf("shard-%04d@domain-00", i))
+			}
+			for i := range size[1] {
+				p.rivals = append(p.rivals, fmt.Sprintf("instance-%04d", i+1))
+			}
+			now := time.Hour
+			clock := func() time.Duration { return now }
+			l := lessor.New(self, "1", p, newFixed(3, 12), noNetwork{}, clock, timekeeper.NewHybridClock(time.Now), noEvents{})
+			now += time.Minute
+			bytes := 0
+			perUnit(b, size[1], func() {
+				now += time.Second
+				asks, _ := l.Begin()
+				bytes = 0
+				for _, a := range asks {
+					reply := encoder.GrantReply{Granted: a.Request.Groups, Refused: []string{}}
+					bytes += len(encoder.Encode(a.Request)) + len(encoder.Encode(reply))
+					l.Finish(a, reply, nil)
+				}
+			})
+			b.ReportMetric(float64(bytes), "wire-B")
+		})
+	}
+}
+
+func BenchmarkExchange(b *testing.B) {
+	for _, facts := range []int{0, 4, 9, 64} {
+		b.Run(fmt.Sprintf("facts=%d", facts), func(b *testing.B) {
+			message := encoder.ExchangeMessage{Instance: self, Incarnation: "0123456789abcdef", Clock: 1 << 57, Generation: 9800, MembersRevision: 4000, Targets: []encoder.TargetFact{}}
+			message.Digest = fmt.Sprintf("%064d", 1)
+			for i := range facts {
+				message.Targets = append(message.Targets, encoder.TargetFact{Target: fmt.Sprintf("leaf-%04d-01", i), Incarnation: "0123456789abcdef", State: encoder.LoadStateWarm})
+			}
+			perUnit(b, 1, func() {
+				if _, err := encoder.Decode[encoder.ExchangeMessage](encoder.Encode(message)); err != nil {
+					b.Fatal(err)
+				}
+			})
+			b.ReportMetric(float64(len(encoder.Encode(message))), "wire-B")
+		})
+	}
+}
+
+func BenchmarkRecorder(b *testing.B) {
+	r := recorder.New(self, timekeeper.NewHybridClock(time.Now), recorder.DefaultCapacity)
+	for range recorder.DefaultCapacity {
+		r.Record(recorder.KindQueryHedged, "target", "query", "detail")
+	}
+	perUnit(b, 1, func() { r.Record(recorder.KindQueryHedged, "target", "query", "detail") })
+}
--- a/internal/standin/launcher/launcher.go
+++ b/internal/standin/launcher/launcher.go
@@ -47,6 +47,8 @@
 	Instances int
 	// TargetFlags returns further flags of "standin target", such as --service-ms; it may be nil.
 	TargetFlags func(encoder.Target) []string
+	// ForeignTargets leaves the targets to the caller, who runs them at the addresses in the plan.
+	ForeignTargets bool
 	// Change changes the settings of an instance before its start; it may be nil.
 	Change func(*encoder.Settings)
 	// Links puts a link before every target, every instance and the platform.
@@ -136,6 +138,9 @@
 }
 
 func (l *Launcher) startTargets(ctx context.Context) error {
+	if l.settings.ForeignTargets {
+		return nil
+	}
 	m, err := encoder.Decode[encoder.Manifest](encoder.Encode(l.manifest))
 	if err != nil {
 		return fmt.Errorf("launcher: %w", err)
@@ -413,6 +418,15 @@
 	return p, nil
 }
 
+// ProcessID returns the id of a process.
+func (l *Launcher) ProcessID(name string) (int, error) {
+	p, err := l.process(name)
+	if err != nil {
+		return 0, err
+	}
+	return p.pid(), nil
+}
+
 // Kill ends a process at once and waits for its end.
 func (l *Launcher) Kill(name string) error {
 	p, err := l.process(name)
--- a/internal/target/dispatcher/dispatcher.go
+++ b/internal/target/dispatcher/dispatcher.go
@@ -66,6 +66,19 @@
 	return func(d *Dispatcher) { d.direct = true }
 }
 
+// WithOwnershipVersion sets the version of the owners. The owners of a target may then change only together with the
+// manifest, the member list or the version, so that the periodic Sync looks at all targets only after such a change.
+func WithOwnershipVersion(version func() uint64) Option {
+	return func(d *Dispatcher) { d.version = version }
+}
+
+// scan is what the owned targets were last determined from.
+type scan struct {
+	manifest *resolver.Manifest
+	members  *resolver.Members
+	version  uint64
+}
+
 // Dispatcher runs sub-queries on owned targets.
 type Dispatcher struct {
 	instance      string
@@ -77,6 +90,11 @@
 	logger        *log.Logger
 	scope         tally.Scope
 	direct        bool
+	// version is nil if changes of the owners are not announced.
+	version func() uint64
+	// syncing is held during Sync; it guards scanned.
+	syncing sync.Mutex
+	scanned scan
 	// outcomes holds the counter of every outcome of a sub-query that passed the first checks.
 	outcomes map[encoder.Outcome]tally.Counter
 	attempts *attempts
@@ -139,26 +157,51 @@
 
 // Sync applies the current configuration to the owned targets. It is called after every change, and periodically.
 func (d *Dispatcher) Sync() {
+	d.syncing.Lock()
+	defer d.syncing.Unlock()
 	m := d.configuration.Manifest()
 	if m == nil || d.closing.Load() {
 		return
 	}
-	members := d.configuration.Members()
-	for _, g := range m.Groups() {
-		for _, name := range g.Targets {
-			t, _ := m.Target(name)
-			own := d.ownership(t)
-			if own.Share == 0 {
-				continue
-			}
-			if e := d.entry(t, own); e != nil {
-				e.serve(m.Serving(name) && !members.TargetLeaving(name))
-			}
+	current := scan{manifest: m, members: d.configuration.Members()}
+	if d.version != nil {
+		current.version = d.version()
+	}
+	if d.version == nil || d.scanned != current {
+		d.syncAll(current)
+		d.scanned = current
+	} else {
+		// A sub-query that was checked before the last change may have applied older settings since.
+		for name := range *d.entries.Load() {
+			d.sync(current, name)
 		}
 	}
 	d.drop()
 }
 
+// syncAll looks at all targets, which finds those that are newly owned.
+func (d *Dispatcher) syncAll(s scan) {
+	for _, g := range s.manifest.Groups() {
+		for _, name := range g.Targets {
+			d.sync(s, name)
+		}
+	}
+}
+
+func (d *Dispatcher) sync(s scan, name string) {
+	t, found := s.manifest.Target(name)
+	if !found {
+		return
+	}
+	own := d.ownership(t)
+	if own.Share == 0 {
+		return
+	}
+	if e := d.entry(t, own); e != nil {
+		e.serve(s.manifest.Serving(name) && !s.members.TargetLeaving(name))
+	}
+}
+
 // entry returns the entry of an owned target with the ownership applied; nil after Close.
 func (d *Dispatcher) entry(t resolver.Target, own limiter.Ownership) *entry {
 	e, found := (*d.entries.Load())[t.Name]
--- /dev/null
+++ b/internal/target/loopback/sync_test.go
@@ -0,0 +1,94 @@
+package loopback_test
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+
+	"apricotflow/internal/manifest/resolver"
+	"apricotflow/internal/operator/checker"
+	"apricotflow/internal/operator/recorder"
+	"apricotflow/internal/target/dispatcher"
+	"apricotflow/internal/wire/encoder"
+)
+
+// fleet is a configuration of many targets of which instance "self" owns those up to owned.
+type fleet struct {
+	manifest       atomic.Pointer[resolver.Manifest]
+	members        atomic.Pointer[resolver.Members]
+	owned, version atomic.Int64
+	// asked counts the questions for owners.
+	asked atomic.Int64
+}
+
+func (f *fleet) Manifest() *resolver.Manifest { return f.manifest.Load() }
+func (f *fleet) Members() *resolver.Members   { return f.members.Load() }
+
+func (f *fleet) owners(target string) []dispatcher.Share {
+	f.asked.Add(1)
+	var number int64
+	_, _ = fmt.Sscanf(target, "t%d", &number)
+	if number < f.owned.Load() {
+		return []dispatcher.Share{{Instance: "self", Slots: 1}}
+	}
+	return []dispatcher.Share{{Instance: "other", Slots: 1}}
+}
+
+func (f *fleet) publish(t *testing.T, generation, targets int) {
+	service := encoder.Service{Name: "s"}
+	for i := range targets {
+		service.Targets = append(service.Targets, encoder.Target{
+			Name: fmt.Sprintf("t%d", i), Address: fmt.Sprintf("127.0.0.1:%d", 1+i), FailureDomain: "a",
+			State: encoder.TargetStateServing, Slots: 1, Connections: 25, ColdLimit: 1,
+		})
+	}
+	m, problems := resolver.New(encoder.Manifest{
+		Generation: generation, Deployment: "test", Limits: encoder.Limits{Owners: 2, LeaseMs: 3000},
+		FailureDomains: []encoder.FailureDomain{{Name: "a", Region: "r", State: "open"}}, Services: []encoder.Service{service},
+	}, fmt.Sprint(generation))
+	assert.Equal(t, len(problems), 0)
+	f.manifest.Store(m)
+}
+
+// A periodic look at all targets costs time on every instance, although each owns few; and a change of the owners, the
+// manifest or the members that is not seen leaves a target without its owner.
+func TestSyncLooksAtAllTargetsOnlyAfterAChange(t *testing.T) {
+	f := &fleet{}
+	f.members.Store(resolver.NewMembers(encoder.MemberList{}))
+	e := &events{kinds: make(map[recorder.Kind]int)}
+	f.owned.Store(2)
+	d := dispatcher.New("self", f, f.owners, func(string, time.Duration) int { return 1 }, e, checker.New(e, tally.NoopScope.Counter(""), true),
+		dispatcher.WithOwnershipVersion(func() uint64 { return uint64(f.version.Load()) }))
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		assert.Check(t, d.Close(ctx))
+	})
+	f.publish(t, 1, 100)
+	d.Sync()
+	assert.Equal(t, len(d.Statuses()), 2)
+	before := f.asked.Load()
+	d.Sync()
+	// The owned targets are asked for by Sync and when looking for those no longer owned; the periodic Sync may run too.
+	assert.Assert(t, f.asked.Load()-before <= 8)
+	f.owned.Store(5)
+	f.version.Add(1)
+	d.Sync()
+	assert.Equal(t, len(d.Statuses()), 5)
+	f.owned.Store(1)
+	d.Sync()
+	assert.Equal(t, len(d.Statuses()), 1, "a target that is no longer owned is kept")
+	f.owned.Store(110)
+	f.publish(t, 2, 110)
+	d.Sync()
+	assert.Equal(t, len(d.Statuses()), 110)
+	f.members.Store(resolver.NewMembers(encoder.MemberList{Revision: 2}))
+	f.owned.Store(3)
+	d.Sync()
+	assert.Equal(t, len(d.Statuses()), 3)
+}
