--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GOBIN := $(CURDIR)/bin
 export GOBIN
 
-.PHONY: build tools generate format lint test demo examples bench soak
+.PHONY: build tools generate format lint test demo examples bench soak capacity
 
 build:
 	go build -o out/ . ./cmd/standin
@@ -35,3 +35,8 @@
 
 soak: build
 	out/standin soak --duration $(or $(DURATION),5m) --seed $(or $(SEED),1) $(if $(DEPLOYMENT),--deployment $(DEPLOYMENT))
+
+# Prints the measured points of docs/CAPACITY.md.
+capacity: build
+	go test -run '^$$' -bench . -benchtime 200ms -count 3 ./internal/standin/gauger
+	out/standin capacity
--- a/internal/target/dispatcher/dispatcher.go
+++ b/internal/target/dispatcher/dispatcher.go
@@ -67,6 +67,19 @@
 	return func(d *Dispatcher) { d.direct = true }
 }
 
+// WithOwnershipVersion sets the version of the owners. The owners of a target may then change only together with the
+// manifest, the member list or the version, so that the periodic Sync looks at all targets only after such a change.
+func WithOwnershipVersion(version func() uint64) Option {
+	return func(d *Dispatcher) { d.version = version }
+}
+
+// scan is what the owned targets were last determined from.
+type scan struct {
+	manifest *resolver.Manifest
+	members  *resolver.Members
+	version  uint64
+}
+
 // Dispatcher runs sub-queries on owned targets.
 type Dispatcher struct {
 	instance      string
@@ -78,6 +91,11 @@
 	logger        *log.Logger
 	scope         tally.Scope
 	direct        bool
+	// version is nil if changes of the owners are not announced.
+	version func() uint64
+	// syncing is held during Sync; it guards scanned.
+	syncing sync.Mutex
+	scanned scan
 	// outcomes holds the counter of every outcome of a sub-query that passed the first checks.
 	outcomes map[encoder.Outcome]tally.Counter
 	attempts *attempts
@@ -93,9 +111,8 @@
 	drained chan struct{}
 	swept   chan struct{}
 	once    sync.Once
-	// groups holds the rank of this instance, from 1, for every group it owns.
-	groupsMu sync.Mutex
-	groups   map[string]int
+	// groups holds the rank of this instance, from 1, for every group it owns; only Sync uses it.
+	groups map[string]int
 	// dropped counts the entries that are being closed.
 	dropped sync.WaitGroup
 }
@@ -144,33 +161,60 @@
 
 // Sync applies the current configuration to the owned targets. It is called after every change, and periodically.
 func (d *Dispatcher) Sync() {
+	d.syncing.Lock()
+	defer d.syncing.Unlock()
 	m := d.configuration.Manifest()
 	if m == nil || d.closing.Load() {
 		return
 	}
-	members := d.configuration.Members()
+	current := scan{manifest: m, members: d.configuration.Members()}
+	if d.version != nil {
+		current.version = d.version()
+	}
+	if d.version == nil || d.scanned != current {
+		d.noteOwnership(d.syncAll(current))
+		d.scanned = current
+	} else {
+		// A sub-query that was checked before the last change may have applied older settings since.
+		for name := range *d.entries.Load() {
+			d.sync(current, name)
+		}
+	}
+	d.drop()
+}
+
+// syncAll looks at all targets, which finds those that are newly owned, and returns the ranks of the owned groups,
+// from 1.
+func (d *Dispatcher) syncAll(s scan) map[string]int {
 	ranks := make(map[string]int)
-	for _, g := range m.Groups() {
+	for _, g := range s.manifest.Groups() {
 		for _, name := range g.Targets {
-			t, _ := m.Target(name)
-			own := d.ownership(t)
-			if own.Share == 0 {
-				continue
-			}
-			ranks[g.Name] = own.Rank + 1
-			if e := d.entry(t, own); e != nil {
-				e.serve(m.Serving(name) && !members.TargetLeaving(name))
+			if own := d.sync(s, name); own.Share > 0 {
+				ranks[g.Name] = own.Rank + 1
 			}
 		}
 	}
-	d.noteOwnership(ranks)
-	d.drop()
+	return ranks
+}
+
+// sync applies the configuration to one target if it is owned.
+func (d *Dispatcher) sync(s scan, name string) limiter.Ownership {
+	t, found := s.manifest.Target(name)
+	if !found {
+		return limiter.Ownership{}
+	}
+	own := d.ownership(t)
+	if own.Share == 0 {
+		return own
+	}
+	if e := d.entry(t, own); e != nil {
+		e.serve(s.manifest.Serving(name) && !s.members.TargetLeaving(name))
+	}
+	return own
 }
 
 // noteOwnership records the groups for which the rank of this instance has changed.
 func (d *Dispatcher) noteOwnership(ranks map[string]int) {
-	d.groupsMu.Lock()
-	defer d.groupsMu.Unlock()
 	for _, group := range slices.Sorted(maps.Keys(ranks)) {
 		rank, before := ranks[group], d.groups[group]
 		switch {
