Do not retire a connection again after both ends agreed to close it

Cause: TestIdleConnectionsCloseWithoutLosingCalls failed under load with a false peer-lost event. A trace of retire, adopt and loss showed that the monitor could see its ticker before the disconnect of the connection it had just closed: it retired it again, the call failed, and the closed connection was taken into use and then reported as lost. Ruled out: a late agreement of the other end (in the trace it had agreed before), silence (no heartbeat was missed). Change: the monitor marks a connection that it closes by agreement and leaves it alone. Conclusion: the event peer-lost no longer follows from an idle connection.

--- a/internal/cluster/messenger/link.go
+++ b/internal/cluster/messenger/link.go
@@ -39,6 +39,8 @@
 	retired bool
 	// silent tells that the connection was closed for want of heartbeats.
 	silent atomic.Bool
+	// closing tells that both ends agreed to close the connection; only the monitor uses it.
+	closing bool
 	// created is the time of the connection.
 	created time.Time
 }
--- a/internal/cluster/messenger/retire.go
+++ b/internal/cluster/messenger/retire.go
@@ -17,7 +17,7 @@
 		}
 		return
 	}
-	if !l.dialled || l.active.Load() > 0 {
+	if !l.dialled || l.closing || l.active.Load() > 0 {
 		return
 	}
 	idle := time.Since(l.stream.epoch) - time.Duration(l.used.Load())
@@ -42,6 +42,7 @@
 	for l.active.Load() > 0 && ctx.Err() == nil {
 		time.Sleep(time.Millisecond)
 	}
+	l.closing = true
 	_ = l.rpc.Close()
 }
 
