Stop gracefully when the signal arrives during the start

Cause: the start was bounded by the context that the signal ends, so an instance that was stopped 30 ms after its start exited with code 1 and 'start instance: context canceled'. Ruled out: work cut off (the instance had no peer and no caller yet). Change: the start runs to its end, within its own time limit, then stops.

--- a/internal/caller/assembler/assembler.go
+++ b/internal/caller/assembler/assembler.go
@@ -53,7 +53,8 @@
 	if err := app.Err(); err != nil {
 		return &StartError{Cause: err}
 	}
-	start, cancelStart := context.WithTimeout(ctx, startTimeout)
+	// A stop during the start waits for its end, so that it is graceful like any other.
+	start, cancelStart := context.WithTimeout(context.WithoutCancel(ctx), startTimeout)
 	defer cancelStart()
 	if err := app.Start(start); err != nil {
 		return &StartError{Cause: err}
--- /dev/null
+++ b/internal/caller/assembler/assembler_test.go
@@ -0,0 +1,26 @@
+package assembler_test
+
+import (
+	"context"
+	"io"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"apricotflow/internal/caller/assembler"
+	"apricotflow/internal/operator/loader"
+)
+
+// A planned stop that arrives during the start must not end the instance with a failure.
+func TestStopDuringStartIsGraceful(t *testing.T) {
+	settings, err := loader.Parse([]byte(`{"instance": "a", "failure-domain": "d", "caller-address": "127.0.0.1:1",
+		"peer-address": "127.0.0.1:2", "admin-address": "127.0.0.1:3", "platform-address": "127.0.0.1:4"}`))
+	assert.NilError(t, err)
+	anyPort := netip.MustParseAddrPort("127.0.0.1:0")
+	settings = settings.WithListeners(anyPort, anyPort, anyPort).WithStop(0, time.Second)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	assert.NilError(t, assembler.Run(ctx, settings, "test", io.Discard))
+}
