--- a/internal/cluster/gossiper/gossiper.go
+++ b/internal/cluster/gossiper/gossiper.go
@@ -66,6 +66,8 @@
 type Ownership interface {
 	Candidates() []string
 	Rivals(group string) []string
+	// MayOwn reports whether an instance may own the target or grant a lease on it.
+	MayOwn(instance, target string) bool
 }
 
 // Targets provides and takes states of incarnations of targets.
@@ -97,6 +99,7 @@
 	targets       Targets
 	seeds         []string
 	peers         *peers
+	spreader      *spreader
 
 	// platform, ownership and settled are set once before Run.
 	platform  Platform
@@ -129,7 +132,7 @@
 ) *Gossiper {
 	g := &Gossiper{
 		instance: instance, incarnation: incarnation, messenger: m, configuration: configuration,
-		targets: noTargets{}, peers: newPeers(clock),
+		targets: noTargets{}, peers: newPeers(clock), spreader: newSpreader(clock),
 		push: make(chan struct{}, 1), announced: make(chan encoder.ExchangeMessage, announcedLimit),
 	}
 	for _, option := range options {
@@ -360,6 +363,10 @@
 			_, found := members.Instance(name)
 			return found
 		})
+		g.spreader.prune(func(name string) bool {
+			_, found := g.peers.get(name)
+			return found
+		})
 		full := g.pushFull.Swap(false)
 		behind := g.behind()
 		if !full && len(behind) > pushFanOut {
@@ -450,13 +457,15 @@
 	timeout, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	sent := g.peers.clock()
-	reply, err := messenger.Call[encoder.ExchangeMessage, encoder.ExchangeMessage](timeout, g.messenger, name, methodExchange, g.message())
+	message, facts := g.message(name)
+	reply, err := messenger.Call[encoder.ExchangeMessage, encoder.ExchangeMessage](timeout, g.messenger, name, methodExchange, message)
 	if err != nil {
 		if ctx.Err() == nil {
 			g.peers.failed(name)
 		}
 		return
 	}
+	g.spreader.delivered(name, reply.Incarnation, facts)
 	g.peers.answered(reply, sent)
 	g.learn(reply)
 	g.fetchNewer(ctx, reply)
@@ -466,7 +475,7 @@
 	if message.Instance != peer.Instance || message.Incarnation != peer.Incarnation {
 		return encoder.ExchangeMessage{}, &SenderError{Expected: peer.Instance, Actual: message.Instance}
 	}
-	reply := g.message()
+	reply, _ := g.message(message.Instance)
 	g.peers.heard(message)
 	g.learn(message)
 	g.confirmRelease(message)
@@ -488,19 +497,30 @@
 	return encoder.FetchReply{Value: string(raw)}, nil
 }
 
-func (g *Gossiper) message() encoder.ExchangeMessage {
+// view tells which facts a peer is to be sent: after a change of it, all again.
+func (g *Gossiper) view(incarnation string) view {
+	return view{
+		incarnation: incarnation, manifest: g.configuration.Manifest(), members: g.configuration.Members(),
+		announcements: g.AnnouncementVersion(),
+	}
+}
+
+// message returns the message to a peer, and the facts in it.
+func (g *Gossiper) message(to string) (encoder.ExchangeMessage, batch) {
+	facts := slices.DeleteFunc(g.targets.Facts(), func(fact encoder.TargetFact) bool {
+		return fact.State != encoder.LoadStateDraining && !g.ownership.MayOwn(to, fact.Target)
+	})
+	peer, _ := g.peers.get(to)
+	b := g.spreader.batch(to, g.view(peer.Incarnation), facts)
 	message := encoder.ExchangeMessage{
 		Instance: g.instance, Incarnation: g.incarnation,
 		Leaving: g.leaving.Load(), Joining: g.joining.Load(), Released: g.released.Load(),
-		MembersRevision: g.configuration.Members().Revision(), Targets: g.targets.Facts(),
-	}
-	if message.Targets == nil {
-		message.Targets = []encoder.TargetFact{}
+		MembersRevision: g.configuration.Members().Revision(), Targets: b.changed,
 	}
 	if m := g.configuration.Manifest(); m != nil {
 		message.Generation, message.Digest = m.Generation(), m.Digest()
 	}
-	return message
+	return message, b
 }
 
 // learn takes what another instance knows of targets.
--- a/internal/cluster/gossiper/gossiper_test.go
+++ b/internal/cluster/gossiper/gossiper_test.go
@@ -47,12 +47,27 @@
 
 // targets notes which instance each fact is learnt from.
 type targets struct {
-	facts []encoder.TargetFact
-	from  sync.Map
+	facts  atomic.Pointer[encoder.TargetFact]
+	learnt atomic.Int64
+	from   sync.Map
 }
 
-func (s *targets) Facts() []encoder.TargetFact                { return s.facts }
-func (s *targets) Learn(fact encoder.TargetFact, from string) { s.from.Store(fact, from) }
+func (s *targets) Facts() []encoder.TargetFact {
+	if fact := s.facts.Load(); fact != nil {
+		return []encoder.TargetFact{*fact}
+	}
+	return nil
+}
+
+func (s *targets) Learn(fact encoder.TargetFact, from string) {
+	s.learnt.Add(1)
+	s.from.Store(fact, from)
+}
+
+// everything is an ownership under which each instance may own each target.
+type everything struct{ *owner.Owner }
+
+func (everything) MayOwn(string, string) bool { return true }
 
 type node struct {
 	*gossiper.Gossiper
@@ -86,7 +101,7 @@
 	n.messenger = messenger.New(messenger.Identity{Instance: name, Incarnation: incarnation}, "127.0.0.1:0", resolve, clock, events)
 	n.Gossiper = gossiper.New(name, incarnation, n.messenger, n.config,
 		timekeeper.BootTime, gossiper.WithSeeds(seeds...), gossiper.WithTargets(n.targets))
-	n.Attach(platformFunc(func() error { return platform(n) }), owner.New(name, n.config, n), n.settled.Load)
+	n.Attach(platformFunc(func() error { return platform(n) }), everything{owner.New(name, n.config, n)}, n.settled.Load)
 	assert.NilError(c.t, n.messenger.Start())
 	c.nodes[name] = n
 	c.list.Revision++
@@ -240,7 +255,7 @@
 	c := start(t, "1", "a", "b")
 	fact := encoder.TargetFact{Target: "t", Incarnation: "1", State: encoder.LoadStateDraining}
 	source := c.add("z", c.serve("1"))
-	source.targets.facts = []encoder.TargetFact{fact}
+	source.targets.facts.Store(&fact)
 	c.run(source)
 	for _, name := range []string{"a", "b"} {
 		eventually(t, func() bool {
@@ -259,3 +274,18 @@
 	assert.Assert(t, errors.As(err, &remote))
 	assert.Assert(t, !c.nodes["a"].Leaving("a"))
 }
+
+// A peer that misses a change, or gets everything with every message, has stale facts or costs bytes.
+func TestOnlyChangedFactsAreSent(t *testing.T) {
+	c := start(t, "1", "a", "b")
+	source, sink := c.nodes["a"].targets, c.nodes["b"].targets
+	for _, state := range []encoder.LoadState{encoder.LoadStateWarm, encoder.LoadStateCold} {
+		fact := encoder.TargetFact{Target: "t", Incarnation: "1", State: state}
+		source.facts.Store(&fact)
+		eventually(t, func() bool { _, found := sink.from.Load(fact); return found })
+	}
+	// Each instance exchanges with the other about once a second, and gets everything again each 3 s.
+	before := sink.learnt.Load()
+	time.Sleep(2500 * time.Millisecond)
+	assert.Assert(t, sink.learnt.Load()-before <= 4, "%d", sink.learnt.Load()-before)
+}
--- a/internal/cluster/owner/owner_test.go
+++ b/internal/cluster/owner/owner_test.go
@@ -12,6 +12,8 @@
 
 	"apricotflow/internal/cluster/owner"
 	"apricotflow/internal/manifest/resolver"
+	"apricotflow/internal/operator/recorder"
+	"apricotflow/internal/operator/timekeeper"
 	"apricotflow/internal/wire/encoder"
 )
 
@@ -200,6 +202,49 @@
 	assert.Equal(t, len(o.Candidates()), 0)
 }
 
+// The events of a restart must stay readable: one loss and one gain of a group, however often it is looked at.
+func TestOwnershipEventsAtARestart(t *testing.T) {
+	m := manifest(t, 2, 2)
+	o, c := newOwner("n1", m, []encoder.MemberInstance{instance("n1", "a"), instance("n2", "a")})
+	events := recorder.New("n1", timekeeper.NewHybridClock(time.Now), 1000)
+	for step, change := range []func(){
+		func() {}, func() { c.leaving["n2"] = true }, func() { c.leaving["n2"], c.joining["n2"] = false, true }, func() { c.joining["n2"] = false },
+	} {
+		change()
+		c.version = uint64(step)
+		o.Note(events)
+		o.Note(events)
+	}
+	counts := make(map[string]int)
+	list, _ := events.Events(0)
+	for _, e := range list {
+		counts[e.Subject]++
+	}
+	assert.Equal(t, len(counts), len(m.Groups()))
+	for group, n := range counts {
+		assert.Assert(t, n <= 2, "%s: %d", group, n)
+	}
+}
+
+// Facts about targets that a receiver cannot own cost bytes on every instance.
+func TestMayOwnHoldsForOwnersAndRivals(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := instances().Draw(t, "list")
+		m := manifest(t, 2, 2)
+		o, _ := newOwner(list[0].Name, m, list)
+		for _, target := range m.Targets() {
+			for _, name := range o.Rivals(target.Group) {
+				inside := slices.ContainsFunc(list, func(n encoder.MemberInstance) bool { return n.FailureDomain == target.FailureDomain })
+				assert.Assert(t, o.MayOwn(name, target.Name) || !inside || !slices.Contains(o.Candidates(), target.Group))
+			}
+			for _, s := range o.Shares(target.Name) {
+				assert.Assert(t, o.MayOwn(s.Instance, target.Name))
+			}
+		}
+		assert.Assert(t, !o.MayOwn("unknown", "a1"))
+	})
+}
+
 // Shares is on the path of every sub-query: it must not compute or allocate while nothing changes.
 func TestSharesDoNotAllocate(t *testing.T) {
 	o, _ := newOwner("n1", manifest(t, 2, 2), []encoder.MemberInstance{instance("n1", "a"), instance("n2", "a")})
--- a/internal/cluster/owner/table.go
+++ b/internal/cluster/owner/table.go
@@ -21,13 +21,19 @@
 // than two instances outside.
 const spareOutside = 3
 
+// nearOwners is the number of instances that may soon own a group of another failure domain.
+const nearOwners = 4
+
 // table is the ownership for one manifest, member list and set of announcements; it never changes.
 type table struct {
 	manifest *resolver.Manifest
 	members  *resolver.Members
 	version  uint64
 	groups   map[string]*place
-	shares   map[string][]Share
+	// targets holds the place of each target's group, and domains the failure domain of each listed instance.
+	targets map[string]*place
+	domains map[string]string
+	shares  map[string][]Share
 	// released holds the listed instances that announced that they never grant or hold a lease again.
 	released map[string]bool
 	// candidates are the groups that this instance may own, sorted by name.
@@ -36,6 +42,9 @@
 
 // place is what this instance knows of one group.
 type place struct {
+	domain string
+	// near holds the first owners and the first instances outside the failure domain.
+	near   []string
 	rivals []string
 	// rank starts at 1; 0 means none.
 	rank int
@@ -46,7 +55,7 @@
 func newTable(self string, manifest *resolver.Manifest, members *resolver.Members, version uint64, a Announcements) *table {
 	t := &table{
 		manifest: manifest, members: members, version: version,
-		groups: make(map[string]*place), shares: make(map[string][]Share),
+		groups: make(map[string]*place), targets: make(map[string]*place), domains: make(map[string]string), shares: make(map[string][]Share),
 		released: make(map[string]bool),
 	}
 	if manifest == nil {
@@ -55,6 +64,7 @@
 	live := eligible(members.Instances(), a)
 	listed := members.Listed()
 	for _, n := range listed {
+		t.domains[n.Name] = n.FailureDomain
 		if a.Released(n.Name) {
 			t.released[n.Name] = true
 		}
@@ -70,7 +80,11 @@
 	owners := slices.Concat(liveInside, liveOutside)
 	inside, outside := domainOrder(g.Name, g.FailureDomain, listed)
 	static := staticOrder(inside, outside)
+	limit := t.manifest.Limits().Owners
+	near := max(nearOwners, limit)
 	p := &place{
+		domain: g.FailureDomain,
+		near:   slices.Concat(owners[:min(near, len(owners))], outside[:min(near, len(outside))]),
 		rivals: t.rivals(self, inside, outside),
 		rank:   slices.Index(owners, self) + 1,
 		static: static[:min(2, len(static))],
@@ -79,7 +93,6 @@
 	if slices.Contains(inside, self) || p.rank == 1 || len(outside) > 0 && outside[0] == self {
 		t.candidates = append(t.candidates, g.Name)
 	}
-	limit := t.manifest.Limits().Owners
 	bySlots := make(map[int][]Share)
 	for _, name := range g.Targets {
 		target, _ := t.manifest.Target(name)
@@ -89,6 +102,7 @@
 			bySlots[target.Slots] = shares
 		}
 		t.shares[name] = shares
+		t.targets[name] = p
 	}
 }
 
