--- a/internal/cluster/gossiper/gossiper.go
+++ b/internal/cluster/gossiper/gossiper.go
@@ -32,9 +32,6 @@
 	defaultLease = 3 * time.Second
 	// exchangesPerLease is the number of exchanges with each rival in one lease time.
 	exchangesPerLease = 3
-	// pushFanOut is the number of peers that an instance tells of a value that it got from a peer. The instances that
-	// read the platform tell all, so that the messages after a change grow with the number of instances only.
-	pushFanOut = 8
 	// announcedLimit bounds the messages of peers that wait to be compared with the configuration in force.
 	announcedLimit = 256
 	// pushParallel bounds the exchanges of one push that run at the same time.
@@ -67,6 +64,8 @@
 type Ownership interface {
 	Candidates() []string
 	Rivals(group string) []string
+	// MayOwn reports whether an instance may own the target or grant a lease on it.
+	MayOwn(instance, target string) bool
 }
 
 // Targets provides and takes states of incarnations of targets.
@@ -109,6 +108,7 @@
 	events        Events
 	seeds         []string
 	peers         *peers
+	spreader      *spreader
 
 	// platform, ownership and settled are set once before Run.
 	platform  Platform
@@ -123,10 +123,6 @@
 	push chan struct{}
 	// announced holds messages of peers that have a newer value.
 	announced chan encoder.ExchangeMessage
-	// applying tells that a value from a peer is being applied.
-	applying atomic.Bool
-	// pushFull tells that the next push goes to all peers.
-	pushFull atomic.Bool
 	// fetching serialises the transfer of values, so that one newer value is fetched once.
 	fetching sync.Mutex
 	// confirmed holds the instances that have asked this one since its release.
@@ -141,7 +137,7 @@
 ) *Gossiper {
 	g := &Gossiper{
 		instance: instance, incarnation: incarnation, messenger: m, configuration: configuration,
-		targets: noTargets{}, events: noEvents{}, peers: newPeers(clock),
+		targets: noTargets{}, events: noEvents{}, peers: newPeers(clock), spreader: newSpreader(clock),
 		push: make(chan struct{}, 1), announced: make(chan encoder.ExchangeMessage, announcedLimit),
 	}
 	for _, option := range options {
@@ -351,9 +347,6 @@
 
 // changed is called after each change of the configuration.
 func (g *Gossiper) changed() {
-	if !g.applying.Load() {
-		g.pushFull.Store(true)
-	}
 	select {
 	case g.push <- struct{}{}:
 	default:
@@ -372,15 +365,11 @@
 			_, found := members.Instance(name)
 			return found
 		})
-		full := g.pushFull.Swap(false)
-		behind := g.behind()
-		if !full && len(behind) > pushFanOut {
-			rand.Shuffle(len(behind), func(i, j int) { behind[i], behind[j] = behind[j], behind[i] })
-			behind = behind[:pushFanOut]
-		}
-		// Peers that do not answer must not delay the others.
-		slices.SortStableFunc(behind, func(a, b string) int { return cmp.Compare(g.rank(a), g.rank(b)) })
-		g.exchangeAll(ctx, behind)
+		g.spreader.prune(func(name string) bool {
+			_, found := g.peers.get(name)
+			return found
+		})
+		g.exchangeAll(ctx, PushTargets(g.behind(), g.failed, rand.Shuffle))
 	}
 }
 
@@ -412,12 +401,10 @@
 	})
 }
 
-// rank is lower for a peer that answers.
-func (g *Gossiper) rank(name string) int {
-	if g.Reachable(name) {
-		return 0
-	}
-	return 1
+// failed reports whether the peer does not answer; one that was never asked may.
+func (g *Gossiper) failed(name string) bool {
+	s, found := g.peers.get(name)
+	return found && !s.Reachable
 }
 
 func (g *Gossiper) exchangeRandom(ctx context.Context) {
@@ -430,7 +417,12 @@
 }
 
 func (g *Gossiper) exchangeRivals(ctx context.Context) {
-	g.exchangeAll(ctx, g.rivals())
+	// An exchange carries the state of both ends, so one that the other end began lately stands for one from here.
+	recent := g.peers.clock() - g.rivalInterval()/2
+	g.exchangeAll(ctx, slices.DeleteFunc(g.rivals(), func(name string) bool {
+		s, found := g.peers.get(name)
+		return found && s.Reachable && s.Exchanged > recent
+	}))
 }
 
 // rivals returns the instances that compete with this one for any group.
@@ -462,13 +454,15 @@
 	timeout, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	sent := g.peers.clock()
-	reply, err := messenger.Call[encoder.ExchangeMessage, encoder.ExchangeMessage](timeout, g.messenger, name, methodExchange, g.message())
+	message, facts := g.message(name)
+	reply, err := messenger.Call[encoder.ExchangeMessage, encoder.ExchangeMessage](timeout, g.messenger, name, methodExchange, message)
 	if err != nil {
 		if ctx.Err() == nil {
 			g.peers.failed(name)
 		}
 		return
 	}
+	g.spreader.delivered(name, reply.Incarnation, facts)
 	g.answered(reply, sent)
 	g.learn(reply)
 	g.fetchNewer(ctx, reply)
@@ -478,7 +472,7 @@
 	if message.Instance != peer.Instance || message.Incarnation != peer.Incarnation {
 		return encoder.ExchangeMessage{}, &SenderError{Expected: peer.Instance, Actual: message.Instance}
 	}
-	reply := g.message()
+	reply, _ := g.message(message.Instance)
 	g.heard(message)
 	g.learn(message)
 	g.confirmRelease(message)
@@ -500,19 +494,30 @@
 	return encoder.FetchReply{Value: string(raw)}, nil
 }
 
-func (g *Gossiper) message() encoder.ExchangeMessage {
+// view tells which facts a peer is to be sent: after a change of it, all again.
+func (g *Gossiper) view(incarnation string) view {
+	return view{
+		incarnation: incarnation, manifest: g.configuration.Manifest(), members: g.configuration.Members(),
+		announcements: g.AnnouncementVersion(),
+	}
+}
+
+// message returns the message to a peer, and the facts in it.
+func (g *Gossiper) message(to string) (encoder.ExchangeMessage, batch) {
+	facts := slices.DeleteFunc(g.targets.Facts(), func(fact encoder.TargetFact) bool {
+		return fact.State != encoder.LoadStateDraining && !g.ownership.MayOwn(to, fact.Target)
+	})
+	peer, _ := g.peers.get(to)
+	b := g.spreader.batch(to, g.view(peer.Incarnation), facts)
 	message := encoder.ExchangeMessage{
 		Instance: g.instance, Incarnation: g.incarnation,
 		Leaving: g.leaving.Load(), Joining: g.joining.Load(), Released: g.released.Load(),
-		MembersRevision: g.configuration.Members().Revision(), Targets: g.targets.Facts(),
-	}
-	if message.Targets == nil {
-		message.Targets = []encoder.TargetFact{}
+		MembersRevision: g.configuration.Members().Revision(), Targets: b.changed,
 	}
 	if m := g.configuration.Manifest(); m != nil {
 		message.Generation, message.Digest = m.Generation(), m.Digest()
 	}
-	return message
+	return message, b
 }
 
 // heard notes a message of another instance.
@@ -601,10 +606,6 @@
 		// The next exchange announces the value again.
 		return
 	}
-	// A change from the platform at the same moment is taken for one from a peer; it spreads all the same, only by
-	// more hops.
-	g.applying.Store(true)
-	defer g.applying.Store(false)
 	if key == encoder.FetchRequestKeyMembers {
 		// A refused list is announced again with each exchange, and fetched again.
 		_, _ = g.configuration.ApplyMembers([]byte(reply.Value), message.Instance)
--- a/internal/cluster/gossiper/gossiper_test.go
+++ b/internal/cluster/gossiper/gossiper_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -48,12 +49,27 @@
 
 // targets notes which instance each fact is learnt from.
 type targets struct {
-	facts []encoder.TargetFact
-	from  sync.Map
+	facts  atomic.Pointer[encoder.TargetFact]
+	learnt atomic.Int64
+	from   sync.Map
 }
 
-func (s *targets) Facts() []encoder.TargetFact                { return s.facts }
-func (s *targets) Learn(fact encoder.TargetFact, from string) { s.from.Store(fact, from) }
+func (s *targets) Facts() []encoder.TargetFact {
+	if fact := s.facts.Load(); fact != nil {
+		return []encoder.TargetFact{*fact}
+	}
+	return nil
+}
+
+func (s *targets) Learn(fact encoder.TargetFact, from string) {
+	s.learnt.Add(1)
+	s.from.Store(fact, from)
+}
+
+// everything is an ownership under which each instance may own each target.
+type everything struct{ *owner.Owner }
+
+func (everything) MayOwn(string, string) bool { return true }
 
 type node struct {
 	*gossiper.Gossiper
@@ -88,7 +104,7 @@
 	n.messenger = messenger.New(messenger.Identity{Instance: name, Incarnation: incarnation}, "127.0.0.1:0", resolve, clock, events)
 	n.Gossiper = gossiper.New(name, incarnation, n.messenger, n.config,
 		timekeeper.BootTime, gossiper.WithSeeds(seeds...), gossiper.WithTargets(n.targets), gossiper.WithEvents(events))
-	n.Attach(platformFunc(func() error { return platform(n) }), owner.New(name, n.config, n), n.settled.Load)
+	n.Attach(platformFunc(func() error { return platform(n) }), everything{owner.New(name, n.config, n)}, n.settled.Load)
 	assert.NilError(c.t, n.messenger.Start())
 	c.nodes[name] = n
 	c.list.Revision++
@@ -212,12 +228,6 @@
 	c := start(t, "1", "a", "b")
 	a, b := c.nodes["a"], c.nodes["b"]
 	eventually(t, func() bool { return a.Reachable("b") && b.Reachable("a") })
-	again := c.add("z", c.serve("1"))
-	again.settled.Store(false)
-	c.run(again)
-	eventually(t, func() bool { return a.Joining("z") })
-	again.settled.Store(true)
-	eventually(t, func() bool { return !a.Joining("z") && b.Reachable("a") })
 	version := a.AnnouncementVersion()
 	b.Leave(context.Background())
 	assert.Assert(t, b.Leaving("b"))
@@ -236,19 +246,32 @@
 	eventually(t, func() bool { return !a.Reachable("b") })
 	old, _ := a.Peer("b")
 	c.list.Instances = c.list.Instances[:1]
-	again = c.add("b", c.serve("1"))
+	again := c.add("b", c.serve("1"))
 	c.run(again)
 	eventually(t, func() bool { return a.Reachable("b") && !a.Leaving("b") && !a.Released("b") && a.ReleasedAt("b") == 0 })
 	restarted, _ := a.Peer("b")
 	assert.Assert(t, restarted.Incarnation != old.Incarnation)
 }
 
+// Groups that go to an instance that has just started have no holder; it must be known as joining until it settles.
+func TestJoiningUntilSettled(t *testing.T) {
+	c := start(t, "1", "a")
+	a, fresh := c.nodes["a"], c.add("z", c.serve("1"))
+	fresh.settled.Store(false)
+	c.run(fresh)
+	eventually(t, func() bool { return a.Joining("z") && fresh.Joining("z") && !fresh.Joining("a") })
+	version := a.AnnouncementVersion()
+	fresh.settled.Store(true)
+	eventually(t, func() bool { return !a.Joining("z") && !fresh.Joining("z") })
+	assert.Assert(t, a.AnnouncementVersion() != version)
+}
+
 // Another owner that does not learn of a draining target sends it new work.
 func TestFactsReachOtherInstances(t *testing.T) {
 	c := start(t, "1", "a", "b")
 	fact := encoder.TargetFact{Target: "t", Incarnation: "1", State: encoder.LoadStateDraining}
 	source := c.add("z", c.serve("1"))
-	source.targets.facts = []encoder.TargetFact{fact}
+	source.targets.facts.Store(&fact)
 	c.run(source)
 	for _, name := range []string{"a", "b"} {
 		eventually(t, func() bool {
@@ -267,3 +290,63 @@
 	assert.Assert(t, errors.As(err, &remote))
 	assert.Assert(t, !c.nodes["a"].Leaving("a"))
 }
+
+// A peer that misses a change, or gets everything with every message, has stale facts or costs bytes.
+func TestOnlyChangedFactsAreSent(t *testing.T) {
+	c := start(t, "1", "a", "b")
+	source, sink := c.nodes["a"].targets, c.nodes["b"].targets
+	for _, state := range []encoder.LoadState{encoder.LoadStateWarm, encoder.LoadStateCold} {
+		fact := encoder.TargetFact{Target: "t", Incarnation: "1", State: state}
+		source.facts.Store(&fact)
+		eventually(t, func() bool { _, found := sink.from.Load(fact); return found })
+	}
+	// Each instance exchanges with the other about once a second, and gets everything again each 3 s.
+	before := sink.learnt.Load()
+	time.Sleep(2500 * time.Millisecond)
+	assert.Assert(t, sink.learnt.Load()-before <= 4, "%d", sink.learnt.Load()-before)
+}
+
+// One instance that tells all others takes too long at 3,100, and a bounded fan-out must not leave any out for long, with
+// one message in ten lost.
+func TestPushReachesAllInstances(t *testing.T) {
+	const count, tick, hop = 3100, 10 * time.Millisecond, 50 * time.Millisecond
+	names := make([]string, count)
+	index := make(map[string]int, count)
+	for i := range names {
+		names[i] = fmt.Sprint(i)
+		index[names[i]] = i
+	}
+	for seed := range uint64(3) {
+		random := rand.New(rand.NewPCG(seed, 0))
+		lost := func() bool { return random.IntN(10) == 0 }
+		has, reached, most := make([]bool, count), 0, 0
+		arrivals := map[time.Duration][]int{0: {0}}
+		now := time.Duration(0)
+		for ; reached < count; now += tick {
+			assert.Assert(t, now < 2*time.Second, "%d reached", reached)
+			for _, i := range arrivals[now] {
+				if has[i] {
+					continue
+				}
+				has[i] = true
+				reached++
+				others := slices.DeleteFunc(slices.Clone(names), func(name string) bool { return name == names[i] })
+				targets := gossiper.PushTargets(others, func(string) bool { return false }, random.Shuffle)
+				most = max(most, len(targets))
+				for _, name := range targets {
+					if !lost() {
+						arrivals[now+hop] = append(arrivals[now+hop], index[name])
+					}
+				}
+			}
+			// Each instance exchanges with a random one each second, which informs either end.
+			for i := range names {
+				if other := random.IntN(count); i%100 == int(now/tick)%100 && has[i] != has[other] && !lost() {
+					arrivals[now+hop] = append(arrivals[now+hop], i, other)
+				}
+			}
+		}
+		t.Log("reached after", now, "fan-out", most)
+		assert.Assert(t, most <= 16)
+	}
+}
