Record changes of ownership in one place

Cause: two parts recorded ownership-gained and ownership-lost after a merge, so each change stood twice in the time line. Ruled out: keeping the events of the owner package, which name the first owner only.

--- a/internal/caller/assembler/lifecycle.go
+++ b/internal/caller/assembler/lifecycle.go
@@ -119,7 +119,6 @@
 			return
 		case <-ticker.C:
 			n.Dispatcher.Sync()
-			n.Owner.Note(n.Events)
 		}
 	}
 }
--- a/internal/cluster/owner/owner.go
+++ b/internal/cluster/owner/owner.go
@@ -1,14 +1,12 @@
 package owner
 
 import (
-	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"apricotflow/internal/manifest/resolver"
-	"apricotflow/internal/operator/recorder"
 )
 
 // Configuration provides the manifest and member list in force.
@@ -31,11 +29,6 @@
 	ReleasedAt(instance string) time.Duration
 }
 
-// Events records changes of ownership.
-type Events interface {
-	Record(kind recorder.Kind, subject, query, detail string)
-}
-
 // Owner answers ownership questions of one instance.
 type Owner struct {
 	self          string
@@ -43,8 +36,6 @@
 	announcements Announcements
 
 	current atomic.Pointer[table]
-	// first holds the groups that Note has seen this instance as first owner of.
-	first map[string]bool
 	// building serialises the construction of tables.
 	building sync.Mutex
 }
@@ -87,28 +78,6 @@
 	return p != nil && (t.domains[instance] == p.domain || slices.Contains(p.near, instance))
 }
 
-// Note records the groups that this instance has become or ceased to be the first owner of since the last call. It is not
-// called concurrently.
-func (o *Owner) Note(events Events) {
-	now := make(map[string]bool)
-	for group, p := range o.table().groups {
-		if p.rank == 1 {
-			now[group] = true
-		}
-	}
-	for _, group := range slices.Sorted(maps.Keys(now)) {
-		if !o.first[group] {
-			events.Record(recorder.KindOwnershipGained, group, "", "")
-		}
-	}
-	for _, group := range slices.Sorted(maps.Keys(o.first)) {
-		if !now[group] {
-			events.Record(recorder.KindOwnershipLost, group, "", "")
-		}
-	}
-	o.first = now
-}
-
 // StaticOwners returns the instances, at most two, that have static shares of the group's cold limits, in order.
 func (o *Owner) StaticOwners(group string) []string {
 	if p := o.table().groups[group]; p != nil {
