Pass load reports and reachability of owned targets to the selector

Cause: the dispatcher collected a report of every owned target each second and knew when new connections failed, but the selector heard of neither; it learnt of a lost target only from a sub-query that came back. Ruled out: sharing "down" between instances as a fact. The schema has no such state, the loss may be on the path of one owner only, and a wrong attempt costs a retry without budget. Change: dispatcher.WithObserver takes an Observer (Hint, SetReachable); the connector reports both transitions, the refresh repeats the loss while it lasts, and selector.SetReachable expires after 1.5 s. The assembler passes the selector. Latency was not compared for this change. Conclusion: the selector has the facts that its interface was made for.

--- a/internal/caller/assembler/target.go
+++ b/internal/caller/assembler/target.go
@@ -82,7 +82,7 @@
 	settings loader.Settings, configuration *configurer.Configurer, owners dispatcher.Owners, leases *lessor.Lessor,
 	s *selector.Selector, f *facts, events *recorder.Recorder, check *checker.Checker, logger *log.Logger, scope tally.Scope,
 ) *dispatcher.Dispatcher {
-	options := []dispatcher.Option{dispatcher.WithLogger(logger), dispatcher.WithScope(scope)}
+	options := []dispatcher.Option{dispatcher.WithLogger(logger), dispatcher.WithScope(scope), dispatcher.WithObserver(s)}
 	if settings.Policy().Routing == encoder.PolicyRoutingDirect {
 		options = append(options, dispatcher.WithDirect())
 	}
--- a/internal/target/connector/connector.go
+++ b/internal/target/connector/connector.go
@@ -56,6 +56,12 @@
 	return func(c *Connector) { c.onReset = f }
 }
 
+// WithOnReachable sets a function that is called when new connections begin to fail, and when they work again. It
+// must not call the connector.
+func WithOnReachable(f func(reachable bool)) Option {
+	return func(c *Connector) { c.onReachable = f }
+}
+
 // Connector opens and keeps the connections to one target.
 type Connector struct {
 	target  string
@@ -63,6 +69,8 @@
 	logger  *log.Logger
 	scope   tally.Scope
 	onReset func(incarnation string)
+	// onReachable is called with the mutex held.
+	onReachable func(reachable bool)
 	// ctx ends when the connector is closed.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -96,7 +104,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &Connector{
 		target: target, address: address, events: events, scope: tally.NoopScope,
-		logger: log.New(io.Discard), onReset: func(string) {}, ctx: ctx, cancel: cancel,
+		logger: log.New(io.Discard), onReset: func(string) {}, onReachable: func(bool) {}, ctx: ctx, cancel: cancel,
 		known: make(map[*Connection]int), changed: make(chan struct{}),
 	}
 	for _, opt := range opts {
@@ -357,6 +365,7 @@
 	c.scope.Counter("targets-down").Inc(1)
 	c.events.Record(recorder.KindTargetDown, c.target, "", cause.Error())
 	c.logger.Warn("target is down", "target", c.target, "cause", cause)
+	c.onReachable(false)
 	c.tasks.Go(c.probe)
 }
 
@@ -397,6 +406,7 @@
 	c.cause = nil
 	c.events.Record(recorder.KindTargetUp, c.target, "", "")
 	c.logger.Info("target is up", "target", c.target)
+	c.onReachable(true)
 	c.openAhead()
 	c.wake()
 }
--- a/internal/target/dispatcher/dispatcher.go
+++ b/internal/target/dispatcher/dispatcher.go
@@ -47,6 +47,24 @@
 	Check(ok bool, invariant checker.Invariant, subject, detail string) bool
 }
 
+// Observer learns what this instance finds out about its targets itself.
+type Observer interface {
+	// Hint passes a load report of a target.
+	Hint(report encoder.TargetReport)
+	// SetReachable is called when new connections to a target begin to fail and repeatedly while they do, and when they
+	// work again.
+	SetReachable(target string, reachable bool)
+}
+
+// unobserved is the default observer.
+type unobserved struct{}
+
+// Hint ignores the report.
+func (unobserved) Hint(encoder.TargetReport) {}
+
+// SetReachable ignores the change.
+func (unobserved) SetReachable(string, bool) {}
+
 // Option changes a dispatcher.
 type Option func(*Dispatcher)
 
@@ -66,6 +84,11 @@
 	return func(d *Dispatcher) { d.direct = true }
 }
 
+// WithObserver sets the observer of reports and of reachability.
+func WithObserver(observer Observer) Option {
+	return func(d *Dispatcher) { d.observer = observer }
+}
+
 // Dispatcher runs sub-queries on owned targets.
 type Dispatcher struct {
 	instance      string
@@ -77,6 +100,7 @@
 	logger        *log.Logger
 	scope         tally.Scope
 	direct        bool
+	observer      Observer
 	// outcomes holds the counter of every outcome of a sub-query that passed the first checks.
 	outcomes map[encoder.Outcome]tally.Counter
 	attempts *attempts
@@ -101,6 +125,7 @@
 	d := &Dispatcher{
 		instance: instance, configuration: configuration, owners: owners, allowance: allowance,
 		events: events, checks: checks, logger: log.New(io.Discard), scope: tally.NoopScope,
+		observer: unobserved{},
 		attempts: newAttempts(), drained: make(chan struct{}), swept: make(chan struct{}),
 	}
 	for _, opt := range opts {
--- a/internal/target/dispatcher/entry.go
+++ b/internal/target/dispatcher/entry.go
@@ -25,6 +25,7 @@
 // entry holds what this instance keeps about one owned target.
 type entry struct {
 	target    string
+	observer  Observer
 	connector *connector.Connector
 	limiter   *limiter.Limiter
 	// settings is the latest one that was applied completely; configuring is held while it is applied.
@@ -40,11 +41,12 @@
 }
 
 func (d *Dispatcher) newEntry(target string) *entry {
-	e := &entry{target: target, stopped: make(chan struct{})}
+	e := &entry{target: target, observer: d.observer, stopped: make(chan struct{})}
 	e.limiter = limiter.New(target, d.allowance, d.checks, d.events, limiter.WithScope(d.scope))
 	e.connector = connector.New(
 		target, "", d.events, connector.WithLogger(d.logger), connector.WithScope(d.scope),
 		connector.WithOnReset(e.limiter.ConnectionReset),
+		connector.WithOnReachable(func(reachable bool) { d.observer.SetReachable(target, reachable) }),
 	)
 	e.settings.Store(&settings{})
 	e.serving.Store(true)
@@ -106,7 +108,11 @@
 }
 
 func (e *entry) refreshOnce(ctx context.Context) {
-	if e.settings.Load().ownership.Share == 0 || e.connector.Down() {
+	if e.settings.Load().ownership.Share == 0 {
+		return
+	}
+	if e.connector.Down() {
+		e.observer.SetReachable(e.target, false)
 		return
 	}
 	e.connector.Sweep()
@@ -117,6 +123,7 @@
 	}
 	e.limiter.Report(report.Incarnation, report.State)
 	e.report.Store(&report)
+	e.observer.Hint(report)
 }
 
 func (e *entry) close() {
--- a/internal/target/loopback/dispatcher_test.go
+++ b/internal/target/loopback/dispatcher_test.go
@@ -40,7 +40,7 @@
 	return n
 }
 
-func newSession(t *testing.T) *session {
+func newSession(t *testing.T, opts ...dispatcher.Option) *session {
 	s := &session{t: t, fake: newFake(t)}
 	s.publish(encoder.FailureDomainStateOpen, encoder.TargetStateServing)
 	s.members.Store(resolver.NewMembers(encoder.MemberList{}))
@@ -48,7 +48,7 @@
 	s.allowance.Store(1)
 	e := &events{kinds: make(map[recorder.Kind]int)}
 	s.Dispatcher = dispatcher.New("self", s, func(string) []dispatcher.Share { return *s.owners.Load() },
-		func(string, time.Duration) int { return int(s.allowance.Load()) }, e, checker.New(e, tally.NoopScope.Counter(""), true))
+		func(string, time.Duration) int { return int(s.allowance.Load()) }, e, checker.New(e, tally.NoopScope.Counter(""), true), opts...)
 	t.Cleanup(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		defer cancel()
--- a/internal/target/selector/load.go
+++ b/internal/target/selector/load.go
@@ -21,6 +21,9 @@
 	hintHalfLife = 2 * time.Second
 	// downTime is how long a target that an owner reported as down gets no new work.
 	downTime = time.Second
+	// unreachableTime is how long a target that this instance can't reach gets no new work. It exceeds the longest time
+	// between two refreshes by the dispatcher, and ends by itself when the target is no longer owned.
+	unreachableTime = 1500 * time.Millisecond
 	// drainTime is how long a target that reported itself as draining gets no new work. An owner that learns of the
 	// draining refuses it in any case.
 	drainTime = 5 * time.Second
--- a/internal/target/selector/selector.go
+++ b/internal/target/selector/selector.go
@@ -102,6 +102,16 @@
 	}
 }
 
+// SetReachable takes into account whether this instance can connect to a target that it owns.
+func (s *Selector) SetReachable(target string, reachable bool) {
+	l := s.load(target)
+	if reachable {
+		l.downUntil.Store(0)
+		return
+	}
+	l.downUntil.Store(time.Now().Add(unreachableTime).UnixNano())
+}
+
 // Learn takes a fact from another instance into account.
 func (s *Selector) Learn(fact encoder.TargetFact) {
 	if fact.State == encoder.LoadStateDraining {
--- a/internal/target/selector/selector_test.go
+++ b/internal/target/selector/selector_test.go
@@ -155,3 +155,19 @@
 	assert.Equal(t, first["t3"], 0)
 	assert.Assert(t, first["t0"] > first["t1"] && first["t1"] > first["t2"] && first["t2"] > 100, "%v", first)
 }
+
+// A target that this instance can't reach must get no work, and must get work again when it is reachable or no longer
+// watched.
+func TestUnreachableTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := selector.New("a", configure(t, ""))
+		replicas := []string{"t0", "t1"}
+		s.SetReachable("t0", false)
+		assert.DeepEqual(t, s.Order(replicas), []string{"t1"})
+		s.SetReachable("t0", true)
+		assert.Equal(t, len(s.Order(replicas)), 2)
+		s.SetReachable("t0", false)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, len(s.Order(replicas)), 2)
+	})
+}
