Limit the queries of each index by their latency

Cause: admission compared only the number of running queries with the concurrency setting (256). Saturated targets queue sub-queries at their owners until the deadline long before that, and no priority is shed. Ruled out: feedback from refusals of the queues, which come only after a wait up to the deadline; one limit for all indexes, which would shed queries whose targets are idle. Change: each index has an adaptive limit: every query that takes more than 4 times the shortest recent latency of its index and routing (plus 5 ms) lowers it by 3 percent, every other answer raises it. Background queries may fill half of it, normal ones 90 percent, urgent ones are bounded by the instance only. Admit takes the query class instead of its priority. Conclusion: the mechanism sheds by index and priority and recovers in the tests.

--- a/internal/query/admitter/admitter.go
+++ b/internal/query/admitter/admitter.go
@@ -46,14 +46,18 @@
 	events         Events
 	admitted, shed tally.Counter
 	tooLate        tally.Counter
-	level          tally.Gauge
+	// congested counts the shed queries whose targets are saturated.
+	congested tally.Counter
+	level     tally.Gauge
 
 	mu sync.Mutex
 	// running is at most limit.
 	running int
 	// waiters are urgent queries in order of arrival; a closed channel hands over a slot.
-	waiters  []chan struct{}
-	minimum  minimum
+	waiters []chan struct{}
+	minimum minimum
+	// indexes holds the load of each index that was queried.
+	indexes  map[string]*congestion
 	shedding bool
 	lastShed time.Time
 }
@@ -63,23 +67,25 @@
 	return &Admitter{
 		limit: max(limit, 1), events: events,
 		admitted: scope.Counter("queries-admitted"), shed: scope.Counter("queries-shed"), tooLate: scope.Counter("queries-deadline-refused"),
-		level: scope.Gauge("queries-running"),
+		level: scope.Gauge("queries-running"), congested: scope.Counter("queries-shed-congested"),
+		minimum: minimum{window: window}, indexes: make(map[string]*congestion),
 	}
 }
 
 // Admit takes a slot for a query, or refuses it. Errors: *ShedError, *DeadlineError, or the context's.
-func (a *Admitter) Admit(ctx context.Context, priority encoder.QueryClassPriority, deadline time.Duration) (Release, error) {
-	waiter, err := a.enter(priority, deadline)
+func (a *Admitter) Admit(ctx context.Context, class encoder.QueryClass, deadline time.Duration) (Release, error) {
+	waiter, err := a.enter(class, deadline)
 	if err != nil {
 		return nil, err
 	}
 	if waiter != nil {
 		if err := a.wait(ctx, waiter, min(urgentWait, deadline/urgentWaitFraction)); err != nil {
+			a.abandon(class)
 			return nil, err
 		}
 	}
 	a.admitted.Inc(1)
-	return a.release(time.Now()), nil
+	return a.release(class, time.Now()), nil
 }
 
 // Running returns the number of admitted queries.
@@ -90,7 +96,8 @@
 }
 
 // enter takes a slot, or returns the waiter of an urgent query.
-func (a *Admitter) enter(priority encoder.QueryClassPriority, deadline time.Duration) (chan struct{}, error) {
+func (a *Admitter) enter(class encoder.QueryClass, deadline time.Duration) (chan struct{}, error) {
+	priority := class.Priority
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Now()
@@ -99,7 +106,13 @@
 		a.tooLate.Inc(1)
 		return nil, &DeadlineError{Deadline: deadline, Minimum: least}
 	}
-	if a.running < a.share(priority) {
+	index := a.index(class)
+	if !index.admits(priority) {
+		a.congested.Inc(1)
+		return nil, a.refuse(now, priority)
+	}
+	if a.running < share(a.limit, priority) {
+		index.running++
 		a.running++
 		a.level.Update(float64(a.running))
 		return nil, nil
@@ -107,6 +120,7 @@
 	if priority != encoder.QueryClassPriorityUrgent || len(a.waiters) >= max(a.limit*waitersPercent/100, 1) {
 		return nil, a.refuse(now, priority)
 	}
+	index.running++
 	waiter := make(chan struct{})
 	a.waiters = append(a.waiters, waiter)
 	return waiter, nil
@@ -135,17 +149,35 @@
 	return a.refuse(time.Now(), encoder.QueryClassPriorityUrgent)
 }
 
-func (a *Admitter) release(started time.Time) Release {
+// abandon takes back the place of a query that was not admitted after its wait.
+func (a *Admitter) abandon(class encoder.QueryClass) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.index(class).running--
+}
+
+// index returns the load of the index of a class; the caller holds the mutex. Manifests name few indexes.
+func (a *Admitter) index(class encoder.QueryClass) *congestion {
+	c, found := a.indexes[class.Index]
+	if !found {
+		c = newCongestion(a.limit)
+		a.indexes[class.Index] = c
+	}
+	return c
+}
+
+func (a *Admitter) release(class encoder.QueryClass, started time.Time) Release {
 	var once sync.Once
 	return func(served bool) {
-		once.Do(func() { a.leave(started, served) })
+		once.Do(func() { a.leave(class, started, served) })
 	}
 }
 
-func (a *Admitter) leave(started time.Time, served bool) {
+func (a *Admitter) leave(class encoder.QueryClass, started time.Time, served bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := time.Now()
+	a.index(class).leave(now, class.Routing, now.Sub(started), served)
 	if served {
 		a.minimum.observe(now, now.Sub(started))
 	}
@@ -160,14 +192,14 @@
 }
 
 // share returns how many running queries the priority may fill up to.
-func (a *Admitter) share(priority encoder.QueryClassPriority) int {
+func share(limit int, priority encoder.QueryClassPriority) int {
 	switch priority {
 	case encoder.QueryClassPriorityUrgent:
-		return a.limit
+		return limit
 	case encoder.QueryClassPriorityNormal:
-		return max(a.limit*normalPercent/100, 1)
+		return max(limit*normalPercent/100, 1)
 	default:
-		return max(a.limit*backgroundPercent/100, 1)
+		return max(limit*backgroundPercent/100, 1)
 	}
 }
 
--- a/internal/query/admitter/admitter_test.go
+++ b/internal/query/admitter/admitter_test.go
@@ -21,6 +21,10 @@
 	background = encoder.QueryClassPriorityBackground
 )
 
+func class(priority encoder.QueryClassPriority) encoder.QueryClass {
+	return encoder.QueryClass{Index: "x", Priority: priority, Routing: encoder.QueryClassRoutingAll}
+}
+
 func newAdmitter(limit int) (*admitter.Admitter, *recorder.Recorder) {
 	events := recorder.New("i", timekeeper.NewHybridClock(time.Now), 100)
 	return admitter.New(limit, events, tally.NoopScope), events
@@ -29,7 +33,7 @@
 func fill(t *testing.T, a *admitter.Admitter, priority encoder.QueryClassPriority) (releases []admitter.Release) {
 	t.Helper()
 	for {
-		release, err := a.Admit(t.Context(), priority, time.Second)
+		release, err := a.Admit(t.Context(), class(priority), time.Second)
 		if err != nil {
 			assert.ErrorType(t, err, &admitter.ShedError{})
 			return releases
@@ -57,17 +61,17 @@
 		releases := fill(t, a, urgent)
 		time.AfterFunc(5*time.Millisecond, func() { releases[0](true); releases[0](true) })
 		started := time.Now()
-		release, err := a.Admit(t.Context(), urgent, time.Second)
+		release, err := a.Admit(t.Context(), class(urgent), time.Second)
 		assert.NilError(t, err)
 		assert.Equal(t, time.Since(started), 5*time.Millisecond)
 		assert.Equal(t, a.Running(), 4)
 		started = time.Now()
-		_, err = a.Admit(t.Context(), urgent, 40*time.Millisecond)
+		_, err = a.Admit(t.Context(), class(urgent), 40*time.Millisecond)
 		assert.ErrorType(t, err, &admitter.ShedError{})
 		assert.Equal(t, time.Since(started), 10*time.Millisecond)
 		ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
 		defer cancel()
-		_, err = a.Admit(ctx, urgent, time.Second)
+		_, err = a.Admit(ctx, class(urgent), time.Second)
 		assert.ErrorIs(t, err, context.DeadlineExceeded, "a caller that leaves while it waits")
 		release(true)
 		for _, r := range releases {
@@ -99,16 +103,59 @@
 func TestDeadlineBelowRecentServiceTimeIsRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		a, _ := newAdmitter(4)
-		release, err := a.Admit(t.Context(), urgent, time.Second)
+		release, err := a.Admit(t.Context(), class(urgent), time.Second)
 		assert.NilError(t, err)
 		time.Sleep(30 * time.Millisecond)
 		release(true)
-		_, err = a.Admit(t.Context(), urgent, 29*time.Millisecond)
+		_, err = a.Admit(t.Context(), class(urgent), 29*time.Millisecond)
 		assert.ErrorType(t, err, &admitter.DeadlineError{})
-		_, err = a.Admit(t.Context(), urgent, 30*time.Millisecond)
+		_, err = a.Admit(t.Context(), class(urgent), 30*time.Millisecond)
 		assert.NilError(t, err)
 		time.Sleep(11 * time.Second)
-		_, err = a.Admit(t.Context(), urgent, time.Millisecond)
+		_, err = a.Admit(t.Context(), class(urgent), time.Millisecond)
 		assert.NilError(t, err)
 	})
 }
+
+// run admits one query in the index every interval for a second and returns how many were admitted; each takes the latency.
+func run(t *testing.T, a *admitter.Admitter, class encoder.QueryClass, interval, latency time.Duration) (admitted int) {
+	t.Helper()
+	for range time.Second / interval {
+		if release, err := a.Admit(t.Context(), class, 2*time.Second); err == nil {
+			admitted++
+			time.AfterFunc(latency, func() { release(true) })
+		}
+		time.Sleep(interval)
+	}
+	return admitted
+}
+
+// Saturated targets must shed lower priorities long before the limit of the instance is reached, but neither urgent
+// queries nor those of other indexes, and only while the targets are saturated.
+func TestSaturatedTargetsShedLowerPriorities(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, _ := newAdmitter(256)
+		other := class(background)
+		other.Index = "y"
+		assert.Equal(t, run(t, a, class(background), 5*time.Millisecond, 5*time.Millisecond), 200)
+		run(t, a, class(background), 5*time.Millisecond, 200*time.Millisecond)
+		admitted := run(t, a, class(background), 5*time.Millisecond, 200*time.Millisecond)
+		assert.Assert(t, admitted <= 50, "%d admitted", admitted)
+		assert.Equal(t, run(t, a, class(urgent), 5*time.Millisecond, 200*time.Millisecond), 200)
+		assert.Equal(t, run(t, a, other, 5*time.Millisecond, 5*time.Millisecond), 200)
+		run(t, a, class(background), 5*time.Millisecond, 5*time.Millisecond)
+		assert.Equal(t, run(t, a, class(background), 5*time.Millisecond, 5*time.Millisecond), 200)
+	})
+}
+
+// Stragglers at low load must not leave a limit that sheds when the load rises.
+func TestStragglersDoNotShed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, _ := newAdmitter(256)
+		for range 10 {
+			run(t, a, class(normal), 20*time.Millisecond, 5*time.Millisecond)
+			run(t, a, class(normal), 500*time.Millisecond, 100*time.Millisecond)
+		}
+		assert.Equal(t, run(t, a, class(background), time.Millisecond, 5*time.Millisecond), 1000)
+	})
+}
--- a/internal/query/admitter/minimum.go
+++ b/internal/query/admitter/minimum.go
@@ -2,11 +2,13 @@
 
 import "time"
 
-// window is the least time for which a service time is remembered.
+// window is the least time for which the shortest service time refuses shorter deadlines.
 const window = 5 * time.Second
 
 // minimum is the shortest service time of the current and the previous window.
 type minimum struct {
+	// window is the least time for which a service time is remembered.
+	window time.Duration
 	// started is the start of the current window; zero before the first observation.
 	started           time.Time
 	current, previous time.Duration
@@ -30,10 +32,10 @@
 
 func (m *minimum) rotate(now time.Time) {
 	age := now.Sub(m.started)
-	if age < window {
+	if age < m.window {
 		return
 	}
-	if age < 2*window {
+	if age < 2*m.window {
 		m.previous = m.current
 	} else {
 		m.previous = 0
--- a/internal/query/executor/executor.go
+++ b/internal/query/executor/executor.go
@@ -28,7 +28,7 @@
 
 // Admitter limits the queries that run at the same time.
 type Admitter interface {
-	Admit(ctx context.Context, priority encoder.QueryClassPriority, deadline time.Duration) (admitter.Release, error)
+	Admit(ctx context.Context, class encoder.QueryClass, deadline time.Duration) (admitter.Release, error)
 }
 
 // Router sends sub-queries to the owners of their targets.
@@ -112,7 +112,7 @@
 		return encoder.QueryReply{}, err
 	}
 	deadline := queryDeadline(class, request)
-	release, err := e.parts.Admitter.Admit(ctx, class.Priority, deadline)
+	release, err := e.parts.Admitter.Admit(ctx, class, deadline)
 	if err != nil {
 		return encoder.QueryReply{}, admissionError(err)
 	}
