Choose between the owners of a warm target by their queues

Cause: with 2 slots and 2 owners each owner has one slot, and a sub-query behind a straggler there waits although the other owner's slot is free. The router always took the local owner and otherwise the peer with the fewest batches, which says nothing about the target. Ruled out: lending slots between owners by message. It needs a new peer message, limiter states for lent shares and a limit by remaining loan time, which is not small. One owner (limits.owners 1) as the default, which leaves a target unreachable through its group until the member list changes when that owner is lost. Change: the router counts its sub-queries by owner and target, and at this instance also those of peers, and takes the owner with the fewest waves of its slots; ties go to this instance, then to the peer with the fewest batches.

--- a/internal/target/router/execution.go
+++ b/internal/target/router/execution.go
@@ -14,6 +14,22 @@
 	execution *execution
 	// tried holds the owners that were already tried.
 	tried []string
+	// lane counts the item while it is at an owner.
+	lane *lane
+}
+
+// enter counts the item at an owner.
+func (i *item) enter(l *lane) {
+	i.lane = l
+	l.Add(1)
+}
+
+// leave ends the count; the item may be at no owner.
+func (i *item) leave() {
+	if i.lane != nil {
+		i.lane.Add(-1)
+		i.lane = nil
+	}
 }
 
 // execution is one call of Execute. Its deliver function is called once for each item, one call at a time.
--- a/internal/target/router/router.go
+++ b/internal/target/router/router.go
@@ -94,6 +94,8 @@
 	running sync.Map
 	// loads holds a *load for every peer.
 	loads sync.Map
+	// lanes holds a *lane for every laneKey.
+	lanes sync.Map
 	// warm holds the targets whose latest reply was from a warm incarnation.
 	warm sync.Map
 }
@@ -162,6 +164,9 @@
 			continue
 		}
 		i.tried = append(i.tried, owner)
+		if owner != r.instance {
+			i.enter(r.lane(owner, i.query.Target))
+		}
 		groups[owner] = append(groups[owner], i)
 	}
 	for owner, group := range groups {
@@ -186,6 +191,9 @@
 	defer cancel()
 	r.running.Store(key, cancel)
 	defer r.running.Delete(key)
+	lane := r.lane(r.instance, q.Target)
+	lane.Add(1)
+	defer lane.Add(-1)
 	return r.dispatcher.Execute(ctx, q)
 }
 
@@ -218,12 +226,17 @@
 		}
 	case !sent:
 		r.scope.Counter("router-peers-unreachable").Inc(1)
-		r.route(b.rest())
+		rest := b.rest()
+		for _, i := range rest {
+			i.leave()
+		}
+		r.route(rest)
 		return
 	default:
 		r.scope.Counter("router-peers-lost").Inc(1)
 	}
 	for _, i := range b.rest() {
+		i.leave()
 		if sent {
 			r.finish(i, connector.Unknown(i.query, reason))
 		} else {
@@ -276,6 +289,7 @@
 // settle takes the reply of an owner for an item; an owner that refused because it may not serve the target is
 // replaced by another one.
 func (r *Router) settle(i *item, owner string, reply encoder.SubReply) {
+	i.leave()
 	r.note(reply)
 	if r.retryable(i, owner, reply) {
 		r.scope.Counter("router-owner-retries").Inc(1)
@@ -364,10 +378,10 @@
 		}
 		return r.instance
 	}
-	var left []string
+	var left []dispatcher.Share
 	for _, s := range r.owners(i.query.Target) {
 		if s.Slots > 0 && !slices.Contains(i.tried, s.Instance) {
-			left = append(left, s.Instance)
+			left = append(left, s)
 		}
 	}
 	if len(left) == 0 {
@@ -375,10 +389,7 @@
 	}
 	_, warm := r.warm.Load(i.query.Target)
 	if !warm || !i.query.Idempotent {
-		return left[0]
-	}
-	if slices.Contains(left, r.instance) {
-		return r.instance
+		return left[0].Instance
 	}
-	return slices.MinFunc(left, func(a, b string) int { return r.load(a).compare(r.load(b)) })
+	return r.best(i.query.Target, left)
 }
--- a/internal/target/router/router_test.go
+++ b/internal/target/router/router_test.go
@@ -303,6 +303,27 @@
 	})
 }
 
+// A sub-query must not wait behind a straggler here while the slot of the other owner is free, and the count of a queue
+// must not outlive its sub-queries.
+func TestBusySlotIsAvoided(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNet(dispatcher.Share{Instance: "self", Slots: 1}, dispatcher.Share{Instance: "q", Slots: 1, Rank: 1})
+		n.run(t, []encoder.SubQuery{query("1")})
+		n.here = func(_ context.Context, q encoder.SubQuery) encoder.SubReply {
+			time.Sleep(100 * time.Millisecond)
+			return answer(q)
+		}
+		var group sync.WaitGroup
+		group.Go(func() { n.run(t, []encoder.SubQuery{query("2")}) })
+		time.Sleep(time.Millisecond)
+		n.run(t, []encoder.SubQuery{query("3")})
+		assert.Equal(t, len(n.batches["q"]), 1)
+		group.Wait()
+		n.run(t, []encoder.SubQuery{query("4")})
+		assert.DeepEqual(t, n.local, []string{"1", "2", "4"})
+	})
+}
+
 // Every sub-query must be delivered by the end of the context, and what still runs must be cancelled.
 func TestDeadline(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
