Look a target up in one place in the lessor

Cause: Allowance and Expiry each repeated the look-up in the manifest in force. Ruled out: sharing with the planner and the dispatcher, which need the manifest itself as well. Change: a method target serves both; one sentence of a comment is mended. Conclusion: behaviour is the same; tests of the package pass.

--- a/internal/cluster/lessor/lessor.go
+++ b/internal/cluster/lessor/lessor.go
@@ -23,9 +23,9 @@
 	defaultLease = 3 * time.Second
 	// roundsPerLease is the number of renewals in one lease time.
 	roundsPerLease = 3
-	// releasedLeases is the number of lease times for which a released incarnation needs no longer to be asked. The next
-	// one under its name grants and holds nothing for the first, and uses no static share before it has been without
-	// answers for the second.
+	// releasedLeases is the number of lease times for which a released incarnation need not be asked. The next one under
+	// its name grants and holds nothing for the first, and uses no static share before it has been without answers for
+	// the second.
 	releasedLeases = 2
 	// maxWait bounds the rounds skipped after a refusal.
 	maxWait = 3
@@ -128,11 +128,7 @@
 // Allowance returns the number of sub-queries that this instance may have in flight to the cold target until the
 // given boot time.
 func (l *Lessor) Allowance(target string, until time.Duration) int {
-	manifest := l.configuration.Manifest()
-	if manifest == nil {
-		return 0
-	}
-	t, found := manifest.Target(target)
+	t, found := l.target(target)
 	if !found {
 		return 0
 	}
@@ -154,11 +150,7 @@
 
 // Expiry returns the boot time up to which Allowance is above 0 at present, or 0.
 func (l *Lessor) Expiry(target string) time.Duration {
-	manifest := l.configuration.Manifest()
-	if manifest == nil {
-		return 0
-	}
-	t, found := manifest.Target(target)
+	t, found := l.target(target)
 	if !found {
 		return 0
 	}
@@ -178,6 +170,15 @@
 	return leased
 }
 
+// target returns a target of the manifest in force.
+func (l *Lessor) target(name string) (resolver.Target, bool) {
+	manifest := l.configuration.Manifest()
+	if manifest == nil {
+		return resolver.Target{}, false
+	}
+	return manifest.Target(name)
+}
+
 // Settled reports whether this instance may grant and hold: nothing that its predecessor granted is still valid.
 func (l *Lessor) Settled() bool {
 	return l.clock()-l.started >= l.lease()
