Name the operation in errors of messenger and watcher

Cause: seven messages named the package but no operation, against the house style. Two names were figurative: hopeless for a waiter that cannot be served, and a balancer that has let go. Ruled out: changing the types; no caller reads the text. Change: messages, one unexported method and one comment. Conclusion: behaviour is the same; tests of the packages pass. The full test run was not repeated for this commit.

--- a/internal/caller/assembler/lifecycle.go
+++ b/internal/caller/assembler/lifecycle.go
@@ -147,8 +147,8 @@
 // readyInterval is how often readiness is checked at the start.
 const readyInterval = 20 * time.Millisecond
 
-// stop is the graceful shutdown: peers stop sending new batches, callers are served until the balancer has let go,
-// work in flight is finished, leases are released, and connections are closed last.
+// stop is the graceful shutdown: peers stop sending new batches, callers are served until the balancer has stopped
+// sending, work in flight is finished, leases are released, and connections are closed last.
 func (n *instance) stop(ctx context.Context) error {
 	n.Events.Record(recorder.KindInstanceStopping, n.Settings.Instance(), "", "")
 	n.Logger.Info("instance stopping")
--- a/internal/cluster/messenger/errors.go
+++ b/internal/cluster/messenger/errors.go
@@ -53,7 +53,7 @@
 }
 
 func (e *IdentityError) Error() string {
-	return fmt.Sprintf("messenger: expected instance %q, found %q", e.Expected, e.Actual)
+	return fmt.Sprintf("messenger: hello: expected instance %q, found %q", e.Expected, e.Actual)
 }
 
 // SizeError reports a message above the size limit.
@@ -65,7 +65,7 @@
 }
 
 func (e *SizeError) Error() string {
-	return fmt.Sprintf("messenger: message of %d bytes is above the limit of %d", e.Bytes, e.Limit)
+	return fmt.Sprintf("messenger: check size of message: %d bytes are above the limit of %d", e.Bytes, e.Limit)
 }
 
 // AddressError reports an instance without a known address.
@@ -74,28 +74,28 @@
 }
 
 func (e *AddressError) Error() string {
-	return fmt.Sprintf("messenger: no address for instance %q", e.Instance)
+	return fmt.Sprintf("messenger: resolve instance %q: no address", e.Instance)
 }
 
 // ClosedError reports use of a closed messenger or connection.
 type ClosedError struct{}
 
 func (e *ClosedError) Error() string {
-	return "messenger: closed"
+	return "messenger: use connection: closed"
 }
 
 // SilentError reports a connection that is open but carries no heartbeats.
 type SilentError struct{}
 
 func (e *SilentError) Error() string {
-	return "messenger: connection is silent"
+	return "messenger: await message: connection is silent"
 }
 
 // QueueError reports a connection whose send queue is full.
 type QueueError struct{}
 
 func (e *QueueError) Error() string {
-	return "messenger: send queue is full"
+	return "messenger: send: queue is full"
 }
 
 // Code is a JSON-RPC error code.
--- a/internal/cluster/watcher/errors.go
+++ b/internal/cluster/watcher/errors.go
@@ -29,5 +29,5 @@
 }
 
 func (e *SizeError) Error() string {
-	return fmt.Sprintf("watcher: value is larger than %d bytes", e.Limit)
+	return fmt.Sprintf("watcher: read value: larger than %d bytes", e.Limit)
 }
--- a/internal/target/limiter/limiter.go
+++ b/internal/target/limiter/limiter.go
@@ -245,7 +245,7 @@
 	for len(l.queue) > 0 {
 		w := l.queue[0]
 		current := l.current(w.deadline)
-		reason, refused := l.hopeless(w, current)
+		reason, refused := l.unservable(w, current)
 		if !refused && l.inFlight >= current {
 			return
 		}
@@ -259,8 +259,8 @@
 	}
 }
 
-// hopeless returns why a waiter must not wait any longer.
-func (l *Limiter) hopeless(w *waiter, current int) (encoder.Reason, bool) {
+// unservable returns why a waiter must not wait any longer.
+func (l *Limiter) unservable(w *waiter, current int) (encoder.Reason, bool) {
 	switch {
 	case l.own.Share == 0:
 		return encoder.ReasonNoOwner, true
