--- a/internal/cluster/owner/order.go
+++ b/internal/cluster/owner/order.go
@@ -1,4 +1,5 @@
-// Package owner computes which instances own which targets, as pure functions of the manifest and the member list.
+// Package owner computes which instances own which targets, from the manifest, the member list and the announcements
+// of instances.
 package owner
 
 import (
