Remember a non-idempotent attempt until after its own deadline

Cause: the dispatcher forgot attempts after 2 minutes, while deadline-ms may be 10 minutes; a late duplicate message of an attempt that was still running could have been written again. Found by reading. Ruled out: a longer constant (keeps short attempts for no reason). Change: an attempt is remembered for its deadline and 2 minutes more. Figures: none; not reproduced, since no duplicate message was ever seen.

--- a/internal/target/dispatcher/attempts.go
+++ b/internal/target/dispatcher/attempts.go
@@ -5,13 +5,13 @@
 	"time"
 )
 
-// attemptLifetime is how long the id of a non-idempotent attempt is remembered; it exceeds every deadline.
-const attemptLifetime = 2 * time.Minute
+// attemptMargin is how long the id of a non-idempotent attempt is remembered after its deadline.
+const attemptMargin = 2 * time.Minute
 
 // attempts remembers the non-idempotent attempts of this instance.
 type attempts struct {
 	mu sync.Mutex
-	// claimed holds the time of the claim; an attempt is claimed once.
+	// claimed holds the time until which an attempt is remembered; an attempt is claimed once.
 	claimed map[string]time.Time
 	// written holds the attempts that were written to a target.
 	written map[string]bool
@@ -21,14 +21,14 @@
 	return &attempts{claimed: make(map[string]time.Time), written: make(map[string]bool)}
 }
 
-// claim reports whether the attempt is new.
-func (a *attempts) claim(attempt string) bool {
+// claim reports whether the attempt, which may run for the given time, is new.
+func (a *attempts) claim(attempt string, deadline time.Duration) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if _, found := a.claimed[attempt]; found {
 		return false
 	}
-	a.claimed[attempt] = time.Now()
+	a.claimed[attempt] = time.Now().Add(deadline + attemptMargin)
 	return true
 }
 
@@ -53,8 +53,9 @@
 func (a *attempts) sweep() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for attempt, at := range a.claimed {
-		if time.Since(at) > attemptLifetime {
+	now := time.Now()
+	for attempt, until := range a.claimed {
+		if now.After(until) {
 			delete(a.claimed, attempt)
 			delete(a.written, attempt)
 		}
--- a/internal/target/dispatcher/execute.go
+++ b/internal/target/dispatcher/execute.go
@@ -27,11 +27,12 @@
 	if d.closing.Load() {
 		return d.refuse(q, encoder.ReasonNoOwner)
 	}
-	if !q.Idempotent && !d.attempts.claim(q.Attempt) {
+	deadline := time.Duration(q.DeadlineMs) * time.Millisecond
+	if !q.Idempotent && !d.attempts.claim(q.Attempt, deadline) {
 		d.scope.Counter("dispatcher-duplicate-attempts").Inc(1)
 		return connector.Unknown(q, encoder.ReasonMismatch)
 	}
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(q.DeadlineMs)*time.Millisecond)
+	ctx, cancel := context.WithTimeout(ctx, deadline)
 	defer cancel()
 	for range connectionAttempts {
 		reply, again := d.attempt(ctx, q)
