--- a/internal/target/dispatcher/dispatcher.go
+++ b/internal/target/dispatcher/dispatcher.go
@@ -257,12 +257,12 @@
 		case before == 0:
 			d.events.Record(recorder.KindOwnershipGained, group, "", fmt.Sprintf("as owner %d", rank))
 		case rank != before:
-			d.events.Record(recorder.KindOwnershipGained, group, "", fmt.Sprintf("as owner %d, before owner %d", rank, before))
+			d.events.Record(recorder.KindOwnershipGained, group, "", fmt.Sprintf("as owner %d, previously owner %d", rank, before))
 		}
 	}
 	for _, group := range slices.Sorted(maps.Keys(d.groups)) {
 		if ranks[group] == 0 {
-			d.events.Record(recorder.KindOwnershipLost, group, "", fmt.Sprintf("before owner %d", d.groups[group]))
+			d.events.Record(recorder.KindOwnershipLost, group, "", fmt.Sprintf("previously owner %d", d.groups[group]))
 		}
 	}
 	d.groups = ranks
--- a/internal/target/limiter/limiter.go
+++ b/internal/target/limiter/limiter.go
@@ -225,8 +225,8 @@
 	if current == 0 {
 		return encoder.ReasonNoLease, true
 	}
-	waves := 1 + (l.inFlight+l.queue.ahead(w))/current
-	if l.now()+time.Duration(waves)*l.average() > w.deadline {
+	rounds := 1 + (l.inFlight+l.queue.ahead(w))/current
+	if l.now()+time.Duration(rounds)*l.average() > w.deadline {
 		return encoder.ReasonDeadlineExceeded, true
 	}
 	return encoder.ReasonNone, false
--- a/internal/target/loopback/dispatcher_test.go
+++ b/internal/target/loopback/dispatcher_test.go
@@ -387,7 +387,7 @@
 	s.Sync()
 	s.owners.Store(&[]dispatcher.Share{{Instance: "other", Slots: 3}})
 	s.Sync()
-	assert.DeepEqual(t, s.kinds("s@a"), []string{"ownership-gained as owner 1", "ownership-gained as owner 2, before owner 1", "ownership-lost before owner 2"})
+	assert.DeepEqual(t, s.kinds("s@a"), []string{"ownership-gained as owner 1", "ownership-gained as owner 2, previously owner 1", "ownership-lost previously owner 2"})
 	s.owners.Store(&[]dispatcher.Share{{Instance: "self", Slots: 3}})
 	s.publish(encoder.FailureDomainStateClosed, encoder.TargetStateServing)
 	s.Sync()
--- a/internal/target/router/execution.go
+++ b/internal/target/router/execution.go
@@ -14,21 +14,21 @@
 	execution *execution
 	// tried holds the owners that were already tried.
 	tried []string
-	// lane counts the item while it is at an owner.
-	lane *lane
+	// counter counts the item while it is at an owner; nil otherwise.
+	counter *counter
 }
 
 // enter counts the item at an owner.
-func (i *item) enter(l *lane) {
-	i.lane = l
-	l.Add(1)
+func (i *item) enter(c *counter) {
+	i.counter = c
+	c.Add(1)
 }
 
 // leave ends the count; the item may be at no owner.
 func (i *item) leave() {
-	if i.lane != nil {
-		i.lane.Add(-1)
-		i.lane = nil
+	if i.counter != nil {
+		i.counter.Add(-1)
+		i.counter = nil
 	}
 }
 
--- a/internal/target/router/lane.go
+++ b/internal/target/router/outstanding.go
@@ -8,29 +8,29 @@
 	"apricotflow/internal/target/dispatcher"
 )
 
-// lane is the number of sub-queries for one target at one of its owners: all of them at this instance, and those sent
+// counter counts the outstanding sub-queries for one target at one of its owners: all at this instance, and those sent
 // from here at a peer.
-type lane struct {
+type counter struct {
 	atomic.Int64
 }
 
-// laneKey names a lane.
-type laneKey struct {
+// ownerTarget is the key of a counter.
+type ownerTarget struct {
 	owner, target string
 }
 
-func (r *Router) lane(owner, target string) *lane {
-	key := laneKey{owner: owner, target: target}
-	if l, found := r.lanes.Load(key); found {
-		return l.(*lane)
+func (r *Router) outstandingAt(owner, target string) *counter {
+	key := ownerTarget{owner: owner, target: target}
+	if l, found := r.outstanding.Load(key); found {
+		return l.(*counter)
 	}
-	l, _ := r.lanes.LoadOrStore(key, &lane{})
-	return l.(*lane)
+	l, _ := r.outstanding.LoadOrStore(key, &counter{})
+	return l.(*counter)
 }
 
-// waves is how many rounds of the owner's slots a new sub-query waits for.
-func (r *Router) waves(target string, s dispatcher.Share) int64 {
-	return r.lane(s.Instance, target).Load() / int64(s.Slots)
+// rounds is how many rounds of the owner's slots a new sub-query waits for.
+func (r *Router) rounds(target string, s dispatcher.Share) int64 {
+	return r.outstandingAt(s.Instance, target).Load() / int64(s.Slots)
 }
 
 // best returns the owner of a warm target with the shortest queue, as far as is known here. Among equals this instance
@@ -38,7 +38,7 @@
 // wait although a slot of the other owner is free.
 func (r *Router) best(target string, shares []dispatcher.Share) string {
 	return slices.MinFunc(shares, func(a, b dispatcher.Share) int {
-		if c := cmp.Compare(r.waves(target, a), r.waves(target, b)); c != 0 {
+		if c := cmp.Compare(r.rounds(target, a), r.rounds(target, b)); c != 0 {
 			return c
 		}
 		switch r.instance {
--- a/internal/target/router/router.go
+++ b/internal/target/router/router.go
@@ -94,8 +94,8 @@
 	running sync.Map
 	// loads holds a *load for every peer.
 	loads sync.Map
-	// lanes holds a *lane for every laneKey.
-	lanes sync.Map
+	// outstanding holds a *counter for every ownerTarget.
+	outstanding sync.Map
 	// warm holds the targets whose latest reply was from a warm incarnation.
 	warm sync.Map
 }
@@ -165,7 +165,7 @@
 		}
 		i.tried = append(i.tried, owner)
 		if owner != r.instance {
-			i.enter(r.lane(owner, i.query.Target))
+			i.enter(r.outstandingAt(owner, i.query.Target))
 		}
 		groups[owner] = append(groups[owner], i)
 	}
@@ -191,9 +191,9 @@
 	defer cancel()
 	r.running.Store(key, cancel)
 	defer r.running.Delete(key)
-	lane := r.lane(r.instance, q.Target)
-	lane.Add(1)
-	defer lane.Add(-1)
+	sent := r.outstandingAt(r.instance, q.Target)
+	sent.Add(1)
+	defer sent.Add(-1)
 	return r.dispatcher.Execute(ctx, q)
 }
 
--- a/internal/target/selector/selector.go
+++ b/internal/target/selector/selector.go
@@ -160,8 +160,8 @@
 
 // cost estimates the time that a new sub-query takes.
 func (s *Selector) cost(l *load, t resolver.Target, now time.Time) float64 {
-	waves := 1 + l.running(now)/float64(max(t.Slots, 1))
-	cost := waves * l.mean(now)
+	rounds := 1 + l.running(now)/float64(max(t.Slots, 1))
+	cost := rounds * l.mean(now)
 	if t.FailureDomain != s.domain {
 		cost *= foreignFactor
 	}
