Do not take a target for warm on old evidence

The time line showed that the first owner was paused for 7.6 s while the target turned cold; on waking up it used its whole share on connections from before. Ruled out: the lease (it does not apply to a target that counts as warm), the message of the other owner (it came while the process was paused). Change: a warm target needs a reply to a request of the last 3 s in boot time, counted from before the request; otherwise the cold limit with a lease applies, and no warm fact is announced. Conclusion: a late wake-up starts at the cold limit.

--- a/internal/target/dispatcher/entry.go
+++ b/internal/target/dispatcher/entry.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"apricotflow/internal/manifest/resolver"
+	"apricotflow/internal/operator/timekeeper"
 	"apricotflow/internal/target/connector"
 	"apricotflow/internal/target/limiter"
 	"apricotflow/internal/wire/encoder"
@@ -153,11 +154,12 @@
 	}
 	e.connector.Sweep()
 	e.connector.Prepare()
+	asked := timekeeper.BootTime()
 	report, err := e.connector.Report(ctx)
 	if err != nil {
 		return
 	}
-	e.limiter.Report(report.Incarnation, report.State)
+	e.limiter.Report(report.Incarnation, report.State, asked)
 	e.report.Store(&report)
 	e.observer.Hint(report)
 }
--- a/internal/target/limiter/evidence.go
+++ b/internal/target/limiter/evidence.go
@@ -7,11 +7,12 @@
 	"apricotflow/internal/wire/encoder"
 )
 
-// Report takes a report of the target into account. Only answers raise the limit.
-func (l *Limiter) Report(incarnation string, state encoder.LoadState) {
+// Report takes a report into account that the target was asked for at a boot time. Only answers raise the limit.
+func (l *Limiter) Report(incarnation string, state encoder.LoadState, asked time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.see(incarnation, state, l.now())
+	l.freshAt = max(l.freshAt, asked)
 	if state != encoder.LoadStateDraining && l.now()-l.drainedAt > drainHold {
 		l.drained = ""
 	}
@@ -186,7 +187,7 @@
 		fact.State = encoder.LoadStateDraining
 	case l.draining():
 		return nil
-	case l.warm && l.ramped && l.limit >= l.own.Share:
+	case l.believesWarm() && l.ramped && l.limit >= l.own.Share:
 		fact.State = encoder.LoadStateWarm
 	case !l.warm && l.coldAt != 0 && l.now()-l.coldAt < factLifetime:
 		fact.State = encoder.LoadStateCold
--- a/internal/target/limiter/limiter.go
+++ b/internal/target/limiter/limiter.go
@@ -29,6 +29,8 @@
 	// holdTime bounds the time in which the other owners are told that a warm target has turned cold. One that cannot be
 	// reached learns it from the first reply to it.
 	holdTime = 2 * time.Second
+	// evidenceLifetime is how long a warm target counts as warm without a new reply; reports come each second.
+	evidenceLifetime = 3 * time.Second
 	// drainHold is how long a draining reply outweighs reports, which can be delayed.
 	drainHold = 3 * time.Second
 	// serviceWeight is the weight of a new service time in the average.
@@ -113,6 +115,9 @@
 	// state is the latest state that the target reported itself, at the boot time seenAt.
 	state  encoder.LoadState
 	seenAt time.Duration
+	// freshAt is the boot time from before the latest request to the target that it replied to. The reply may be read much
+	// later, after a pause of this process.
+	freshAt time.Duration
 	// warm is set when there is evidence that the incarnation is warm; it ends with the incarnation, a cold
 	// reply, a shed sub-query or a reset connection.
 	warm bool
@@ -289,13 +294,20 @@
 
 // current is the number of sub-queries allowed in flight, for one that may run until the deadline.
 func (l *Limiter) current(deadline time.Duration) int {
-	if !l.warm && l.now() < l.heldUntil {
+	switch {
+	case l.believesWarm():
+		return min(l.limit, l.own.Share)
+	case l.now() < l.heldUntil:
 		return 0
-	}
-	if !l.warm {
+	default:
 		return min(l.own.Share, l.allowance(l.target, deadline))
 	}
-	return min(l.limit, l.own.Share)
+}
+
+// believesWarm reports whether there is recent evidence that the target is warm. Without it, a process that wakes up from
+// a pause would use its whole share of a target that has turned cold meanwhile.
+func (l *Limiter) believesWarm() bool {
+	return l.warm && l.now()-l.freshAt < evidenceLifetime
 }
 
 func (l *Limiter) draining() bool {
--- a/internal/target/limiter/limiter_test.go
+++ b/internal/target/limiter/limiter_test.go
@@ -44,6 +44,11 @@
 	return b
 }
 
+// Report passes a report that the target was asked for just now.
+func (b *bench) Report(incarnation string, state encoder.LoadState) {
+	b.Limiter.Report(incarnation, state, b.now)
+}
+
 // try acquires a slot without waiting and binds it.
 func (b *bench) try(incarnation string, state encoder.LoadState) (*limiter.Slot, encoder.Reason) {
 	b.now += time.Millisecond
@@ -208,6 +213,22 @@
 	assert.Equal(t, static.capacity("i1", warm), 1, "the second owner ramped the target up")
 }
 
+// A process that wakes up from a pause must not use its whole share of a target that has turned cold meanwhile, not even
+// when a reply from before the pause is only read now.
+func TestOldEvidenceIsNotBelieved(t *testing.T) {
+	b := newBench(first(2), 0)
+	b.allowance = 1
+	b.answer(t, 50, warm)
+	assert.Equal(t, b.capacity("i1", warm), 2)
+	asked := b.now
+	b.now, b.allowance = b.now+5*time.Second, 0
+	assert.Equal(t, b.capacity("i1", warm), 0)
+	b.Limiter.Report("i1", warm, asked)
+	assert.Equal(t, b.capacity("i1", warm), 0)
+	b.Report("i1", warm)
+	assert.Equal(t, b.capacity("i1", warm), 2)
+}
+
 // A target that turns cold without a restart must not get the cold limit of the first owner on top of what another owner,
 // which still takes it for warm, sends.
 func TestFirstOwnerWaitsUntilOthersAreTold(t *testing.T) {
--- a/internal/target/limiter/slot.go
+++ b/internal/target/limiter/slot.go
@@ -75,7 +75,7 @@
 func (l *Limiter) checkLimits(current int) {
 	n := l.bound[l.incarnation]
 	l.checks.Check(n <= l.own.Share, checker.SlotLimit, l.target, fmt.Sprintf("%d in flight with a share of %d", n, l.own.Share))
-	if !l.warm {
+	if !l.believesWarm() {
 		l.checks.Check(n <= min(current, l.own.ColdLimit), checker.ColdLimit, l.target,
 			fmt.Sprintf("%d in flight with %d allowed and a cold limit of %d", n, current, l.own.ColdLimit))
 	}
@@ -120,6 +120,7 @@
 		return
 	}
 	l.see(r.Incarnation, r.State, l.now())
+	l.freshAt = max(l.freshAt, s.granted)
 	switch {
 	case r.Reason == encoder.ReasonShed || r.Reason == encoder.ReasonOverloaded:
 		l.shed()
