Open fewer connections to a paused target

Ruled out: the idle connections (share + 1 for each owner), a longer pause between probes only (recovery would wait for it). Change: a probe waits longer than the one before, up to 8 s, so that one connection is pending when the target goes on; two failed control connections in a row mark the target down. Conclusion: the number of probes now grows with the logarithm of the pause up to 8 s.

--- a/internal/target/connector/connector.go
+++ b/internal/target/connector/connector.go
@@ -29,6 +29,8 @@
 	// probeMin and probeMax bound the backoff of the probes of a target that is down.
 	probeMin = 50 * time.Millisecond
 	probeMax = 2 * time.Second
+	// probeTimeoutMax bounds how long a probe waits for the report on its connection.
+	probeTimeoutMax = 8 * time.Second
 	// openAttempts is the number of new connections that must fail before a target is down.
 	openAttempts = 2
 )
@@ -95,8 +97,10 @@
 	closed  bool
 
 	// control is the connection for control requests, protected by mu; controlMu is held during one of them.
-	control   *Connection
-	controlMu sync.Mutex
+	control *Connection
+	// controlFailures counts the new control connections that failed in a row.
+	controlFailures int
+	controlMu       sync.Mutex
 }
 
 // New creates a connector without connections; SetShare allows them.
@@ -186,7 +190,7 @@
 	var connection *Connection
 	var err error
 	for range openAttempts {
-		connection, err = c.dial(c.ctx, c.lost)
+		connection, err = c.dial(c.ctx, openTimeout)
 		if err == nil {
 			break
 		}
@@ -253,18 +257,18 @@
 }
 
 // dial opens a connection and binds it to the incarnation in its first report.
-func (c *Connector) dial(ctx context.Context, onClose func(*Connection)) (*Connection, error) {
+func (c *Connector) dial(ctx context.Context, timeout time.Duration) (*Connection, error) {
 	c.mu.Lock()
 	address := c.address
 	c.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, openTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
 	c.scope.Counter("target-connections-opened").Inc(1)
-	connection := newConnection(conn, onClose)
+	connection := newConnection(conn, c.lost)
 	if err := connection.bind(ctx, c.target); err != nil {
 		connection.close()
 		return nil, err
@@ -379,9 +383,10 @@
 	return !c.closed
 }
 
-// probe tries new connections with backoff until one succeeds.
+// probe tries new connections with backoff until one succeeds. Each waits longer for its report than the one before: a
+// paused target accepts all of them when it goes on, so that frequent ones would exceed its connection cap.
 func (c *Connector) probe() {
-	delay := probeMin
+	delay, timeout := probeMin, openTimeout
 	for {
 		jittered := delay/2 + rand.N(delay)
 		select {
@@ -391,11 +396,14 @@
 		}
 		// The report needs a new connection, because the old ones may be the fault.
 		c.dropControl()
-		if _, err := c.Report(c.ctx); err == nil {
+		connection, err := c.dial(c.ctx, timeout)
+		if err == nil {
+			c.setControl(connection)
 			c.markUp()
 			return
 		}
 		delay = min(delay*2, probeMax)
+		timeout = min(timeout*2, probeTimeoutMax)
 	}
 }
 
@@ -404,6 +412,7 @@
 	defer c.mu.Unlock()
 	c.down = false
 	c.cause = nil
+	c.controlFailures = 0
 	c.events.Record(recorder.KindTargetUp, c.target, "", "")
 	c.logger.Info("target is up", "target", c.target)
 	c.onReachable(true)
@@ -472,14 +481,34 @@
 	if connection != nil && connection.Alive() {
 		return connection, true, nil
 	}
-	connection, err = c.dial(ctx, c.lost)
+	connection, err = c.dial(ctx, openTimeout)
+	c.noteControl(err)
 	if err != nil {
 		return nil, false, err
 	}
+	c.setControl(connection)
+	return connection, false, nil
+}
+
+// noteControl counts failed control connections in a row; the target is down after openAttempts.
+func (c *Connector) noteControl(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err == nil {
+		c.controlFailures = 0
+		return
+	}
+	c.controlFailures++
+	if c.controlFailures >= openAttempts {
+		c.markDown(err)
+		c.wake()
+	}
+}
+
+func (c *Connector) setControl(connection *Connection) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.control = connection
-	return connection, false, nil
 }
 
 // dropControl closes the control connection, which ends a request on it.
--- a/internal/target/loopback/connector_test.go
+++ b/internal/target/loopback/connector_test.go
@@ -209,6 +209,31 @@
 	}
 }
 
+// Connections to a paused target wait in its accept queue and are all accepted when it goes on, above its connection cap.
+func TestPausedTargetGetsFewConnections(t *testing.T) {
+	f := newFake(t)
+	s := connect(t, f.address())
+	assert.Equal(t, s.run(t.Context(), "a", time.Second).Reply.Outcome, encoder.OutcomeAnswered)
+	opened := func() (n int) {
+		f.read(func() { n = f.opened })
+		return n
+	}
+	before := opened()
+	f.set(func() { f.silent = 1 << 20 })
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); {
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		if connection, err := s.Acquire(ctx); err == nil {
+			s.Discard(connection)
+		}
+		if !s.Down() {
+			_, _ = s.Report(t.Context())
+		}
+		<-ctx.Done()
+		cancel()
+	}
+	assert.Assert(t, opened()-before <= 8, "%d connections in 5 s", opened()-before)
+}
+
 // A target without a listener must be marked down after new connections failed, refuse without sending, and come
 // back by itself.
 func TestDownAndUp(t *testing.T) {
