Share the lease duration and the wait that ends with a context

Cause: gossiper and lessor each worked out the lease of the manifest in force with a default of their own, and gossiper and watcher each had the same sleep; two defaults could drift apart. Change: resolver.Manifest.Lease, which a nil manifest answers too, and timekeeper.Sleep serve both; behaviour is the same. Conclusion: the default lease stands in one place.

--- a/internal/cluster/gossiper/announce.go
+++ b/internal/cluster/gossiper/announce.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"slices"
 
+	"apricotflow/internal/operator/timekeeper"
 	"apricotflow/internal/wire/encoder"
 )
 
@@ -26,7 +27,7 @@
 	rivals := g.rivals()
 	g.exchangeAll(ctx, rivals)
 	for ctx.Err() == nil && slices.ContainsFunc(rivals, g.unconfirmed) {
-		sleep(ctx, confirmPoll)
+		timekeeper.Sleep(ctx, confirmPoll)
 	}
 }
 
--- a/internal/cluster/gossiper/exchange.go
+++ b/internal/cluster/gossiper/exchange.go
@@ -161,9 +161,5 @@
 }
 
 func (g *Gossiper) rivalInterval() time.Duration {
-	lease := defaultLease
-	if m := g.configuration.Manifest(); m != nil {
-		lease = time.Duration(m.Limits().LeaseMs) * time.Millisecond
-	}
-	return lease / exchangesPerLease
+	return g.configuration.Manifest().Lease() / exchangesPerLease
 }
--- a/internal/cluster/gossiper/gossiper.go
+++ b/internal/cluster/gossiper/gossiper.go
@@ -13,6 +13,7 @@
 	"apricotflow/internal/cluster/messenger"
 	"apricotflow/internal/manifest/resolver"
 	"apricotflow/internal/operator/recorder"
+	"apricotflow/internal/operator/timekeeper"
 	"apricotflow/internal/wire/encoder"
 )
 
@@ -27,8 +28,6 @@
 	// exchangeTimeout bounds an exchange, and fetchTimeout the transfer of a value.
 	exchangeTimeout = time.Second
 	fetchTimeout    = 2 * time.Second
-	// defaultLease applies before the first manifest.
-	defaultLease = 3 * time.Second
 	// exchangesPerLease is the number of exchanges with each rival in one lease time.
 	exchangesPerLease = 3
 	// announcedLimit bounds the messages of peers that wait to be compared with the configuration in force.
@@ -234,7 +233,7 @@
 	for {
 		d := interval()
 		// Jitter keeps instances that started together from exchanging in step.
-		sleep(ctx, d-d/8+rand.N(d/4+1))
+		timekeeper.Sleep(ctx, d-d/8+rand.N(d/4+1))
 		if ctx.Err() != nil {
 			return
 		}
@@ -242,15 +241,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // noTargets is used when no target states are spread.
 type noTargets struct{}
 
--- a/internal/cluster/gossiper/start.go
+++ b/internal/cluster/gossiper/start.go
@@ -4,12 +4,14 @@
 	"context"
 	"slices"
 	"sync"
+
+	"apricotflow/internal/operator/timekeeper"
 )
 
 // awaitSettled announces that this instance may grant and hold leases once it may.
 func (g *Gossiper) awaitSettled(ctx context.Context) {
 	for !g.settled() {
-		sleep(ctx, settledPoll)
+		timekeeper.Sleep(ctx, settledPoll)
 		if ctx.Err() != nil {
 			return
 		}
@@ -27,7 +29,7 @@
 			g.ready.Store(true)
 			return
 		}
-		sleep(ctx, startRetry)
+		timekeeper.Sleep(ctx, startRetry)
 	}
 }
 
--- a/internal/cluster/lessor/lessor.go
+++ b/internal/cluster/lessor/lessor.go
@@ -19,8 +19,6 @@
 )
 
 const (
-	// defaultLease applies before the first manifest.
-	defaultLease = 3 * time.Second
 	// roundsPerLease is the number of renewals in one lease time.
 	roundsPerLease = 3
 	// releasedLeases is the number of lease times for which a released incarnation need not be asked. The next one under
@@ -511,10 +509,7 @@
 
 // lease returns the lease time of the manifest in force.
 func (l *Lessor) lease() time.Duration {
-	if m := l.configuration.Manifest(); m != nil {
-		return time.Duration(m.Limits().LeaseMs) * time.Millisecond
-	}
-	return defaultLease
+	return l.configuration.Manifest().Lease()
 }
 
 // nonEmpty drops the empty names that only stand for a request without groups.
--- a/internal/cluster/watcher/watcher.go
+++ b/internal/cluster/watcher/watcher.go
@@ -14,6 +14,7 @@
 	"apricotflow/internal/cluster/owner"
 	"apricotflow/internal/manifest/resolver"
 	"apricotflow/internal/operator/recorder"
+	"apricotflow/internal/operator/timekeeper"
 )
 
 // Keys of the platform's values.
@@ -159,7 +160,7 @@
 	backoff := firstBackoff
 	for ctx.Err() == nil {
 		if !w.Watching() {
-			sleep(ctx, jitter(roleInterval))
+			timekeeper.Sleep(ctx, jitter(roleInterval))
 			continue
 		}
 		started := w.clock()
@@ -169,13 +170,13 @@
 		}
 		next, err := w.read(ctx, key, etag, wait)
 		if err != nil {
-			sleep(ctx, jitter(backoff))
+			timekeeper.Sleep(ctx, jitter(backoff))
 			backoff = min(2*backoff, lastBackoff)
 			continue
 		}
 		etag, backoff = next, firstBackoff
 		if rest := leastInterval - (w.clock() - started); rest > 0 {
-			sleep(ctx, jitter(rest))
+			timekeeper.Sleep(ctx, jitter(rest))
 		}
 	}
 }
@@ -224,12 +225,3 @@
 func jitter(d time.Duration) time.Duration {
 	return d/2 + rand.N(d/2+1)
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/manifest/resolver/manifest.go
+++ b/internal/manifest/resolver/manifest.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"time"
 
 	"apricotflow/internal/wire/encoder"
 )
@@ -152,6 +153,17 @@
 	return m.wire.Limits
 }
 
+// defaultLease applies before the first manifest.
+const defaultLease = 3 * time.Second
+
+// Lease returns the duration of a lease on cold targets; m may be nil.
+func (m *Manifest) Lease() time.Duration {
+	if m == nil {
+		return defaultLease
+	}
+	return time.Duration(m.wire.Limits.LeaseMs) * time.Millisecond
+}
+
 func (m *Manifest) addTargets() {
 	groups := make(map[string]*Group)
 	for _, s := range m.wire.Services {
