Serve callers by routes on the operators' platform

Change: a second way to serve, chosen by the relay section of the settings. Routes (mapper), directory and table in force (registrar), one paced watch with peers as a second source (follower, discoverer), choice of targets by speed, queue, overdue answers and failures (picker), one budget for repeats (budgeter), HTTP/1.1 without silent repeats (transporter), hedges and partial answers (relayer), HTTP for callers (receiver). platform/ holds names, formats and calls. The latency window of the hedger moved to target/estimator.

Ruled out: owners of target groups and leases on this platform: 4 to 5 instances fit into 25 connections of a target, and direct sends need no hop.

--- a/internal/caller/assembler/assembler.go
+++ b/internal/caller/assembler/assembler.go
@@ -50,6 +50,11 @@
 		operatorParts, clusterParts, targetParts, queryParts, callerParts,
 		fx.Invoke(run),
 	)
+	return runApp(ctx, app)
+}
+
+// runApp starts the parts, waits for the end of ctx, and stops them.
+func runApp(ctx context.Context, app *fx.App) error {
 	if err := app.Err(); err != nil {
 		return &StartError{Cause: err}
 	}
--- /dev/null
+++ b/internal/caller/assembler/relay.go
@@ -0,0 +1,151 @@
+package assembler
+
+import (
+	"context"
+	"io"
+	"runtime/debug"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/fx"
+
+	"apricotflow/internal/caller/receiver"
+	"apricotflow/internal/cluster/discoverer"
+	"apricotflow/internal/cluster/follower"
+	"apricotflow/internal/cluster/messenger"
+	"apricotflow/internal/cluster/registrar"
+	"apricotflow/internal/operator/loader"
+	"apricotflow/internal/operator/logger"
+	"apricotflow/internal/operator/recorder"
+	"apricotflow/internal/operator/reporter"
+	admin "apricotflow/internal/operator/server"
+	"apricotflow/internal/operator/timekeeper"
+	"apricotflow/internal/query/relayer"
+	"apricotflow/internal/target/budgeter"
+	"apricotflow/internal/target/picker"
+	"apricotflow/internal/target/sender"
+	"apricotflow/internal/target/transporter"
+)
+
+const (
+	// peerHeartbeat and peerSilence notice a lost instance in seconds; nothing waits for it, and bytes between failure
+	// domains are priced.
+	peerHeartbeat = 3 * time.Second
+	peerSilence   = 8 * time.Second
+	// peerIdle keeps the connections to the few instances that are told in turn.
+	peerIdle = time.Minute
+	// memoryShare is the part of the memory limit that the heap may use before the collector works harder.
+	memoryShare = 0.6
+	// collectPercent lets the small heap of an instance grow before a collection, which costs processor time.
+	collectPercent = 400
+)
+
+// Platform is how the platform speaks.
+type Platform struct {
+	// Source creates a client of the platform's store at an address.
+	Source  func(address string, logger *log.Logger) follower.Source
+	Targets transporter.Dialect
+	Callers receiver.Dialect
+}
+
+// RunRelay serves callers by routes until ctx ends, then shuts down gracefully. Logs go to the writer.
+func RunRelay(ctx context.Context, settings loader.Settings, version string, logs io.Writer, platform Platform) error {
+	debug.SetGCPercent(collectPercent)
+	debug.SetMemoryLimit(int64(memoryShare * float64(settings.Relay().MemoryBytes)))
+	lines := logger.New(logs)
+	defer lines.Close()
+	app := fx.New(
+		fx.NopLogger,
+		fx.StartTimeout(startTimeout),
+		fx.StopTimeout(settings.Relay().Grace+stopMargin),
+		fx.Supply(settings, Version(version), platform, lines),
+		fx.Provide(newIncarnation, newClock, newRecorder, reporter.New, newScope, newRelayLogger),
+		fx.Provide(registrar.New, newDiscoverer, newRelayMessenger, newFollower),
+		fx.Provide(newPicker, newBudgeter, newTransporter, sender.New, relayer.New, newReceiver, newRelayAdmin),
+		fx.Invoke(runRelay),
+	)
+	return runApp(ctx, app)
+}
+
+func newRelayLogger(settings loader.Settings, lines *logger.Writer) (*log.Logger, error) {
+	level, err := log.ParseLevel(string(settings.LogLevel()))
+	if err != nil {
+		return nil, err
+	}
+	options := log.Options{ReportTimestamp: true, TimeFormat: time.RFC3339Nano, Level: level, Formatter: log.JSONFormatter}
+	return log.NewWithOptions(lines, options).With("instance", settings.Instance()), nil
+}
+
+func newDiscoverer(settings loader.Settings, incarnation Incarnation, r *registrar.Registrar, l *log.Logger) *discoverer.Discoverer {
+	return discoverer.New(identity(settings, incarnation), settings.PeerAddress().String(), seedAddresses(settings), r, l)
+}
+
+func identity(settings loader.Settings, incarnation Incarnation) messenger.Identity {
+	return messenger.Identity{Instance: settings.Instance(), Incarnation: string(incarnation), FailureDomain: settings.FailureDomain()}
+}
+
+func seedAddresses(settings loader.Settings) []string {
+	seeds := make([]string, 0, len(settings.Seeds()))
+	for _, s := range settings.Seeds() {
+		seeds = append(seeds, s.String())
+	}
+	return seeds
+}
+
+func newRelayMessenger(
+	settings loader.Settings, incarnation Incarnation, d *discoverer.Discoverer, clock *timekeeper.HybridClock,
+	events *recorder.Recorder, scope tally.Scope,
+) *messenger.Messenger {
+	m := messenger.New(identity(settings, incarnation), settings.PeerAddress().String(), d, clock, events,
+		messenger.WithScope(scope), messenger.WithHeartbeat(peerHeartbeat, peerSilence), messenger.WithIdleLimit(peerIdle))
+	d.Attach(m)
+	return m
+}
+
+func newFollower(
+	settings loader.Settings, platform Platform, r *registrar.Registrar, d *discoverer.Discoverer, l *log.Logger, scope tally.Scope,
+) *follower.Follower {
+	source := platform.Source(settings.PlatformAddress().String(), l)
+	return follower.New(source, r, l, follower.WithPeers(d), follower.WithScope(scope))
+}
+
+func newPicker(settings loader.Settings, d *discoverer.Discoverer) *picker.Picker {
+	relay := settings.Relay()
+	return picker.New(settings.FailureDomain(), picker.ColdLimits{Factor: relay.ColdFactor, Slack: relay.ColdSlack}, d.Instances)
+}
+
+func newBudgeter(settings loader.Settings, d *discoverer.Discoverer) *budgeter.Budgeter {
+	return budgeter.New(extraLoad(settings), d.Instances)
+}
+
+func extraLoad(settings loader.Settings) budgeter.Limits {
+	relay := settings.Relay()
+	return budgeter.Limits{Ratio: relay.ExtraLoadRatio, Slack: relay.ExtraLoadSlack, Window: relay.ExtraLoadWindow}
+}
+
+func newTransporter(platform Platform) *transporter.Transporter {
+	return transporter.New(platform.Targets)
+}
+
+func newReceiver(
+	settings loader.Settings, platform Platform, r *registrar.Registrar, relay *relayer.Relayer, l *log.Logger, scope tally.Scope,
+) *receiver.Receiver {
+	return receiver.New(platform.Callers, r, relay, settings.Concurrency(), l, scope)
+}
+
+func newRelayAdmin(
+	settings loader.Settings, incarnation Incarnation, version Version, events *recorder.Recorder, totals *reporter.Reporter,
+	clock *timekeeper.HybridClock, r *registrar.Registrar, callers *receiver.Receiver,
+) *admin.Server {
+	self := admin.Identity{
+		Instance: settings.Instance(), Incarnation: string(incarnation), FailureDomain: settings.FailureDomain(), Version: string(version),
+	}
+	inForce := func() admin.Configuration {
+		if table := r.View().Table(); table != nil {
+			return admin.Configuration{Generation: table.Version()}
+		}
+		return admin.Configuration{}
+	}
+	return admin.New(self, events, totals, clock, admin.WithReady(callers.Ready), admin.WithConfiguration(inForce))
+}
--- /dev/null
+++ b/internal/cluster/follower/follower.go
@@ -0,0 +1,260 @@
+// Package follower keeps the routing table and the directory of targets in step with the platform's store, or with
+// other instances while the store cannot be reached.
+package follower
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
+
+	"apricotflow/internal/cluster/registrar"
+	"apricotflow/internal/operator/timekeeper"
+)
+
+const (
+	// defaultWait is how long a watch waits for a change. It bounds how long it goes unnoticed that a watch hears nothing,
+	// because its connection has fallen silent or the store has dropped its history, and is less than the time in which
+	// a configuration has to be in force. Each wait costs a call.
+	defaultWait = 2500 * time.Millisecond
+	// defaultPause is the time between two watches, in which changes that come in quick succession gather.
+	defaultPause = 400 * time.Millisecond
+	// loadTimeout bounds one read of everything; the store answers in milliseconds, or 50 times that when it is slow.
+	loadTimeout = 4 * time.Second
+	// watchMargin is the time for the answer after the wait.
+	watchMargin = 2 * time.Second
+	// firstBackoff and lastBackoff bound the time between failed calls.
+	firstBackoff = 250 * time.Millisecond
+	lastBackoff  = time.Second
+	// settleTime is the time after the return of the store by which live targets have renewed lapsed entries.
+	settleTime = 2100 * time.Millisecond
+	// peerInterval is the time between questions to peers while the store cannot be reached.
+	peerInterval = 500 * time.Millisecond
+)
+
+// HistoryError reports that the changes after a revision are no longer available.
+type HistoryError struct {
+	// After is the revision that was asked for.
+	After int
+}
+
+func (e *HistoryError) Error() string {
+	return fmt.Sprintf("follower: changes after revision %d are no longer available", e.After)
+}
+
+// Source reads the platform's store.
+type Source interface {
+	// Load reads everything; a reading that is not fresh may be seconds old and costs less.
+	Load(ctx context.Context, fresh bool) (registrar.Change, error)
+	// Watch returns what changed after the revision as soon as there is something, or nothing after the wait. The error
+	// may be a *HistoryError.
+	Watch(ctx context.Context, after int, wait time.Duration) (registrar.Change, error)
+}
+
+// Peers provides what other instances know.
+type Peers interface {
+	// Newest returns the state of the peer with the highest revision above the given one, if any peer has it.
+	Newest(ctx context.Context, above int) (registrar.Change, bool)
+}
+
+// Option changes a follower.
+type Option func(*Follower)
+
+// WithPeers sets the instances to ask while the store cannot be reached.
+func WithPeers(peers Peers) Option {
+	return func(f *Follower) { f.peers = peers }
+}
+
+// WithScope sets the scope for counters.
+func WithScope(scope tally.Scope) Option {
+	return func(f *Follower) { f.scope = scope }
+}
+
+// WithPause sets the time between two watches.
+func WithPause(pause time.Duration) Option {
+	return func(f *Follower) { f.pause = pause }
+}
+
+// Follower applies changes of the store to a registrar.
+type Follower struct {
+	source    Source
+	registrar *registrar.Registrar
+	logger    *log.Logger
+	peers     Peers
+	scope     tally.Scope
+	pause     time.Duration
+
+	// revision is the revision from which the next watch continues; 0 before the first load.
+	revision int
+	// lostAt is the time of the first failed call since the last successful one, or zero.
+	lostAt time.Time
+	// settleAt is when removals are trusted again, or zero while they are.
+	settleAt time.Time
+	backoff  time.Duration
+	askedAt  time.Time
+	// reachable tells whether the last call succeeded.
+	reachable atomic.Bool
+}
+
+// New creates a follower.
+func New(source Source, r *registrar.Registrar, logger *log.Logger, opts ...Option) *Follower {
+	f := &Follower{source: source, registrar: r, logger: logger, scope: tally.NoopScope, pause: defaultPause, backoff: firstBackoff}
+	for _, opt := range opts {
+		opt(f)
+	}
+	return f
+}
+
+// Reachable reports whether the last call to the store succeeded.
+func (f *Follower) Reachable() bool {
+	return f.reachable.Load()
+}
+
+// Run follows the store until the context ends.
+func (f *Follower) Run(ctx context.Context) {
+	fresh := false
+	for ctx.Err() == nil {
+		err := f.step(ctx, fresh)
+		var history *HistoryError
+		switch {
+		case ctx.Err() != nil:
+			return
+		case errors.As(err, &history):
+			f.logger.Warn("history of the store lost, reading everything", "after", history.After)
+			f.revision, fresh = 0, true
+		case err != nil:
+			f.fail(ctx, err)
+		default:
+			fresh = false
+		}
+	}
+}
+
+// step performs one load or watch.
+func (f *Follower) step(ctx context.Context, fresh bool) error {
+	if f.revision == 0 {
+		return f.load(ctx, fresh)
+	}
+	wait := defaultWait
+	if !f.settleAt.IsZero() {
+		wait = max(min(wait, time.Until(f.settleAt)), time.Millisecond)
+	}
+	call, cancel := context.WithTimeout(ctx, wait+watchMargin)
+	defer cancel()
+	f.scope.Counter("follower-watches").Inc(1)
+	change, err := f.source.Watch(call, f.revision, wait)
+	if err != nil {
+		return err
+	}
+	f.regain()
+	if change.Revision > f.revision {
+		f.revision = change.Revision
+	}
+	f.apply(change, "watch")
+	f.settle()
+	if !empty(change) {
+		timekeeper.Sleep(ctx, f.pause)
+	}
+	return nil
+}
+
+func (f *Follower) load(ctx context.Context, fresh bool) error {
+	call, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	f.scope.Counter("follower-loads").Inc(1)
+	change, err := f.source.Load(call, fresh)
+	if err != nil {
+		return err
+	}
+	f.regain()
+	f.revision = change.Revision
+	f.apply(change, "load")
+	return nil
+}
+
+func empty(c registrar.Change) bool {
+	return c.Table == nil && len(c.Put) == 0 && len(c.Removed) == 0 && len(c.Closed) == 0 && len(c.Opened) == 0
+}
+
+func (f *Follower) apply(change registrar.Change, origin string) {
+	if empty(change) && !change.Complete {
+		return
+	}
+	trusted := f.settleAt.IsZero()
+	before := f.registrar.View()
+	after := f.registrar.Apply(change, trusted)
+	f.logger.Info("state of the platform changed", "from", origin, "revision", after.Revision(), "version", version(after),
+		"put", len(change.Put), "removed", ids(change.Removed), "missing", after.Missing(), "trusted", trusted,
+		"closed-domains", after.ClosedDomains(), "targets-before", len(before.Targets()), "targets", len(after.Targets()))
+}
+
+// maxNamed bounds the ids in one log line.
+const maxNamed = 8
+
+func ids(all []string) []string {
+	return all[:min(len(all), maxNamed)]
+}
+
+func version(v *registrar.View) int {
+	if v.Table() == nil {
+		return 0
+	}
+	return v.Table().Version()
+}
+
+// regain notes a successful call. After an outage, removals are not trusted until live targets had the time to renew
+// their entries.
+func (f *Follower) regain() {
+	f.reachable.Store(true)
+	f.backoff = firstBackoff
+	if f.lostAt.IsZero() {
+		return
+	}
+	f.settleAt = time.Now().Add(settleTime)
+	f.logger.Info("store regained", "after", time.Since(f.lostAt), "revision", f.revision)
+	f.lostAt = time.Time{}
+}
+
+// settle trusts removals again when it is time.
+func (f *Follower) settle() {
+	if f.settleAt.IsZero() || time.Now().Before(f.settleAt) {
+		return
+	}
+	f.settleAt = time.Time{}
+	missing := f.registrar.View().Missing()
+	after := f.registrar.Settle()
+	f.logger.Info("directory trusted again", "removed", missing, "targets", len(after.Targets()))
+}
+
+// fail waits after a failed call, and asks peers meanwhile.
+func (f *Follower) fail(ctx context.Context, err error) {
+	f.reachable.Store(false)
+	f.scope.Counter("follower-failures").Inc(1)
+	if f.lostAt.IsZero() {
+		f.lostAt = time.Now()
+		f.logger.Warn("store lost", "revision", f.revision, "error", err)
+	}
+	f.ask(ctx)
+	timekeeper.Sleep(ctx, f.backoff)
+	f.backoff = min(2*f.backoff, lastBackoff)
+}
+
+// ask takes up the newest state of the peers.
+func (f *Follower) ask(ctx context.Context) {
+	if f.peers == nil || time.Since(f.askedAt) < peerInterval {
+		return
+	}
+	f.askedAt = time.Now()
+	known := f.registrar.View()
+	change, found := f.peers.Newest(ctx, known.Revision())
+	if !found {
+		return
+	}
+	f.logger.Info("state of the platform changed", "from", "peer", "revision", change.Revision, "before", known.Revision(), "targets", len(change.Put))
+	f.registrar.Apply(change, true)
+	f.revision = max(f.revision, change.Revision)
+}
--- a/internal/manifest/parser/schema.go
+++ b/internal/manifest/parser/schema.go
@@ -27,10 +27,24 @@
 // Schema checks raw JSON against one of the embedded schemas.
 type Schema struct {
 	compiled *jsonschema.Schema
+	// fractions holds the paths of the numbers that need not be integers.
+	fractions map[string]bool
+}
+
+// Option changes a schema.
+type Option func(*Schema)
+
+// WithFractions names the paths of the numbers that need not be integers.
+func WithFractions(paths ...string) Option {
+	return func(s *Schema) {
+		for _, p := range paths {
+			s.fractions[p] = true
+		}
+	}
 }
 
 // MustCompile compiles an embedded schema, such as "platform.json#/$defs/MemberList"; it panics on a faulty one.
-func MustCompile(location string) *Schema {
+func MustCompile(location string, opts ...Option) *Schema {
 	compiler := jsonschema.NewCompiler()
 	files, err := fs.Glob(encoder.Schemas, "schemas/*.json")
 	if err != nil {
@@ -41,7 +55,11 @@
 			panic("parser: add schema " + file + ": " + err.Error())
 		}
 	}
-	return &Schema{compiled: compiler.MustCompile(schemaBase + location)}
+	s := &Schema{compiled: compiler.MustCompile(schemaBase + location), fractions: make(map[string]bool)}
+	for _, opt := range opts {
+		opt(s)
+	}
+	return s
 }
 
 // Check returns every violation of strict JSON and of the schema, each with its JSON path.
@@ -56,7 +74,7 @@
 	if err != nil {
 		return scan(raw)
 	}
-	w := &walker{}
+	w := &walker{fractions: s.fractions}
 	w.value(value, 0)
 	if w.tooDeep {
 		return w.problems
--- a/internal/manifest/parser/walker.go
+++ b/internal/manifest/parser/walker.go
@@ -24,6 +24,8 @@
 	// members counts the fields of all objects.
 	members int
 	tooDeep bool
+	// fractions holds the paths of the numbers that need not be integers.
+	fractions map[string]bool
 }
 
 func (w *walker) value(value any, depth int) {
@@ -74,12 +76,17 @@
 
 // number refuses values such as 1.0 and 1e3, which the schema takes for integers and the decoder does not.
 func (w *walker) number(n json.Number) {
-	if _, err := strconv.ParseInt(n.String(), 10, 64); err != nil {
+	if _, err := strconv.ParseInt(n.String(), 10, 64); err != nil && !w.fractions[w.location()] {
 		w.add("must be an integer written in digits and within 64 bits, not %s", shorten(n.String()))
 	}
 }
 
 func (w *walker) add(format string, arguments ...any) {
+	w.problems = append(w.problems, resolver.Problem{Path: w.location(), Message: fmt.Sprintf(format, arguments...)})
+}
+
+// location renders the path to the current value.
+func (w *walker) location() string {
 	path := "$"
 	for _, s := range w.path {
 		if s.isIndex {
@@ -88,7 +95,7 @@
 		}
 		path += field(s.key)
 	}
-	w.problems = append(w.problems, resolver.Problem{Path: path, Message: fmt.Sprintf(format, arguments...)})
+	return path
 }
 
 // countMembers counts the colons outside strings of valid JSON, which are as many as the fields of all objects. A
--- a/internal/operator/commander/documents_test.go
+++ b/internal/operator/commander/documents_test.go
@@ -73,7 +73,7 @@
 	declared := read(t, "internal/operator/recorder/recorder.go")
 	kinds := matches(`Kind = "([a-z-]+)"`, declared)
 	assert.Assert(t, len(kinds) > 30)
-	assert.DeepEqual(t, firstCells(section(t, read(t, "docs/operating.md"), "Events")), kinds)
+	assert.DeepEqual(t, firstCells(section(t, read(t, "docs/OPERATIONS.md"), "Events")), kinds)
 	used := sources(t, false)
 	for _, name := range matches(`(Kind[A-Za-z]+) +Kind = `, declared) {
 		assert.Assert(t, strings.Contains(used, "recorder."+name), "%s is never recorded", name)
@@ -90,12 +90,12 @@
 	}
 	slices.Sort(names)
 	assert.Assert(t, len(names) > 40)
-	assert.DeepEqual(t, firstCells(section(t, read(t, "docs/operating.md"), "Counters")), names)
+	assert.DeepEqual(t, firstCells(section(t, read(t, "docs/OPERATIONS.md"), "Counters")), names)
 }
 
 // A setting that the page does not name cannot be found by an operator, and one that does not exist is refused.
 func TestEverySettingIsDocumented(t *testing.T) {
-	page := read(t, "docs/operating.md")
+	page := read(t, "docs/OPERATIONS.md")
 	for schema, heading := range map[string]string{"settings.json": "Settings", "manifest.json": "Manifest"} {
 		raw, err := encoder.Schemas.ReadFile("schemas/" + schema)
 		assert.NilError(t, err)
@@ -138,6 +138,6 @@
 		}
 	}
 	for _, name := range []string{"serve", "check", "query", "status", "timeline", "version"} {
-		assert.Assert(t, strings.Contains(read(t, "docs/operating.md"), "apricotflow "+name), name)
+		assert.Assert(t, strings.Contains(read(t, "docs/OPERATIONS.md"), "apricotflow "+name), name)
 	}
 }
--- a/internal/operator/loader/loader.go
+++ b/internal/operator/loader/loader.go
@@ -12,7 +12,10 @@
 	"apricotflow/internal/wire/encoder"
 )
 
-var settingsSchema = sync.OnceValue(func() *parser.Schema { return parser.MustCompile("settings.json") })
+var settingsSchema = sync.OnceValue(func() *parser.Schema {
+	return parser.MustCompile("settings.json", parser.WithFractions("$.relay.grace-seconds", "$.relay.extra-load-ratio",
+		"$.relay.extra-load-slack", "$.relay.extra-load-window-seconds", "$.relay.cold-factor", "$.relay.cold-slack"))
+})
 
 // ReadError reports a settings file that cannot be read.
 type ReadError struct {
@@ -45,7 +48,9 @@
 	if err != nil {
 		return Settings{}, &ReadError{File: file, Cause: err}
 	}
-	return Parse(raw)
+	settings, err := Parse(raw)
+	settings.file = file
+	return settings, err
 }
 
 // Parse checks raw settings and applies the defaults; the error is an *InvalidError with every problem.
--- a/internal/operator/loader/settings.go
+++ b/internal/operator/loader/settings.go
@@ -44,6 +44,10 @@
 	strictInvariants bool
 	policy           Policy
 	logLevel         encoder.SettingsLogLevel
+	// relay is nil for an instance that answers queries under a manifest.
+	relay *Relay
+	// file is empty for settings that were not read from a file.
+	file string
 }
 
 // newSettings applies the defaults and adds the problems of the addresses to those given.
@@ -63,6 +67,9 @@
 		policy:           newPolicy(valueOr(wire.Policy, encoder.Policy{})),
 		logLevel:         valueOr(wire.LogLevel, encoder.SettingsLogLevelInfo),
 	}
+	if wire.Relay != nil {
+		s.relay = newRelay(*wire.Relay, a)
+	}
 	for i, seed := range wire.Seeds {
 		s.seeds = append(s.seeds, a.seed(fmt.Sprintf("$.seeds[%d]", i), seed, s.peerAddress))
 	}
@@ -117,6 +124,13 @@
 // LogLevel returns the lowest level logged.
 func (s Settings) LogLevel() encoder.SettingsLogLevel { return s.logLevel }
 
+// Relay returns the settings of an instance that relays requests by routes; it is nil for one that answers queries under
+// a manifest.
+func (s Settings) Relay() *Relay { return s.relay }
+
+// File returns the file that the settings were read from; it may be empty.
+func (s Settings) File() string { return s.file }
+
 // WithListeners returns a copy with other addresses to listen on; unlike in a file, ports may be 0.
 func (s Settings) WithListeners(caller, peer, admin netip.AddrPort) Settings {
 	s.callerAddress, s.peerAddress, s.adminAddress = caller, peer, admin
--- a/internal/operator/reporter/totals.go
+++ b/internal/operator/reporter/totals.go
@@ -1,6 +1,7 @@
 package reporter
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -39,8 +40,15 @@
 func (t *totals) ReportHistogramValueSamples(string, map[string]string, tally.Buckets, float64, float64, int64) {
 }
 
-// ReportHistogramDurationSamples is unused: latencies are kept in HDR histograms.
-func (t *totals) ReportHistogramDurationSamples(string, map[string]string, tally.Buckets, time.Duration, time.Duration, int64) {
+// ReportHistogramDurationSamples adds the samples to the counter of their bucket.
+func (t *totals) ReportHistogramDurationSamples(name string, _ map[string]string, _ tally.Buckets, _, upper time.Duration, samples int64) {
+	bucket := "inf"
+	if upper < math.MaxInt64 {
+		bucket = upper.String()
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.counters[name+"-up-to-"+bucket] += int(samples)
 }
 
 // Capabilities returns the totals themselves.
--- a/internal/target/hedger/window.go
+++ b/internal/target/estimator/estimator.go
@@ -1,4 +1,5 @@
-package hedger
+// Package estimator keeps recent latencies in a sliding window and computes quantiles of them.
+package estimator
 
 import (
 	"sync"
@@ -22,8 +23,8 @@
 	cacheLength = 100 * time.Millisecond
 )
 
-// window holds the latencies of one query class over the sliding window.
-type window struct {
+// Window holds the latencies of one kind of request over the sliding window.
+type Window struct {
 	mu        sync.Mutex
 	histogram *hdrhistogram.WindowedHistogram
 	// rotated is the start of the current part.
@@ -33,11 +34,13 @@
 	cachedAt time.Time
 }
 
-func newWindow() *window {
-	return &window{histogram: hdrhistogram.NewWindowed(parts, lowest, highest, digits), rotated: time.Now(), cached: make(map[float64]time.Duration)}
+// NewWindow creates an empty window.
+func NewWindow() *Window {
+	return &Window{histogram: hdrhistogram.NewWindowed(parts, lowest, highest, digits), rotated: time.Now(), cached: make(map[float64]time.Duration)}
 }
 
-func (w *window) record(latency time.Duration) {
+// Record adds a latency.
+func (w *Window) Record(latency time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.rotate()
@@ -46,7 +49,7 @@
 }
 
 // rotate drops the parts that have left the window.
-func (w *window) rotate() {
+func (w *Window) rotate() {
 	elapsed := int(time.Since(w.rotated) / partLength)
 	for range min(elapsed, parts) {
 		w.histogram.Rotate()
@@ -54,8 +57,8 @@
 	w.rotated = w.rotated.Add(time.Duration(elapsed) * partLength)
 }
 
-// quantile returns the latency at the percentage, unless there are too few samples.
-func (w *window) quantile(percent float64) (time.Duration, bool) {
+// Quantile returns the latency at the percentage, unless there are too few samples.
+func (w *Window) Quantile(percent float64) (time.Duration, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if time.Since(w.cachedAt) >= cacheLength {
@@ -71,7 +74,7 @@
 	return delay, delay > 0
 }
 
-func (w *window) compute(percent float64) time.Duration {
+func (w *Window) compute(percent float64) time.Duration {
 	merged := w.histogram.Merge()
 	if merged.TotalCount() < minSamples {
 		return 0
--- a/internal/target/hedger/hedger.go
+++ b/internal/target/hedger/hedger.go
@@ -11,6 +11,7 @@
 	"apricotflow/internal/manifest/resolver"
 	"apricotflow/internal/operator/checker"
 	"apricotflow/internal/operator/recorder"
+	"apricotflow/internal/target/estimator"
 	"apricotflow/internal/wire/encoder"
 )
 
@@ -60,7 +61,7 @@
 	off           bool
 	budget        budget
 	account       account
-	// windows holds a *window for every query class.
+	// windows holds an *estimator.Window for every query class.
 	windows sync.Map
 }
 
@@ -79,7 +80,7 @@
 	if h.off || m == nil {
 		return Never
 	}
-	delay, found := h.window(class).quantile(h.percentage(m.Limits()))
+	delay, found := h.window(class).Quantile(h.percentage(m.Limits()))
 	if found {
 		return max(delay, minDelay)
 	}
@@ -103,15 +104,15 @@
 
 // Observe adds the latency of an answered sub-query, counted from the first attempt when it was hedged.
 func (h *Hedger) Observe(class string, latency time.Duration) {
-	h.window(class).record(latency)
+	h.window(class).Record(latency)
 }
 
-func (h *Hedger) window(class string) *window {
+func (h *Hedger) window(class string) *estimator.Window {
 	if w, found := h.windows.Load(class); found {
-		return w.(*window)
+		return w.(*estimator.Window)
 	}
-	w, _ := h.windows.LoadOrStore(class, newWindow())
-	return w.(*window)
+	w, _ := h.windows.LoadOrStore(class, estimator.NewWindow())
+	return w.(*estimator.Window)
 }
 
 // Needed fills the budget for n sub-queries that are needed in any case.
--- a/internal/wire/encoder/types.go
+++ b/internal/wire/encoder/types.go
@@ -44,6 +44,33 @@
 	Reply SubReply `json:"reply"`
 }
 
+// An instance as another one knows it.
+type DiscoveryMember struct {
+	// Time since a message of the instance, also through others.
+	AgeMs int `json:"age-ms"`
+
+	// Changes with each start of the process.
+	Incarnation string `json:"incarnation"`
+
+	// Name of the instance.
+	Instance string `json:"instance"`
+
+	// Address for other instances.
+	PeerAddress string `json:"peer-address"`
+}
+
+// What instances tell each other at regular times; the reply has the same form.
+type DiscoveryMessage struct {
+	// Hybrid logical clock of the sender.
+	Clock int `json:"clock"`
+
+	// Instances that the sender knows.
+	Members []DiscoveryMember `json:"members"`
+
+	// Revision of the platform's store that the sender reflects.
+	Revision int `json:"revision"`
+}
+
 // Reply with a status of 400 or above.
 type ErrorReply struct {
 	// Machine-readable code in kebab case.
@@ -590,6 +617,66 @@
 	ReasonVersionMissing      Reason = "version-missing"
 )
 
+// A target as the platform's directory lists it.
+type RegisteredTarget struct {
+	// Address of the target.
+	Address string `json:"address"`
+
+	// The target is leaving and gets no new work.
+	Draining bool `json:"draining"`
+
+	// Failure domain of the target.
+	FailureDomain string `json:"failure-domain"`
+
+	// Name of the service.
+	Service string `json:"service"`
+
+	// Requests that the target runs at the same time; 0 if unknown.
+	Slots int `json:"slots"`
+
+	// Start of the target in Unix milliseconds; 0 if unknown.
+	Started int `json:"started"`
+
+	// Id of one start of the target.
+	Target string `json:"target"`
+
+	// Time for which the target stays cold, counted from when this was sent.
+	WarmupMs int `json:"warmup-ms"`
+}
+
+// Relays requests by routes to the targets that the platform's directory lists,
+// instead of answering queries under a manifest.
+type Relay struct {
+	// Factor on the rate that a cold target bears. Default 1.
+	ColdFactor *float64 `json:"cold-factor,omitempty,omitzero"`
+
+	// Requests per second beside that rate. Default 0.
+	ColdSlack *float64 `json:"cold-slack,omitempty,omitzero"`
+
+	// Repeated sub-requests to a service over all instances, as a share of the
+	// requests. Default 0.1.
+	ExtraLoadRatio *float64 `json:"extra-load-ratio,omitempty,omitzero"`
+
+	// Repeated sub-requests to a service over all instances that are allowed beside
+	// the ratio in each window. Default 0.
+	ExtraLoadSlack *float64 `json:"extra-load-slack,omitempty,omitzero"`
+
+	// Sliding window of the extra load. Default 10.
+	ExtraLoadWindowSeconds *float64 `json:"extra-load-window-seconds,omitempty,omitzero"`
+
+	// Time between the signal to stop and the end of the process by force. Default 6.
+	GraceSeconds *float64 `json:"grace-seconds,omitempty,omitzero"`
+
+	// Memory limit of the process in megabytes. Default 256.
+	MemoryMb *int `json:"memory-mb,omitempty,omitzero"`
+
+	// Listens for the readiness question of the balancer.
+	ReadyAddress string `json:"ready-address"`
+
+	// Path of the readiness question. Default /v1/ready.
+	ReadyPath *string `json:"ready-path,omitempty,omitzero"`
+}
+
 // Ends leases before their time.
 type ReleaseMessage struct {
 	// Hybrid logical clock of the sender.
@@ -605,6 +692,90 @@
 	Instance string `json:"instance"`
 }
 
+// Selects requests by host and path prefix, and says how they are served.
+type Route struct {
+	// Services that the requests are divided among; empty for a query over shards.
+	Destinations []RouteDestination `json:"destinations,omitempty,omitzero"`
+
+	// Host of the request, in lower case.
+	Host string `json:"host"`
+
+	// Requests may run more than once.
+	Idempotent bool `json:"idempotent"`
+
+	// Share of the shards without which a query fails.
+	LeastShare *float64 `json:"least-share,omitempty,omitzero"`
+
+	// Targets that one request, or one shard of it, is sent to at most.
+	MaxTargets int `json:"max-targets"`
+
+	// Name of the route.
+	Name string `json:"name"`
+
+	// Time within which an answer is worth most.
+	ObjectiveMs int `json:"objective-ms"`
+
+	// Beginning of the path; begins and ends with a slash.
+	Prefix string `json:"prefix"`
+
+	// Rank of the requests; 0 is the highest.
+	Priority int `json:"priority"`
+
+	// Services of which every one contributes a part of the answer.
+	Shards []string `json:"shards,omitempty,omitzero"`
+
+	// Longest time that a request is kept waiting.
+	TimeoutMs int `json:"timeout-ms"`
+
+	// Records in the answer of a query over shards.
+	TopRecords *int `json:"top-records,omitempty,omitzero"`
+}
+
+// A service with its weight.
+type RouteDestination struct {
+	// Name of the service.
+	Service string `json:"service"`
+
+	// Weight among the destinations of the route.
+	Weight float64 `json:"weight"`
+}
+
+// Bounds of what a caller may send.
+type RouteLimits struct {
+	// Largest body in bytes; 0 if not limited.
+	BodyBytes int `json:"body-bytes"`
+
+	// Longest time that a caller may leave a connection idle; 0 if not limited.
+	IdleMs int `json:"idle-ms"`
+}
+
+// What holds for all targets of a service.
+type RouteService struct {
+	// Connections that one target accepts from all instances together; 0 if unknown.
+	MaxConnections int `json:"max-connections"`
+
+	// Name of the service.
+	Name string `json:"name"`
+
+	// Requests per second that a cold target bears; 0 if it is not limited.
+	WarmupPerSecond float64 `json:"warmup-per-second"`
+}
+
+// One version of the routing configuration.
+type RoutingTable struct {
+	// Limits corresponds to the JSON schema field "limits".
+	Limits RouteLimits `json:"limits"`
+
+	// Routes of all hosts.
+	Routes []Route `json:"routes"`
+
+	// Services that routes lead to.
+	Services []RouteService `json:"services"`
+
+	// Rises with every change.
+	Version int `json:"version"`
+}
+
 // Answer of the issuing instance.
 type RunTicketReply struct {
 	// Raw JSON of a QueryReply or ErrorReply.
@@ -671,6 +842,9 @@
 	// Policy corresponds to the JSON schema field "policy".
 	Policy *Policy `json:"policy,omitempty,omitzero"`
 
+	// Relay corresponds to the JSON schema field "relay".
+	Relay *Relay `json:"relay,omitempty,omitzero"`
+
 	// Peer addresses asked at the start beside the membership list.
 	Seeds []string `json:"seeds,omitempty,omitzero"`
 
@@ -714,6 +888,30 @@
 	Version int `json:"version"`
 }
 
+// All that an instance knows of the platform.
+type SnapshotReply struct {
+	// Hybrid logical clock of the sender.
+	Clock int `json:"clock"`
+
+	// Failure domains whose targets get no work.
+	ClosedDomains []string `json:"closed-domains,omitempty,omitzero"`
+
+	// Revision of the platform's store that this reflects; 0 if nothing is known.
+	Revision int `json:"revision"`
+
+	// Table corresponds to the JSON schema field "table".
+	Table *RoutingTable `json:"table,omitempty,omitzero"`
+
+	// Known targets.
+	Targets []RegisteredTarget `json:"targets,omitempty,omitzero"`
+}
+
+// Asks an instance for all that it knows of the platform.
+type SnapshotRequest struct {
+	// Hybrid logical clock of the sender.
+	Clock int `json:"clock"`
+}
+
 // Reply to GET /v1/status.
 type StatusReply struct {
 	// Time since the manifest came into force.
--- a/main.go
+++ b/main.go
@@ -7,9 +7,13 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/charmbracelet/log"
+
 	"apricotflow/internal/caller/assembler"
+	"apricotflow/internal/cluster/follower"
 	"apricotflow/internal/operator/commander"
 	"apricotflow/internal/operator/loader"
+	"apricotflow/platform"
 )
 
 func main() {
@@ -20,5 +24,12 @@
 }
 
 func serve(ctx context.Context, settings loader.Settings) error {
+	if settings.Relay() != nil {
+		return assembler.RunRelay(ctx, settings, commander.Version(), os.Stdout, assembler.Platform{
+			Source:  func(address string, logger *log.Logger) follower.Source { return platform.NewStore(address, logger) },
+			Targets: platform.Targets{},
+			Callers: platform.Callers{},
+		})
+	}
 	return assembler.Run(ctx, settings, commander.Version(), os.Stderr)
 }
