--- /dev/null
+++ b/internal/cluster/discoverer/discoverer_test.go
@@ -0,0 +1,121 @@
+package discoverer_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"gotest.tools/v3/assert"
+
+	"apricotflow/internal/cluster/discoverer"
+	"apricotflow/internal/cluster/messenger"
+	"apricotflow/internal/cluster/registrar"
+	"apricotflow/internal/manifest/mapper"
+	"apricotflow/internal/operator/recorder"
+	"apricotflow/internal/operator/timekeeper"
+	"apricotflow/internal/wire/encoder"
+)
+
+// instance is a running discoverer with its messenger.
+type instance struct {
+	*discoverer.Discoverer
+	registrar *registrar.Registrar
+	stop      func()
+}
+
+func address(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, l.Close()) }()
+	return l.Addr().String()
+}
+
+func start(t *testing.T, name, at string, seeds ...string) *instance {
+	t.Helper()
+	r := registrar.New()
+	identity := messenger.Identity{Instance: name, Incarnation: name + at, FailureDomain: "east"}
+	d := discoverer.New(identity, at, seeds, r, log.New(io.Discard))
+	clock := timekeeper.NewHybridClock(time.Now)
+	m := messenger.New(identity, at, d, clock, recorder.New(name, clock, 10))
+	d.Attach(m)
+	assert.NilError(t, m.Start())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); d.Run(ctx) }()
+	stopped := false
+	n := &instance{Discoverer: d, registrar: r}
+	n.stop = func() {
+		if stopped {
+			return
+		}
+		stopped = true
+		cancel()
+		<-done
+		closing, end := context.WithTimeout(context.Background(), time.Second)
+		defer end()
+		assert.NilError(t, m.Close(closing))
+	}
+	t.Cleanup(n.stop)
+	return n
+}
+
+func eventually(t *testing.T, within time.Duration, what string, holds func() bool) {
+	t.Helper()
+	for start := time.Now(); !holds(); time.Sleep(10 * time.Millisecond) {
+		if time.Since(start) > within {
+			t.Fatalf("after %s: %s", within, what)
+		}
+	}
+}
+
+// One live seed of three is enough for all instances to find each other, also those that are no seeds.
+func TestInstancesFindEachOther(t *testing.T) {
+	seeds := []string{address(t), address(t), address(t)}
+	var all []*instance
+	for i := range 5 {
+		at := address(t)
+		if i == 1 {
+			at = seeds[1]
+		}
+		all = append(all, start(t, fmt.Sprintf("n%d", i), at, seeds...))
+	}
+	for _, n := range all {
+		eventually(t, 15*time.Second, "not all instances are known", func() bool { return len(n.Members()) == 4 })
+		assert.Assert(t, n.Instances() >= 5)
+	}
+}
+
+// Before others are known, the number of instances errs to the high side, so that no share is too large.
+func TestUnknownInstancesAreCounted(t *testing.T) {
+	n := start(t, "n0", address(t), "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3")
+	assert.Equal(t, n.Instances(), 4)
+}
+
+// An instance gets the whole state from a peer that knows a newer one.
+func TestNewestStateOfAPeer(t *testing.T) {
+	seed := address(t)
+	a, b := start(t, "a", seed, seed), start(t, "b", address(t), seed)
+	table, problems := mapper.New(encoder.RoutingTable{Version: 4})
+	assert.Equal(t, len(problems), 0)
+	target := registrar.Target{ID: "i1", Service: "s", Address: "127.0.0.1:9", FailureDomain: "east", Slots: 2, ColdUntil: time.Now().Add(time.Minute)}
+	a.registrar.Apply(registrar.Change{Revision: 7, Table: table, Put: []registrar.Target{target}, Closed: []string{"west"}}, true)
+	var change registrar.Change
+	eventually(t, 10*time.Second, "nothing newer", func() bool {
+		var found bool
+		change, found = b.Newest(t.Context(), 6)
+		return found
+	})
+	view := b.registrar.Apply(change, true)
+	assert.Equal(t, view.Revision(), 7)
+	assert.Equal(t, view.Table().Version(), 4)
+	assert.Equal(t, len(view.Serving("s")), 1)
+	assert.Assert(t, time.Until(view.Serving("s")[0].ColdUntil) > 50*time.Second)
+	assert.DeepEqual(t, view.ClosedDomains(), []string{"west"})
+	_, found := b.Newest(t.Context(), 7)
+	assert.Assert(t, !found)
+}
--- /dev/null
+++ b/internal/cluster/registrar/registrar_test.go
@@ -0,0 +1,83 @@
+package registrar_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"apricotflow/internal/cluster/registrar"
+	"apricotflow/internal/manifest/mapper"
+	"apricotflow/internal/wire/encoder"
+)
+
+func table(t *testing.T, version int) *mapper.Table {
+	t.Helper()
+	result, problems := mapper.New(encoder.RoutingTable{Version: version})
+	assert.Equal(t, len(problems), 0)
+	return result
+}
+
+func target(id string) registrar.Target {
+	return registrar.Target{ID: id, Service: "s", Address: "127.0.0.1:1", FailureDomain: "east"}
+}
+
+// A configuration never goes back, also when an older one arrives later from a peer.
+func TestTableNeverGoesBack(t *testing.T) {
+	r := registrar.New()
+	r.Apply(registrar.Change{Revision: 5, Table: table(t, 7)}, true)
+	r.Apply(registrar.Change{Revision: 3, Table: table(t, 6), Complete: true}, true)
+	assert.Equal(t, r.View().Table().Version(), 7)
+	assert.Equal(t, r.View().Revision(), 5)
+}
+
+// A change without trust keeps what is missing until it is settled, but not what has drained.
+func TestUntrustedRemovals(t *testing.T) {
+	r := registrar.New()
+	draining := target("b")
+	draining.Draining = true
+	r.Apply(registrar.Change{Put: []registrar.Target{target("a"), draining, target("c")}}, true)
+	r.Apply(registrar.Change{Put: []registrar.Target{target("c")}, Complete: true}, false)
+	assert.Equal(t, len(r.View().Targets()), 2)
+	assert.Equal(t, r.View().Missing(), 1)
+	assert.Assert(t, r.View().Usable("a"))
+	r.Settle()
+	assert.Assert(t, !r.View().Usable("a"))
+	assert.Assert(t, r.View().Usable("c"))
+	assert.Equal(t, r.View().Missing(), 0)
+}
+
+// A late message of an earlier start under the same id changes nothing.
+func TestMessageOfAnEarlierStart(t *testing.T) {
+	r := registrar.New()
+	now, before := target("a"), target("a")
+	now.Started, before.Started, before.Address = 2000, 1000, "127.0.0.1:2"
+	r.Apply(registrar.Change{Put: []registrar.Target{now}}, true)
+	r.Apply(registrar.Change{Put: []registrar.Target{before}}, true)
+	assert.Equal(t, r.View().Serving("s")[0].Address, "127.0.0.1:1")
+}
+
+// A withdrawn target is out of use until the directory lists it anew.
+func TestWithdraw(t *testing.T) {
+	r := registrar.New()
+	r.Apply(registrar.Change{Put: []registrar.Target{target("a")}}, true)
+	assert.Assert(t, !r.Withdraw("a", "127.0.0.1:2"))
+	assert.Assert(t, r.Withdraw("a", "127.0.0.1:1"))
+	assert.Equal(t, len(r.View().Serving("s")), 0)
+	r.Apply(registrar.Change{Put: []registrar.Target{target("a")}}, true)
+	assert.Equal(t, len(r.View().Serving("s")), 1)
+}
+
+// The latest of several changes of one key counts.
+func TestLaterChangesSupersedeEarlierOnes(t *testing.T) {
+	var c registrar.Change
+	c.PutTarget(target("a"))
+	c.Remove("a")
+	c.Remove("b")
+	c.PutTarget(target("b"))
+	c.SetDomain("east", true)
+	c.SetDomain("east", false)
+	assert.DeepEqual(t, c.Removed, []string{"a"})
+	assert.Equal(t, len(c.Put), 1)
+	assert.Equal(t, len(c.Closed), 0)
+	assert.DeepEqual(t, c.Opened, []string{"east"})
+}
--- /dev/null
+++ b/internal/manifest/mapper/mapper_test.go
@@ -0,0 +1,88 @@
+package mapper_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"apricotflow/internal/manifest/mapper"
+	"apricotflow/internal/wire/encoder"
+)
+
+func to(service string, weight float64) []encoder.RouteDestination {
+	return []encoder.RouteDestination{{Service: service, Weight: weight}}
+}
+
+// The longest prefix of the host decides.
+func TestMatch(t *testing.T) {
+	table, problems := mapper.New(encoder.RoutingTable{Routes: []encoder.Route{
+		{Name: "root", Host: "a.example", Prefix: "/", Destinations: to("s", 1)},
+		{Name: "long", Host: "A.example", Prefix: "/x/y/", Destinations: to("s", 1)},
+		{Name: "short", Host: "a.example", Prefix: "/x/", Destinations: to("s", 1)},
+		{Name: "other", Host: "b.example", Prefix: "/z/", Destinations: to("s", 1)},
+	}})
+	assert.Equal(t, len(problems), 0)
+	for _, c := range []struct{ host, path, name string }{
+		{"a.example", "/x/y/z", "long"},
+		{"a.example", "/x/yz", "short"},
+		{"A.EXAMPLE:80", "/x", "root"},
+		{"b.example", "/z/", "other"},
+		{"b.example", "/z", ""},
+		{"c.example", "/", ""},
+	} {
+		r, found := table.Match(c.host, c.path)
+		assert.Equal(t, found, c.name != "", c)
+		if found {
+			assert.Equal(t, r.Name, c.name)
+		}
+	}
+}
+
+// Routes that cannot be served are refused as a whole, each with its place.
+func TestProblems(t *testing.T) {
+	one := 1.0
+	_, problems := mapper.New(encoder.RoutingTable{Routes: []encoder.Route{
+		{Host: "a", Prefix: "/ok/", Destinations: to("s", 1)},
+		{Prefix: "/", Destinations: to("s", 1)},
+		{Host: "a", Prefix: "/x", Destinations: to("s", 1)},
+		{Host: "a", Prefix: "/", Destinations: to("s", 0)},
+		{Host: "a", Prefix: "/", Idempotent: true, Shards: []string{"s", "s"}},
+		{Host: "a", Prefix: "/", Shards: []string{"s"}, LeastShare: &one},
+		{Host: "a", Prefix: "/", Idempotent: true, Shards: []string{"s"}, Destinations: to("s", 1)},
+	}})
+	assert.Equal(t, len(problems), 6)
+	for i, p := range problems {
+		assert.Equal(t, p.Path, fmt.Sprintf("$.routes[%d]", i+1))
+	}
+}
+
+// Requests are divided by weight, and all attempts with one id get the same service.
+func TestDestinationsGetTheirShares(t *testing.T) {
+	table, _ := mapper.New(encoder.RoutingTable{Routes: []encoder.Route{{
+		Host: "a", Prefix: "/", Destinations: []encoder.RouteDestination{{Service: "x", Weight: 3}, {Service: "y", Weight: 1}, {Service: "z", Weight: 0}},
+	}}})
+	r, _ := table.Match("a", "/")
+	counts := make(map[string]int)
+	const n = 4000
+	for i := range n {
+		id := fmt.Sprintf("%016x", i*7919)
+		counts[r.Destination(id)]++
+		assert.Equal(t, r.Destination(id), r.Destination(id))
+	}
+	assert.Assert(t, math.Abs(float64(counts["x"])/n-0.75) < 0.05, counts)
+	assert.Equal(t, counts["z"], 0)
+}
+
+// The least number of parts is the smallest one whose share suffices.
+func TestLeastParts(t *testing.T) {
+	for _, c := range []struct {
+		shards int
+		share  float64
+		least  int
+	}{{20, 0.89, 18}, {20, 0.75, 15}, {20, 0, 1}, {20, 1, 20}, {1, 0.5, 1}, {3, 0.34, 2}} {
+		r := mapper.Route{Shards: make([]string, c.shards), LeastShare: c.share}
+		assert.Equal(t, r.LeastParts(), c.least, c)
+	}
+}
--- a/internal/operator/loader/loader_test.go
+++ b/internal/operator/loader/loader_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/netip"
 	"os"
 	"path/filepath"
@@ -116,3 +117,22 @@
 	}
 	return paths
 }
+
+// The relay section selects another way to serve; its fractions are read, and its problems are named with their paths.
+func TestRelaySettings(t *testing.T) {
+	const base = `{"instance": "a", "failure-domain": "west", "caller-address": "127.0.0.1:7001",
+		"peer-address": "127.0.0.1:7101", "admin-address": "127.0.0.1:7201", "platform-address": "127.0.0.1:7900", "relay": %s}`
+	settings, err := loader.Parse(fmt.Appendf(nil, base, `{"ready-address": "127.0.0.1:7301", "extra-load-ratio": 0.2, "grace-seconds": 6.0}`))
+	assert.NilError(t, err)
+	assert.Equal(t, settings.Relay().ExtraLoadRatio, 0.2)
+	assert.Equal(t, settings.Relay().Grace, 6*time.Second)
+	assert.Equal(t, settings.Relay().ReadyPath, "/v1/ready")
+	for section, path := range map[string]string{
+		`{}`: "$.relay", `{"ready-address": "127.0.0.1:7001"}`: "$.relay.ready-address",
+		`{"ready-address": "127.0.0.1:7301", "extra-load-ratio": 1.5}`: "$.relay.extra-load-ratio",
+		`{"ready-address": "127.0.0.1:7301", "memory-mb": 20.5}`:       "$.relay.memory-mb",
+	} {
+		_, err := loader.Parse(fmt.Appendf(nil, base, section))
+		assert.ErrorContains(t, err, path)
+	}
+}
--- /dev/null
+++ b/internal/query/relayer/fixture_test.go
@@ -0,0 +1,128 @@
+package relayer_test
+
+import (
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+
+	"apricotflow/internal/cluster/registrar"
+	"apricotflow/internal/manifest/mapper"
+	"apricotflow/internal/query/relayer"
+	"apricotflow/internal/standin/worker"
+	"apricotflow/internal/target/budgeter"
+	"apricotflow/internal/target/picker"
+	"apricotflow/internal/target/sender"
+	"apricotflow/internal/target/transporter"
+	"apricotflow/internal/wire/encoder"
+	"apricotflow/platform"
+)
+
+const (
+	domain    = "east"
+	objective = 150 * time.Millisecond
+	deadline  = 600 * time.Millisecond
+)
+
+// fixture is a relayer before real targets.
+type fixture struct {
+	t         *testing.T
+	relayer   *relayer.Relayer
+	registrar *registrar.Registrar
+	// targets holds the targets of each service.
+	targets map[string][]*worker.Target
+	limits  budgeter.Limits
+}
+
+// records returns a part of records whose first bytes count up from the given number, in no order.
+func records(first, n int) []byte {
+	var raw []byte
+	for i := range n {
+		raw = binary.BigEndian.AppendUint64(raw, uint64(first+(i*7)%n))
+		raw = binary.BigEndian.AppendUint64(raw, uint64(i))
+	}
+	return raw
+}
+
+// newFixture starts a relayer before services with some targets each; part i has records from 100 x i.
+func newFixture(t *testing.T, replicas int, services ...string) *fixture {
+	t.Helper()
+	f := &fixture{t: t, registrar: registrar.New(), targets: make(map[string][]*worker.Target), limits: budgeter.Limits{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}}
+	wire := encoder.RoutingTable{Version: 1}
+	change := registrar.Change{Revision: 1}
+	for i, service := range services {
+		wire.Services = append(wire.Services, encoder.RouteService{Name: service, MaxConnections: 50})
+		for n := range replicas {
+			target := worker.New(fmt.Sprintf("%s-%d", service, n), records(100*i, 10))
+			t.Cleanup(target.Close)
+			f.targets[service] = append(f.targets[service], target)
+			change.Put = append(change.Put, registrar.Target{ID: target.ID(), Service: service, Address: target.Address(), FailureDomain: domain, Slots: 4})
+		}
+	}
+	table, problems := mapper.New(wire)
+	assert.Equal(t, len(problems), 0)
+	change.Table = table
+	f.registrar.Apply(change, true)
+	f.build()
+	return f
+}
+
+func (f *fixture) build() {
+	one := func() int { return 1 }
+	s := sender.New(f.registrar, picker.New(domain, picker.ColdLimits{Factor: 1}, one), budgeter.New(f.limits, one),
+		transporter.New(platform.Targets{}), log.New(io.Discard), tally.NoopScope)
+	f.relayer = relayer.New(s, tally.NoopScope)
+}
+
+// scatter returns the route of a query over the services.
+func scatter(least float64, services ...string) *mapper.Route {
+	return &mapper.Route{
+		Name: "search", Idempotent: true, Timeout: deadline, Objective: objective, MaxTargets: 2, Shards: services, TopRecords: 5, LeastShare: least,
+	}
+}
+
+// single returns the route of a request to one target.
+func single(idempotent bool, service string) *mapper.Route {
+	return &mapper.Route{
+		Name: "lookup", Idempotent: idempotent, Timeout: deadline, Objective: objective, MaxTargets: 2,
+		Destinations: []mapper.Destination{{Service: service, Weight: 1}},
+	}
+}
+
+func (f *fixture) request(route *mapper.Route, id string) relayer.Request {
+	now := time.Now()
+	header := http.Header{platform.HeaderRequestID: {id}}
+	return relayer.Request{
+		Route: route, Table: f.registrar.View().Table(), Arrived: now, Deadline: now.Add(deadline),
+		Wire: transporter.NewRequest(id, http.MethodGet, "/search/x", "shop.example", header, nil),
+	}
+}
+
+func (f *fixture) relay(route *mapper.Route, id string) (relayer.Answer, time.Duration) {
+	f.t.Helper()
+	start := time.Now()
+	answer := f.relayer.Relay(f.t.Context(), f.request(route, id))
+	return answer, time.Since(start)
+}
+
+// runs returns how often the targets of a service began to work.
+func (f *fixture) runs(service string) int {
+	n := 0
+	for _, target := range f.targets[service] {
+		n += target.Runs()
+	}
+	return n
+}
+
+// all lets all targets of a service do the same.
+func (f *fixture) all(service string, behaviour worker.Behaviour, after time.Duration) {
+	for _, target := range f.targets[service] {
+		target.Always(behaviour, after)
+	}
+}
