Notice failure domains out of reach, and send refused parts again

Ruled out: detection by the store's connection (seconds late) or by slow answers alone (a slow service looks the same); a probe decides.

Change: prober, readiness by what callers recently asked for, Connection: close while not ready. Refused requests may be sent again within the budget.

--- a/internal/caller/assembler/relay.go
+++ b/internal/caller/assembler/relay.go
@@ -25,6 +25,7 @@
 	"apricotflow/internal/target/budgeter"
 	"apricotflow/internal/target/concentrator"
 	"apricotflow/internal/target/picker"
+	"apricotflow/internal/target/prober"
 	"apricotflow/internal/target/sender"
 	"apricotflow/internal/target/transporter"
 )
@@ -63,7 +64,7 @@
 		fx.Supply(settings, Version(version), platform, lines),
 		fx.Provide(newIncarnation, newClock, newRecorder, reporter.New, newScope, newRelayLogger),
 		fx.Provide(registrar.New, newDiscoverer, newRelayMessenger, newFollower),
-		fx.Provide(newPicker, newBudgeter, newTransporter, newDomain, sender.New, newConcentrator, relayer.New, newReceiver, newRelayAdmin),
+		fx.Provide(newPicker, newBudgeter, newTransporter, newProber, newDomain, sender.New, newConcentrator, relayer.New, newReceiver, newRelayAdmin),
 		fx.Invoke(runRelay),
 	)
 	return runApp(ctx, app)
@@ -137,6 +138,10 @@
 	return budgeter.Limits{Ratio: relay.ExtraLoadRatio, Slack: relay.ExtraLoadSlack, Window: relay.ExtraLoadWindow}
 }
 
+func newProber(r *registrar.Registrar, l *log.Logger) *prober.Prober {
+	return prober.New(r, l)
+}
+
 func newTransporter(platform Platform) *transporter.Transporter {
 	return transporter.New(platform.Targets)
 }
--- a/internal/caller/assembler/relay_lifecycle.go
+++ b/internal/caller/assembler/relay_lifecycle.go
@@ -27,6 +27,7 @@
 	"apricotflow/internal/operator/timekeeper"
 	"apricotflow/internal/target/budgeter"
 	"apricotflow/internal/target/picker"
+	"apricotflow/internal/target/prober"
 	"apricotflow/internal/target/transporter"
 )
 
@@ -60,6 +61,7 @@
 	Picker      *picker.Picker
 	Budget      *budgeter.Budgeter
 	Transporter *transporter.Transporter
+	Prober      *prober.Prober
 	Receiver    *receiver.Receiver
 	Operators   *admin.Server
 	Events      *recorder.Recorder
@@ -113,6 +115,7 @@
 	n.background.Go(func() { n.serve("balancer", n.ready.Serve, l.ready) })
 	n.background.Go(func() { n.Follower.Run(ctx) })
 	n.background.Go(func() { n.Discoverer.Run(ctx) })
+	n.background.Go(func() { n.Prober.Run(ctx) })
 	n.background.Go(func() { n.maintain(ctx) })
 	n.background.Go(func() { n.reload(ctx) })
 	return nil
--- a/internal/caller/receiver/receiver.go
+++ b/internal/caller/receiver/receiver.go
@@ -59,6 +59,8 @@
 // Relay serves a request by its route.
 type Relay interface {
 	Relay(ctx context.Context, request relayer.Request) relayer.Answer
+	// Serviceable reports whether most of what callers ask for could succeed now.
+	Serviceable() bool
 }
 
 // Receiver serves callers.
@@ -102,9 +104,10 @@
 	return nil
 }
 
-// Ready reports whether the instance can serve callers: it knows a configuration and is not stopping.
+// Ready reports whether the instance can serve callers: it knows a configuration, reaches the targets for it, and is not
+// stopping.
 func (s *Receiver) Ready() bool {
-	return !s.draining.Load() && s.registrar.View().Table() != nil
+	return !s.draining.Load() && s.registrar.View().Table() != nil && s.relay.Serviceable()
 }
 
 // Drain makes the instance not ready; callers are served, and told to use another connection.
@@ -135,7 +138,8 @@
 // serve answers one request.
 func (s *Receiver) serve(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
-	if s.draining.Load() {
+	if !s.Ready() {
+		// Another connection may lead to an instance that can serve.
 		w.Header().Set("Connection", "close")
 	}
 	if s.running.Add(1) > s.concurrency {
--- a/internal/caller/receiver/receiver_test.go
+++ b/internal/caller/receiver/receiver_test.go
@@ -28,12 +28,16 @@
 type relay struct {
 	answer relayer.Answer
 	last   relayer.Request
+	// cut tells that too few targets are in reach.
+	cut bool
 	// left is closed after the caller has left, if it is set.
 	left chan struct{}
 	// hold delays the answers until it is closed, if it is set.
 	hold chan struct{}
 }
 
+func (r *relay) Serviceable() bool { return !r.cut }
+
 func (r *relay) Relay(ctx context.Context, request relayer.Request) relayer.Answer {
 	if r.hold != nil {
 		<-r.hold
@@ -159,6 +163,17 @@
 	assert.Assert(t, response.Close)
 }
 
+// An instance that cannot reach its targets sends callers elsewhere, and is ready again when it can.
+func TestInstanceOutOfReachIsNotReady(t *testing.T) {
+	r := &relay{answer: relayed, cut: true}
+	s, server := serve(t, r, true)
+	assert.Assert(t, !s.Ready())
+	assert.Assert(t, get(t, server, "a.example", "/", "").Close)
+	r.cut = false
+	assert.Assert(t, s.Ready())
+	assert.Assert(t, !get(t, server, "a.example", "/", "").Close)
+}
+
 // The relay must hear of a caller that has left, so that the work for it ends.
 func TestRelayHearsThatTheCallerLeft(t *testing.T) {
 	r := &relay{left: make(chan struct{})}
--- a/internal/query/relayer/fixture_test.go
+++ b/internal/query/relayer/fixture_test.go
@@ -20,6 +20,7 @@
 	"apricotflow/internal/target/budgeter"
 	"apricotflow/internal/target/concentrator"
 	"apricotflow/internal/target/picker"
+	"apricotflow/internal/target/prober"
 	"apricotflow/internal/target/sender"
 	"apricotflow/internal/target/transporter"
 	"apricotflow/internal/wire/encoder"
@@ -85,7 +86,7 @@
 func (f *fixture) build() {
 	one := func() int { return 1 }
 	s := sender.New(domain, f.registrar, picker.New(picker.ColdLimits{Factor: 1}, one), budgeter.New(f.limits, one),
-		transporter.New(platform.Targets{}), log.New(io.Discard), tally.NoopScope)
+		transporter.New(platform.Targets{}), prober.New(f.registrar, log.New(io.Discard)), log.New(io.Discard), tally.NoopScope)
 	f.relayer = relayer.New(s, nobody{}, tally.NoopScope)
 }
 
--- a/internal/query/relayer/flight.go
+++ b/internal/query/relayer/flight.go
@@ -22,6 +22,8 @@
 	flying int
 	// arrived is the number of requests that have or may have reached a target.
 	arrived int
+	// committed is the number of requests that a target has run or may yet run.
+	committed int
 	// ran tells that a target may have run the request.
 	ran bool
 	// sentAt is the time of the latest request.
@@ -46,6 +48,7 @@
 	p.tried = append(p.tried, target.ID)
 	p.flying++
 	p.arrived++
+	p.committed++
 	p.sentAt = time.Now()
 }
 
@@ -114,8 +117,8 @@
 
 // run serves the request to its end.
 func (f *flight) run(ctx context.Context) Answer {
-	if f.hopeless() {
-		return f.refuse("no target")
+	if !f.sender.Serviceable(f.request.Route, f.request.Wire.ID) {
+		return f.refuse("too few targets in reach")
 	}
 	f.work, f.cancel = context.WithDeadline(context.WithoutCancel(ctx), f.request.Deadline)
 	linger := lingerTime
@@ -130,30 +133,18 @@
 		select {
 		case a := <-f.arrivals:
 			f.take(a)
-			continue
 		case <-ctx.Done():
 			linger = leftLinger
 			return Answer{Outcome: Abandoned}
 		case <-timer.C:
-		}
-		for i := range f.parts {
-			f.advance(i)
+			for i := range f.parts {
+				f.advance(i)
+			}
 		}
 		timer.Reset(f.untilNext())
 	}
 }
 
-// hopeless reports whether too few services have a target for the request to succeed.
-func (f *flight) hopeless() bool {
-	reachable := 0
-	for _, p := range f.parts {
-		if f.sender.Serving(p.service.Name) > 0 {
-			reachable++
-		}
-	}
-	return reachable < f.least()
-}
-
 // least returns the number of parts without which the request fails.
 func (f *flight) least() int {
 	if f.request.Route.Scattered() {
@@ -198,7 +189,7 @@
 	case !p.open() || now.Before(p.waitUntil):
 	case p.flying == 0:
 		f.send(i, false)
-	case f.request.Route.Idempotent && p.flying == 1 && p.arrived < f.request.Route.MaxTargets && now.Sub(p.sentAt) >= f.pace.Hedge:
+	case f.request.Route.Idempotent && p.flying == 1 && p.committed < f.request.Route.MaxTargets && now.Sub(p.sentAt) >= f.pace.Hedge:
 		f.send(i, true)
 	}
 }
@@ -207,7 +198,7 @@
 // against.
 func (f *flight) send(i int, hedge bool) {
 	p := f.parts[i]
-	if p.arrived >= f.request.Route.MaxTargets {
+	if p.committed >= f.request.Route.MaxTargets {
 		f.end(p)
 		return
 	}
@@ -219,7 +210,7 @@
 		f.block(i, hedge)
 		return
 	}
-	if p.arrived > 0 && !f.sender.Repeat(p.service.Name) {
+	if p.arrived > 0 && !f.repeatable(p, hedge) {
 		f.note(p, target.ID, "budget-empty")
 		f.pauseOrEnd(p, hedge)
 		return
@@ -230,6 +221,14 @@
 	f.dispatch(i, target)
 }
 
+// repeatable reports whether the budget allows another request for the part.
+func (f *flight) repeatable(p *part, hedge bool) bool {
+	if hedge {
+		return f.sender.Hedge(p.service.Name)
+	}
+	return f.sender.Retry(p.service.Name)
+}
+
 // dispatch sends a request for the part to the target.
 func (f *flight) dispatch(i int, target registrar.Target) {
 	p := f.parts[i]
@@ -256,7 +255,7 @@
 		p.waitUntil = time.Now().Add(f.pace.Hedge)
 		return
 	}
-	if f.sender.Serving(p.service.Name) == 0 || time.Since(f.request.Arrived) > f.patience() {
+	if !f.sender.Serving(p.service.Name) || time.Since(f.request.Arrived) > f.patience() {
 		f.note(p, "", "no target with room")
 		f.end(p)
 		return
@@ -319,11 +318,13 @@
 		f.note(p, a.target.ID, fmt.Sprintf("status %d", a.result.Reply.Status))
 	case transporter.Unsent:
 		p.arrived--
+		p.committed--
 		f.note(p, a.target.ID, describe(a.result))
 	case transporter.Lost:
 		p.ran = true
 		f.note(p, a.target.ID, describe(a.result))
 	default:
+		p.committed--
 		f.note(p, a.target.ID, describe(a.result))
 	}
 	f.repeat(a.part)
@@ -367,13 +368,36 @@
 	if p.flying > 0 {
 		return
 	}
-	if p.ran && !f.request.Route.Idempotent || p.arrived >= f.request.Route.MaxTargets || f.work.Err() != nil {
+	if p.ran && !f.request.Route.Idempotent || p.committed >= f.request.Route.MaxTargets || f.work.Err() != nil {
 		f.end(p)
 		return
 	}
+	if f.exhausted(p) {
+		f.pause(p)
+		return
+	}
 	f.send(i, false)
 }
 
+// exhausted reports whether every target of the part was asked.
+func (f *flight) exhausted(p *part) bool {
+	_, found := f.sender.Pick(p.service, f.pace, f.domain, func(id string) bool { return slices.Contains(p.tried, id) })
+	return !found
+}
+
+// pause waits before a target gets the request again, for as long as the answer can still be in time.
+func (f *flight) pause(p *part) {
+	until := f.request.Arrived.Add(f.patience())
+	if !f.cutoff.IsZero() {
+		until = f.cutoff
+	}
+	if time.Now().Add(retryPause).After(until) {
+		f.end(p)
+		return
+	}
+	p.waitUntil = time.Now().Add(retryPause)
+}
+
 // untilNext returns the time until something is due.
 func (f *flight) untilNext() time.Duration {
 	now := time.Now()
@@ -398,7 +422,7 @@
 		return time.Time{}, false
 	case p.flying == 0:
 		return p.waitUntil, true
-	case f.request.Route.Idempotent && p.flying == 1 && p.arrived < f.request.Route.MaxTargets:
+	case f.request.Route.Idempotent && p.flying == 1 && p.committed < f.request.Route.MaxTargets:
 		at := p.sentAt.Add(f.pace.Hedge)
 		if p.waitUntil.After(at) {
 			at = p.waitUntil
--- a/internal/query/relayer/relayer.go
+++ b/internal/query/relayer/relayer.go
@@ -30,6 +30,8 @@
 	flushShare = 0.9
 	// blockedInterval is the time between two looks for a target with room.
 	blockedInterval = 5 * time.Millisecond
+	// retryPause is the time before a target that has refused or failed a request gets it again, when there is no other.
+	retryPause = 12 * time.Millisecond
 	// refusalShare is the part of the objective after which a request that could not be sent is refused, so that the
 	// caller can come back in time.
 	refusalShare = 0.2
@@ -106,15 +108,17 @@
 	sender       *sender.Sender
 	concentrator Concentrator
 	scope        tally.Scope
+	recent       *recentRoutes
 }
 
 // New creates a relayer.
 func New(s *sender.Sender, c Concentrator, scope tally.Scope) *Relayer {
-	return &Relayer{sender: s, concentrator: c, scope: scope}
+	return &Relayer{sender: s, concentrator: c, scope: scope, recent: newRecentRoutes()}
 }
 
 // Relay serves one request. The context ends when the caller leaves.
 func (r *Relayer) Relay(ctx context.Context, request Request) Answer {
+	r.recent.add(request.Route)
 	f := newFlight(r.sender, r.concentrator, request)
 	answer := f.run(ctx)
 	answer.Decisions = f.decisions
--- a/internal/target/budgeter/budgeter.go
+++ b/internal/target/budgeter/budgeter.go
@@ -69,10 +69,11 @@
 	a.needed[n%buckets]++
 }
 
-// Take uses the budget of the service for one repetition and reports whether it was sufficient.
-func (b *Budgeter) Take(service string) bool {
+// Take uses the budget of the service for one repetition and reports whether it was sufficient. It leaves all but a share
+// of the budget to others.
+func (b *Budgeter) Take(service string, share float64) bool {
 	a, n, limits := b.account(service)
-	share := limits.Slack / float64(max(b.instances(), 1))
+	slack := limits.Slack / float64(max(b.instances(), 1))
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.advance(n)
@@ -81,7 +82,7 @@
 		needed += a.needed[i]
 		extra += a.extra[i]
 	}
-	if float64(extra+1) > safety*(limits.Ratio*float64(needed)+share) {
+	if float64(extra+1) > share*safety*(limits.Ratio*float64(needed)+slack) {
 		return false
 	}
 	a.extra[n%buckets]++
--- a/internal/target/budgeter/budgeter_test.go
+++ b/internal/target/budgeter/budgeter_test.go
@@ -35,7 +35,7 @@
 				m.needed++
 			}
 			for range rapid.IntRange(0, 40).Draw(t, "wanted") {
-				if b.Take("s") {
+				if b.Take("s", 1) {
 					m.extra++
 				}
 			}
@@ -65,7 +65,7 @@
 	b := budgeter.New(budgeter.Limits{Slack: 10, Window: 10 * time.Second}, func() int { return 1 }, budgeter.WithClock(func() time.Time { return now }))
 	take := func() int {
 		n := 0
-		for b.Take("s") {
+		for b.Take("s", 1) {
 			n++
 		}
 		return n
--- a/internal/target/sender/sender.go
+++ b/internal/target/sender/sender.go
@@ -18,6 +18,7 @@
 	"apricotflow/internal/target/budgeter"
 	"apricotflow/internal/target/estimator"
 	"apricotflow/internal/target/picker"
+	"apricotflow/internal/target/prober"
 	"apricotflow/internal/target/transporter"
 )
 
@@ -29,6 +30,8 @@
 	// firstUsual and firstHedge are assumed before enough requests were answered.
 	firstUsual = 20 * time.Millisecond
 	firstHedge = 40 * time.Millisecond
+	// hedgeShare is the part of the budget that hedges may use.
+	hedgeShare = 0.9
 	// leastHedge bounds the hedge delay from below.
 	leastHedge = 3 * time.Millisecond
 )
@@ -43,6 +46,7 @@
 	picker      *picker.Picker
 	budget      *budgeter.Budgeter
 	transporter *transporter.Transporter
+	prober      *prober.Prober
 	logger      *log.Logger
 	scope       tally.Scope
 	// kinds holds an *estimator.Window for every kind of request.
@@ -53,8 +57,8 @@
 type Domain string
 
 // New creates a sender for an instance in a failure domain.
-func New(domain Domain, r *registrar.Registrar, p *picker.Picker, b *budgeter.Budgeter, t *transporter.Transporter, logger *log.Logger, scope tally.Scope) *Sender {
-	return &Sender{domain: string(domain), registrar: r, picker: p, budget: b, transporter: t, logger: logger, scope: scope}
+func New(domain Domain, r *registrar.Registrar, p *picker.Picker, b *budgeter.Budgeter, t *transporter.Transporter, probes *prober.Prober, logger *log.Logger, scope tally.Scope) *Sender {
+	return &Sender{domain: string(domain), registrar: r, picker: p, budget: b, transporter: t, prober: probes, logger: logger, scope: scope}
 }
 
 // Pace is what is known of the latency of a kind of request.
@@ -84,11 +88,36 @@
 	return w.(*estimator.Window)
 }
 
-// Serving returns the number of targets of the service that may get new work.
-func (s *Sender) Serving(service string) int {
-	return len(s.registrar.View().Serving(service))
+// Serving reports whether a target of the service may get new work and its failure domain is in reach.
+func (s *Sender) Serving(service string) bool {
+	targets := s.registrar.View().Serving(service)
+	if s.prober.AllReachable() {
+		return len(targets) > 0
+	}
+	return slices.ContainsFunc(targets, func(t registrar.Target) bool { return s.prober.Reachable(t.FailureDomain) })
+}
+
+// Serviceable reports whether a request of the route can succeed with the targets that are in reach.
+func (s *Sender) Serviceable(route *mapper.Route, requestID string) bool {
+	if !route.Scattered() {
+		return s.Serving(route.Destination(requestID))
+	}
+	missing := len(route.Shards) - route.LeastParts()
+	for _, service := range route.Shards {
+		if s.Serving(service) {
+			continue
+		}
+		missing--
+		if missing < 0 {
+			return false
+		}
+	}
+	return true
 }
 
+// AllReachable reports whether no failure domain is out of reach.
+func (s *Sender) AllReachable() bool { return s.prober.AllReachable() }
+
 // Domain returns the failure domain of this instance.
 func (s *Sender) Domain() string { return s.domain }
 
@@ -104,7 +133,11 @@
 
 // Pick returns the most suitable target of the service that is not excluded; those of the domain are preferred.
 func (s *Sender) Pick(service mapper.Service, pace Pace, domain string, excluded func(id string) bool) (registrar.Target, bool) {
-	return s.picker.Pick(s.registrar.View().Serving(service.Name), service, pace.Usual, domain, excluded)
+	targets := s.registrar.View().Serving(service.Name)
+	if !s.prober.AllReachable() {
+		targets = slices.DeleteFunc(slices.Clone(targets), func(t registrar.Target) bool { return !s.prober.Reachable(t.FailureDomain) })
+	}
+	return s.picker.Pick(targets, service, pace.Usual, domain, excluded)
 }
 
 // Healthy reports whether nothing speaks against a further request to the target.
@@ -117,9 +150,19 @@
 	s.budget.Need(service)
 }
 
-// Repeat uses the budget of the service for one more request and reports whether it was sufficient.
-func (s *Sender) Repeat(service string) bool {
-	if s.budget.Take(service) {
+// Retry uses the budget of the service for a request after a failure and reports whether it was sufficient.
+func (s *Sender) Retry(service string) bool {
+	return s.repeat(service, 1)
+}
+
+// Hedge uses the budget of the service for a second request beside the first, and leaves a part of it to retries, without
+// which an answer lacks a part for certain.
+func (s *Sender) Hedge(service string) bool {
+	return s.repeat(service, hedgeShare)
+}
+
+func (s *Sender) repeat(service string, share float64) bool {
+	if s.budget.Take(service, share) {
 		s.scope.Counter("sender-repeats").Inc(1)
 		return true
 	}
@@ -151,9 +194,10 @@
 // Track records a request to the target that is about to be sent, also by another instance; the function that it returns
 // records what became of it.
 func (s *Sender) Track(target registrar.Target, kind string, pace Pace, requestID string) func(transporter.Result) {
-	attempt := s.picker.Begin(target, pace.Usual)
+	attempt, wait := s.picker.Begin(target, pace.Usual), s.prober.Begin(target.FailureDomain)
 	return func(result transporter.Result) {
 		attempt.End(result)
+		wait.End(result.Outcome != transporter.Lost && result.Outcome != transporter.Unsent)
 		if result.Outcome == transporter.Misdirected && s.registrar.Withdraw(target.ID, target.Address) {
 			s.logger.Info("target withdrawn, another one has its address", "target", target.ID, "address", target.Address,
 				"service", target.Service, "id", requestID)
