Wait for room while an answer can be in time, and keep withdrawn targets away

A part that found no target with room was given up after a fifth of the objective, though the query waited for its other parts anyway (partial at 19 ms of 60).

Ruled out: more requests in flight to a target; its slots are full then.

Before: TestPartWaitsForRoom 10 of 11 whole, TestWithdrawnTargetStaysAwayInACompleteReading red.

--- a/internal/cluster/registrar/registrar.go
+++ b/internal/cluster/registrar/registrar.go
@@ -196,10 +196,15 @@
 		}
 	}
 	for _, t := range change.Put {
-		if before := v.targets[t.ID]; t.Started != 0 && t.Started < before.Started {
+		before := v.targets[t.ID]
+		if t.Started != 0 && t.Started < before.Started {
 			// A late message of the start before.
 			continue
 		}
+		if change.Complete && before.Withdrawn && t.Address == before.Address && t.Started == before.Started {
+			// A complete reading repeats old entries; only an entry that changes shows that the target lives.
+			t.Withdrawn = true
+		}
 		v.targets[t.ID] = t
 		delete(v.missing, t.ID)
 	}
--- a/internal/cluster/registrar/registrar_test.go
+++ b/internal/cluster/registrar/registrar_test.go
@@ -67,6 +67,19 @@
 	assert.Equal(t, len(r.View().Serving("s")), 1)
 }
 
+// A complete reading, such as the state of a peer, repeats entries of targets that are gone; it brings none of them back.
+func TestWithdrawnTargetStaysAwayInACompleteReading(t *testing.T) {
+	r := registrar.New()
+	r.Apply(registrar.Change{Put: []registrar.Target{target("a")}}, true)
+	r.Withdraw("a", "127.0.0.1:1")
+	r.Apply(registrar.Change{Put: []registrar.Target{target("a")}, Complete: true}, true)
+	assert.Equal(t, len(r.View().Serving("s")), 0)
+	again := target("a")
+	again.Started = 7
+	r.Apply(registrar.Change{Put: []registrar.Target{again}, Complete: true}, true)
+	assert.Equal(t, len(r.View().Serving("s")), 1)
+}
+
 // The latest of several changes of one key counts.
 func TestLaterChangesSupersedeEarlierOnes(t *testing.T) {
 	var c registrar.Change
--- a/internal/query/relayer/flight.go
+++ b/internal/query/relayer/flight.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"apricotflow/internal/cluster/registrar"
@@ -255,7 +256,7 @@
 		p.waitUntil = time.Now().Add(f.pace.Hedge)
 		return
 	}
-	if !f.sender.Serving(p.service.Name) || time.Since(f.request.Arrived) > f.patience() {
+	if !f.sender.Serving(p.service.Name) || time.Now().After(f.patience()) {
 		f.note(p, "", "no target with room")
 		f.end(p)
 		return
@@ -263,13 +264,17 @@
 	p.waitUntil = time.Now().Add(blockedInterval)
 }
 
-// patience returns how long a request waits for a target with room.
-func (f *flight) patience() time.Duration {
+// patience returns until when a part waits for a target. A query waits as long as its answer can be in time, since its
+// other parts are under way; another request is refused while its caller can still come back in time.
+func (f *flight) patience() time.Time {
+	if !f.cutoff.IsZero() && f.ran() {
+		return f.cutoff.Add(-retryPause)
+	}
 	objective := f.request.Route.Objective
 	if objective <= 0 {
-		objective = time.Until(f.request.Deadline)
+		objective = f.request.Deadline.Sub(f.request.Arrived)
 	}
-	return time.Duration(refusalShare * float64(objective))
+	return f.request.Arrived.Add(time.Duration(refusalShare * float64(objective)))
 }
 
 func (f *flight) pauseOrEnd(p *part, hedge bool) {
@@ -387,11 +392,7 @@
 
 // pause waits before a target gets the request again, for as long as the answer can still be in time.
 func (f *flight) pause(p *part) {
-	until := f.request.Arrived.Add(f.patience())
-	if !f.cutoff.IsZero() {
-		until = f.cutoff
-	}
-	if time.Now().Add(retryPause).After(until) {
+	if time.Now().After(f.patience()) {
 		f.end(p)
 		return
 	}
@@ -456,7 +457,7 @@
 			m.Add(p.reply.Body)
 			continue
 		}
-		f.note(p, "", "missing")
+		f.note(p, strings.Join(p.tried, ","), "missing")
 	}
 	answer.Records = m.Bytes()
 	return answer
@@ -478,6 +479,11 @@
 	if !f.ran() {
 		return f.refuse("no time left")
 	}
+	for _, p := range f.parts {
+		if p.open() {
+			f.note(p, strings.Join(p.tried, ","), "no answer")
+		}
+	}
 	return Answer{Outcome: TimedOut}
 }
 
--- a/internal/query/relayer/scatter_test.go
+++ b/internal/query/relayer/scatter_test.go
@@ -131,3 +131,23 @@
 		assert.Assert(t, !r.Cut.IsZero())
 	}
 }
+
+// A part that finds no target with room for a moment is not given up while the others are under way.
+func TestPartWaitsForRoom(t *testing.T) {
+	f := newFixture(t, 1, "s0", "s1")
+	f.targets["s0"][0].Always(worker.Answer, 45*time.Millisecond)
+	f.targets["s1"][0].Always(worker.Answer, 10*time.Millisecond)
+	answers := make(chan relayer.Answer, 11)
+	for i := range cap(answers) {
+		go func() {
+			answers <- f.relayer.Relay(t.Context(), f.request(scatter(0.5, "s0", "s1"), "r"+string(rune('a'+i))))
+		}()
+	}
+	whole := 0
+	for range cap(answers) {
+		if (<-answers).Missing == 0 {
+			whole++
+		}
+	}
+	assert.Equal(t, whole, cap(answers))
+}
--- a/internal/standin/commander/load.go
+++ b/internal/standin/commander/load.go
@@ -13,6 +13,7 @@
 	"apricotflow/internal/standin/demonstrator"
 	"apricotflow/internal/standin/deployer"
 	"apricotflow/internal/standin/driver"
+	"apricotflow/internal/standin/rehearser"
 	"apricotflow/internal/wire/encoder"
 )
 
@@ -93,7 +94,7 @@
 func demo() *cli.Command {
 	return &cli.Command{
 		Name:  "demo",
-		Usage: "run both deployments at a small scale",
+		Usage: "run both deployments at a small scale, and instances that relay",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "apricotflow", Usage: "path of the product; by default beside this program"},
 			&cli.Float64Flag{Name: "rate", Value: 100, Usage: "queries per second"},
@@ -109,10 +110,14 @@
 	if err != nil {
 		return err
 	}
-	return demonstrator.Run(ctx, demonstrator.Settings{
+	err = demonstrator.Run(ctx, demonstrator.Settings{
 		Standin: own, Apricotflow: product, Rate: c.Float64("rate"), Duration: c.Duration("duration"),
 		Seed: c.Uint64("seed"), Output: c.Root().Writer,
 	})
+	if err != nil {
+		return err
+	}
+	return rehearser.Demo(ctx, product, c.Float64("rate"), c.Duration("duration"), c.Root().Writer)
 }
 
 // programs returns the paths of this program and of the product.
