Send hedges in time, answer by the caller's clock, share out connections and wide queries

Cause: on the grown deployments half of the wide queries waited for the cutoff. Change: a hedge is due at 2.2 times the median at the latest and never too late for the cutoff; the objective counts from when the caller began, by kind of connection; instances near a target get the connections that distant ones do not need; instances of the domain share out more than 24 parts. A cold target that bears less than one request a second from each instance gets them from the first in its order, so that all together stay within the rate.

--- a/internal/caller/assembler/relay.go
+++ b/internal/caller/assembler/relay.go
@@ -126,7 +126,7 @@
 
 func newPicker(settings loader.Settings, d *discoverer.Discoverer) *picker.Picker {
 	relay := settings.Relay()
-	return picker.New(picker.ColdLimits{Factor: relay.ColdFactor, Slack: relay.ColdSlack}, d.Instances)
+	return picker.New(picker.ColdLimits{Factor: relay.ColdFactor, Slack: relay.ColdSlack}, d, settings.FailureDomain())
 }
 
 func newBudgeter(settings loader.Settings, d *discoverer.Discoverer) *budgeter.Budgeter {
--- a/internal/caller/receiver/receiver.go
+++ b/internal/caller/receiver/receiver.go
@@ -89,7 +89,7 @@
 	router := mux.NewRouter().SkipClean(true).UseEncodedPath()
 	router.PathPrefix("/").HandlerFunc(s.serve)
 	router.NotFoundHandler = http.HandlerFunc(s.serve)
-	s.http = &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: s.idle.observe}
+	s.http = &http.Server{Handler: router, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: s.idle.observe, ConnContext: withOrigin}
 	return s
 }
 
@@ -138,6 +138,7 @@
 // serve answers one request.
 func (s *Receiver) serve(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
+	begun := begun(r.Context(), arrived)
 	if !s.Ready() {
 		// Another connection may lead to an instance that can serve.
 		w.Header().Set("Connection", "close")
@@ -172,7 +173,10 @@
 	caller := s.dialect.ReadCaller(r.Header)
 	wire := transporter.NewRequest(caller.RequestID, r.Method, requestURI(r), r.Host, s.forwarded(r.Header), body)
 	wire.Fresh = !route.Idempotent
-	request := relayer.Request{Route: route, Table: table, Wire: wire, Arrived: arrived, Deadline: deadline(arrived, caller.Left, route.Timeout)}
+	request := relayer.Request{
+		Route: route, Table: table, Wire: wire, Arrived: arrived,
+		Due: due(begun, route.Objective), Deadline: deadline(arrived, caller.Left, route.Timeout),
+	}
 	answer := s.relay.Relay(r.Context(), request)
 	s.latency.RecordDuration(time.Since(arrived))
 	s.log(request, answer)
@@ -314,7 +318,7 @@
 
 // log writes one line for a request with decisions that a reader may ask about.
 func (s *Receiver) log(request relayer.Request, answer relayer.Answer) {
-	late := request.Route.Objective > 0 && time.Since(request.Arrived) > request.Route.Objective
+	late := !request.Due.IsZero() && time.Now().After(request.Due)
 	if len(answer.Decisions) == 0 && !late && (answer.Outcome == relayer.Merged || answer.Outcome == relayer.Relayed) {
 		return
 	}
--- a/internal/caller/receiver/receiver_test.go
+++ b/internal/caller/receiver/receiver_test.go
@@ -55,7 +55,7 @@
 	t.Helper()
 	wire := encoder.RoutingTable{Version: 1, Limits: encoder.RouteLimits{BodyBytes: 10}, Routes: []encoder.Route{
 		{Name: "outer", Host: "a.example", Prefix: "/", Idempotent: true, TimeoutMs: 2000, MaxTargets: 1, Destinations: []encoder.RouteDestination{{Service: "s", Weight: 1}}},
-		{Name: "inner", Host: "a.example", Prefix: "/in/", TimeoutMs: 500, MaxTargets: 1, Destinations: []encoder.RouteDestination{{Service: "s", Weight: 1}}},
+		{Name: "inner", Host: "a.example", Prefix: "/in/", TimeoutMs: 500, ObjectiveMs: 200, MaxTargets: 1, Destinations: []encoder.RouteDestination{{Service: "s", Weight: 1}}},
 	}}
 	result, problems := mapper.New(wire)
 	assert.Equal(t, len(problems), 0)
@@ -225,3 +225,31 @@
 		assert.NilError(t, response.Body.Close())
 	}
 }
+
+// The objective counts from when the caller begins: its way here, the way back and, on a new connection, the handshake
+// are not left to the targets.
+func TestObjectiveCountsFromTheCaller(t *testing.T) {
+	r := &relay{answer: relayed}
+	state := registrar.New()
+	state.Apply(registrar.Change{Revision: 1, Table: table(t)}, true)
+	s := receiver.New(platform.Callers{}, state, r, 2, log.New(io.Discard), tally.NoopScope)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(listener) }()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	reader := bufio.NewReader(conn)
+	for _, left := range []time.Duration{188 * time.Millisecond, 194 * time.Millisecond} {
+		_, err = conn.Write([]byte("GET /in/ HTTP/1.1\r\nHost: a.example\r\n\r\n"))
+		assert.NilError(t, err)
+		response, err := http.ReadResponse(reader, nil)
+		assert.NilError(t, err)
+		assert.NilError(t, response.Body.Close())
+		due := r.last.Due.Sub(r.last.Arrived)
+		assert.Assert(t, due <= left && due > left-5*time.Millisecond, "%s of %s", due, left)
+	}
+	assert.NilError(t, conn.Close())
+	assert.NilError(t, s.Stop(t.Context()))
+	assert.NilError(t, <-served)
+}
--- a/internal/cluster/discoverer/discoverer.go
+++ b/internal/cluster/discoverer/discoverer.go
@@ -13,6 +13,7 @@
 	"github.com/charmbracelet/log"
 
 	"apricotflow/internal/cluster/messenger"
+	"apricotflow/internal/cluster/owner"
 	"apricotflow/internal/cluster/registrar"
 	"apricotflow/internal/operator/timekeeper"
 	"apricotflow/internal/wire/encoder"
@@ -109,6 +110,27 @@
 	return max(known, listed)
 }
 
+// InstancesIn returns the number of known instances in a failure domain, this one included.
+func (d *Discoverer) InstancesIn(domain string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := 0
+	if domain == d.identity.FailureDomain {
+		n++
+	}
+	for _, m := range d.members {
+		if m.domain == domain {
+			n++
+		}
+	}
+	return n
+}
+
+// Preceding returns the number of known instances before this one in rendezvous order for the key.
+func (d *Discoverer) Preceding(key string) int {
+	return owner.Preceding(key, d.identity.Instance, d.Members())
+}
+
 // Members returns the names of the other instances in order.
 func (d *Discoverer) Members() []string {
 	d.mu.Lock()
--- a/internal/cluster/owner/order.go
+++ b/internal/cluster/owner/order.go
@@ -32,6 +32,18 @@
 	return names
 }
 
+// Preceding returns the number of instances before this one in rendezvous order for the key.
+func Preceding(key, instance string, others []string) int {
+	own, n := score(key, instance), 0
+	for _, name := range others {
+		other := score(key, name)
+		if other > own || other == own && name < instance {
+			n++
+		}
+	}
+	return n
+}
+
 // domainOrder returns the instances in ownership order of a group: those of its failure domain, then the others.
 func domainOrder(group, domain string, instances []encoder.MemberInstance) (inside, outside []string) {
 	for _, n := range instances {
--- a/internal/cluster/owner/owner_test.go
+++ b/internal/cluster/owner/owner_test.go
@@ -247,3 +247,14 @@
 	o, _ := newOwner("n1", manifest(t, 2, 2), []encoder.MemberInstance{instance("n1", "a"), instance("n2", "a")})
 	assert.Equal(t, testing.AllocsPerRun(100, func() { o.Shares("a1") }), 0.0)
 }
+
+// The number of preceding instances is the position in the order.
+func TestPrecedingIsThePositionInTheOrder(t *testing.T) {
+	names := []string{"a", "b", "c", "d", "e"}
+	for _, key := range []string{"", "x", "target-1"} {
+		for i, name := range owner.Order(key, names) {
+			others := slices.DeleteFunc(slices.Clone(names), func(n string) bool { return n == name })
+			assert.Equal(t, owner.Preceding(key, name, others), i)
+		}
+	}
+}
--- a/internal/query/relayer/fixture_test.go
+++ b/internal/query/relayer/fixture_test.go
@@ -40,14 +40,25 @@
 
 func (nobody) Send(context.Context, concentrator.Batch, func(concentrator.Parts)) {}
 
+// alone is a fleet of one instance.
+type alone struct{}
+
+func (alone) Instances() int { return 1 }
+
+func (alone) InstancesIn(string) int { return 1 }
+
+func (alone) Preceding(string) int { return 0 }
+
 // fixture is a relayer before real targets.
 type fixture struct {
-	t         *testing.T
+	t         testing.TB
 	relayer   *relayer.Relayer
 	registrar *registrar.Registrar
 	// targets holds the targets of each service.
 	targets map[string][]*worker.Target
 	limits  budgeter.Limits
+	// others are the other instances.
+	others relayer.Concentrator
 }
 
 // records returns a part of records whose first bytes count up from the given number, in no order.
@@ -61,9 +72,9 @@
 }
 
 // newFixture starts a relayer before services with some targets each; part i has records from 100 x i.
-func newFixture(t *testing.T, replicas int, services ...string) *fixture {
+func newFixture(t testing.TB, replicas int, services ...string) *fixture {
 	t.Helper()
-	f := &fixture{t: t, registrar: registrar.New(), targets: make(map[string][]*worker.Target), limits: budgeter.Limits{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}}
+	f := &fixture{t: t, registrar: registrar.New(), others: nobody{}, targets: make(map[string][]*worker.Target), limits: budgeter.Limits{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}}
 	wire := encoder.RoutingTable{Version: 1}
 	change := registrar.Change{Revision: 1}
 	for i, service := range services {
@@ -84,10 +95,9 @@
 }
 
 func (f *fixture) build() {
-	one := func() int { return 1 }
-	s := sender.New(domain, f.registrar, picker.New(picker.ColdLimits{Factor: 1}, one), budgeter.New(f.limits, one),
+	s := sender.New(domain, f.registrar, picker.New(picker.ColdLimits{Factor: 1}, alone{}, domain), budgeter.New(f.limits, alone{}.Instances),
 		transporter.New(platform.Targets{}), prober.New(f.registrar, log.New(io.Discard)), log.New(io.Discard), tally.NoopScope)
-	f.relayer = relayer.New(s, nobody{}, tally.NoopScope)
+	f.relayer = relayer.New(s, f.others, tally.NoopScope)
 }
 
 // scatter returns the route of a query over the services.
@@ -109,7 +119,7 @@
 	now := time.Now()
 	header := http.Header{platform.HeaderRequestID: {id}}
 	return relayer.Request{
-		Route: route, Table: f.registrar.View().Table(), Arrived: now, Deadline: now.Add(deadline),
+		Route: route, Table: f.registrar.View().Table(), Arrived: now, Due: now.Add(objective - 10*time.Millisecond), Deadline: now.Add(deadline),
 		Wire: transporter.NewRequest(id, http.MethodGet, "/search/x", "shop.example", header, nil),
 	}
 }
--- a/internal/query/relayer/flight.go
+++ b/internal/query/relayer/flight.go
@@ -101,12 +101,19 @@
 		f.parts[i] = &part{service: named(request.Table.Service(name), name)}
 	}
 	f.arrivals = make(chan arrival, len(services)*(route.MaxTargets+1))
-	if route.Scattered() && route.Objective > 0 {
-		f.cutoff = request.Arrived.Add(max(route.Objective-answerMargin, route.Objective/2))
+	if route.Scattered() && !request.Due.IsZero() {
+		f.cutoff = request.Due.Add(-answerMargin)
+		f.pace = f.pace.WithHedge(f.latestHedge())
 	}
 	return f
 }
 
+// latestHedge returns the delay after which a hedge would come too late for the cutoff.
+func (f *flight) latestHedge() time.Duration {
+	left := f.cutoff.Sub(f.request.Arrived) - hopTime
+	return max(left-time.Duration(hedgeRuns*float64(f.pace.Usual)), time.Duration(leastWait*float64(f.pace.Usual)))
+}
+
 func named(s mapper.Service, name string) mapper.Service {
 	s.Name = name
 	return s
--- a/internal/query/relayer/relayer.go
+++ b/internal/query/relayer/relayer.go
@@ -15,9 +15,9 @@
 )
 
 const (
-	// answerMargin is the part of the objective that is left for the way to the caller and back, which counts too: 3 ms
-	// one way, twice for a new connection, and scheduling on a small machine.
-	answerMargin = 14 * time.Millisecond
+	// answerMargin is the time before an answer is due at which a query takes the parts that are in: merging and
+	// scheduling on a small machine.
+	answerMargin = 4 * time.Millisecond
 	// lingerTime is how long unneeded requests stay in flight after the answer, so that their connections can be used
 	// again and the end of a target's pause is seen.
 	lingerTime = 400 * time.Millisecond
@@ -26,8 +26,15 @@
 	// hopTime is the time that an answer through another instance takes longer: two ways between failure domains, and
 	// the work of that instance.
 	hopTime = 4 * time.Millisecond
+	// nearShare is the number of requests of one query to targets of the own failure domain that one instance sends; at
+	// about 0.1 ms each on a small machine they take a few milliseconds.
+	nearShare = 24
 	// flushShare is the part of the hedge delay after which that instance returns what is in.
 	flushShare = 0.9
+	// hedgeRuns is the time that a hedge is given before the cutoff, and leastWait the time that the first request has at
+	// least, both in multiples of the usual latency.
+	hedgeRuns = 2.0
+	leastWait = 1.5
 	// blockedInterval is the time between two looks for a target with room.
 	blockedInterval = 5 * time.Millisecond
 	// retryPause is the time before a target that has refused or failed a request gets it again, when there is no other.
@@ -66,6 +73,8 @@
 	Wire  *transporter.Request
 	// Arrived is when the request was received.
 	Arrived time.Time
+	// Due is when the answer has to leave to be within the route's objective; zero if the route has none.
+	Due time.Time
 	// Deadline is when the caller or the route gives up.
 	Deadline time.Time
 }
--- a/internal/query/relayer/scatter_test.go
+++ b/internal/query/relayer/scatter_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -11,6 +12,8 @@
 
 	"apricotflow/internal/query/relayer"
 	"apricotflow/internal/standin/worker"
+	"apricotflow/internal/target/concentrator"
+	"apricotflow/internal/target/transporter"
 )
 
 // The answer holds the greatest records of all parts in falling order, and names each part once.
@@ -151,3 +154,48 @@
 	}
 	assert.Equal(t, whole, cap(answers))
 }
+
+// A hedge is sent while its answer can still be in, however late hedges usually are.
+func TestHedgeIsInTimeForTheCutoff(t *testing.T) {
+	f := newFixture(t, 2, "s0", "s1")
+	f.targets["s0"][0].Always(worker.Hang, 0)
+	for i := range 6 {
+		request := f.request(scatter(0.5, "s0", "s1"), "r"+string(rune('a'+i)))
+		request.Due = request.Arrived.Add(45 * time.Millisecond)
+		answer := f.relayer.Relay(t.Context(), request)
+		assert.Equal(t, answer.Outcome, relayer.Merged)
+		assert.Equal(t, answer.Missing, 0)
+		assert.Assert(t, time.Now().Before(request.Due))
+	}
+}
+
+// helpers are other instances of the own failure domain that send nothing.
+type helpers struct{ batches chan int }
+
+func (helpers) Choose(string, int, *transporter.Request) (string, bool) { return "b", true }
+
+func (h helpers) Send(_ context.Context, batch concentrator.Batch, deliver func(concentrator.Parts)) {
+	h.batches <- len(batch.Targets)
+	parts := concentrator.Parts{Results: make(map[int]transporter.Result)}
+	for i := range batch.Targets {
+		parts.Results[i] = transporter.Result{Outcome: transporter.Unsent}
+	}
+	deliver(parts)
+}
+
+// The requests of a wide query are shared out among the instances of the failure domain; what they do not send is sent
+// by the instance itself.
+func TestWideQueryIsSharedOut(t *testing.T) {
+	services := make([]string, 60)
+	for i := range services {
+		services[i] = "s" + strconv.Itoa(i)
+	}
+	f := newFixture(t, 2, services...)
+	h := helpers{batches: make(chan int, len(services))}
+	f.others = h
+	f.build()
+	answer, _ := f.relay(scatter(1, services...), "r1")
+	assert.Equal(t, answer.Missing, 0)
+	assert.Equal(t, len(h.batches), 2)
+	assert.Equal(t, <-h.batches+<-h.batches, 48)
+}
--- a/internal/query/relayer/start.go
+++ b/internal/query/relayer/start.go
@@ -15,35 +15,58 @@
 }
 
 // start sends the first request for every part. Those to another failure domain go through an instance there if that
-// saves bytes.
+// saves bytes, and those to the own one are shared out among its instances if they are many.
 func (f *flight) start() {
-	distant := make(map[string][]choice)
+	chosen := make(map[string][]choice)
 	for i, p := range f.parts {
 		f.sender.Need(p.service.Name)
 		target, found := f.sender.Pick(p.service, f.pace, f.domain, func(string) bool { return false })
-		switch {
-		case !found:
+		if !found {
 			f.block(i, false)
-		case target.FailureDomain == f.sender.Domain() || !f.request.Route.Scattered():
-			f.dispatch(i, target)
+			continue
+		}
+		chosen[target.FailureDomain] = append(chosen[target.FailureDomain], choice{part: i, target: target})
+	}
+	for domain, choices := range chosen {
+		switch {
+		case !f.request.Route.Scattered():
+			f.startDirect(choices)
+		case domain == f.sender.Domain():
+			f.startNear(domain, choices)
 		default:
-			distant[target.FailureDomain] = append(distant[target.FailureDomain], choice{part: i, target: target})
+			f.startDistant(domain, choices)
 		}
 	}
-	for domain, choices := range distant {
-		f.startDistant(domain, choices)
+}
+
+func (f *flight) startDirect(choices []choice) {
+	for _, c := range choices {
+		f.dispatch(c.part, c.target)
 	}
 }
 
+// startNear leaves all but a share of many requests to other instances of the own failure domain. The processor time of
+// sending and receiving would delay the last ones otherwise.
+func (f *flight) startNear(domain string, choices []choice) {
+	for len(choices) > nearShare {
+		share := choices[:nearShare]
+		peer, found := f.concentrator.Choose(domain, len(share), f.request.Wire)
+		if !found {
+			break
+		}
+		f.sendBatch(peer, share)
+		choices = choices[nearShare:]
+	}
+	f.startDirect(choices)
+}
+
 func (f *flight) startDistant(domain string, choices []choice) {
 	peer, found := f.concentrator.Choose(domain, len(choices), f.request.Wire)
-	if found {
-		f.sendBatch(peer, choices)
+	if !found {
+		f.startDirect(choices)
 		return
 	}
-	for _, c := range choices {
-		f.dispatch(c.part, c.target)
-	}
+	f.sendBatch(peer, choices)
 }
 
 // sendBatch sends the requests through an instance near the targets.
--- a/internal/target/picker/picker.go
+++ b/internal/target/picker/picker.go
@@ -51,6 +51,8 @@
 	connectionShare = 0.85
 	// defaultConnections is the limit for targets of services that do not tell theirs.
 	defaultConnections = 8
+	// amplePerInstance is the number of connections to a target with which an instance needs no more.
+	amplePerInstance = 4
 	// slotShare is the number of requests in flight for each slot of a target over all instances: one that runs and one
 	// that waits while the answer before it is on its way, and half of one as a reserve for uneven instances.
 	slotShare = 2.5
@@ -66,18 +68,28 @@
 	Slack  float64
 }
 
+// Fleet is what is known of the instances that send to the same targets, this one included. Numbers err to the high side.
+type Fleet interface {
+	Instances() int
+	// InstancesIn returns the number of instances in a failure domain.
+	InstancesIn(domain string) int
+	// Preceding returns the number of instances before this one in the rendezvous order of a key.
+	Preceding(key string) int
+}
+
 // Picker keeps a record of each target.
 type Picker struct {
-	cold      ColdLimits
-	instances func() int
+	cold  ColdLimits
+	fleet Fleet
+	// domain is the failure domain of this instance.
+	domain string
 	// records holds a *record for every target by id.
 	records sync.Map
 }
 
-// New creates a picker; instances returns a safe estimate of how many instances
-// send to the same targets.
-func New(cold ColdLimits, instances func() int) *Picker {
-	return &Picker{cold: cold, instances: instances}
+// New creates a picker for an instance in a failure domain.
+func New(cold ColdLimits, fleet Fleet, domain string) *Picker {
+	return &Picker{cold: cold, fleet: fleet, domain: domain}
 }
 
 // record is what this instance has seen of one target.
@@ -131,20 +143,31 @@
 // Limit returns the requests that this instance may have in flight to a target, each on its own connection. More than
 // the slots can take only wait there, and a target with a long queue accepts fewer connections.
 func (p *Picker) Limit(t registrar.Target, service mapper.Service) int {
-	instances := max(p.instances(), 1)
-	connections := p.ConnectionLimit(service)
-	useful := max(int(math.Ceil(slotShare*float64(slots(t))/float64(instances))), leastLimit)
-	return min(connections, useful)
+	useful := max(int(math.Ceil(slotShare*float64(slots(t))/float64(p.instances()))), leastLimit)
+	return min(p.ConnectionLimit(t, service), useful)
 }
 
-// ConnectionLimit returns the connections to a target of the service that this instance may have.
-func (p *Picker) ConnectionLimit(service mapper.Service) int {
+// ConnectionLimit returns the connections to a target of the service that this instance may have. Where there are too few
+// for all, an instance of another failure domain gets one and those of the target's own domain, which also send for
+// others, share the rest.
+func (p *Picker) ConnectionLimit(t registrar.Target, service mapper.Service) int {
 	if service.MaxConnections <= 0 {
 		return defaultConnections
 	}
-	return max(int(float64(service.MaxConnections)*connectionShare)/max(p.instances(), 1), 1)
+	all := int(float64(service.MaxConnections) * connectionShare)
+	instances := p.instances()
+	if even := all / instances; even >= amplePerInstance {
+		return even
+	}
+	if t.FailureDomain != p.domain {
+		return 1
+	}
+	near := max(p.fleet.InstancesIn(p.domain), 1)
+	return max((all-(instances-near))/near, 1)
 }
 
+func (p *Picker) instances() int { return max(p.fleet.Instances(), 1) }
+
 func slots(t registrar.Target) int {
 	if t.Slots <= 0 {
 		return defaultSlots
@@ -162,7 +185,7 @@
 			continue
 		}
 		r := p.record(targets[i].ID)
-		score, room := r.score(now, targets[i], usual, p.Limit(targets[i], service), p.coldAllowance(service))
+		score, room := r.score(now, targets[i], usual, p.Limit(targets[i], service), p.coldAllowance(targets[i], service, now))
 		if !room {
 			continue
 		}
@@ -189,24 +212,42 @@
 	return !r.overdue(now) && now.After(r.downUntil)
 }
 
-// coldAllowance returns the requests per second that this instance may send to a cold target; 0 if it is not limited.
-func (p *Picker) coldAllowance(service mapper.Service) float64 {
-	if service.WarmupRate <= 0 {
-		return 0
+// unlimited is the allowance for a target that is warm or bears any load.
+const unlimited = math.MaxInt
+
+// coldAllowance returns the requests that this instance may send to a target in a second. Where a cold target bears less
+// than one from each instance, the first in its rendezvous order send one each.
+func (p *Picker) coldAllowance(t registrar.Target, service mapper.Service, now time.Time) int {
+	if service.WarmupRate <= 0 || !p.isCold(t, now) {
+		return unlimited
+	}
+	total := int(service.WarmupRate*p.cold.Factor + p.cold.Slack)
+	if share := total / p.instances(); share >= 1 {
+		return share
 	}
-	return (service.WarmupRate*p.cold.Factor + p.cold.Slack) / float64(max(p.instances(), 1))
+	if p.fleet.Preceding(t.ID) < total {
+		return 1
+	}
+	return 0
+}
+
+func (p *Picker) isCold(t registrar.Target, now time.Time) bool {
+	r := p.record(t.ID)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.cold(now, t)
 }
 
 // score returns the expected latency in nanoseconds with all penalties, and whether the target has room.
-func (r *record) score(now time.Time, t registrar.Target, usual time.Duration, limit int, coldAllowance float64) (float64, bool) {
+func (r *record) score(now time.Time, t registrar.Target, usual time.Duration, limit, coldAllowance int) (float64, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if len(r.flying) >= limit {
 		return 0, false
 	}
 	expected := r.currentSpeed(now) * float64(usual)
-	if now.Before(t.ColdUntil) || now.Before(r.coldUntil) {
-		if coldAllowance > 0 && float64(r.recent(now)+1) > max(coldAllowance, 1) {
+	if r.cold(now, t) {
+		if r.recent(now) >= coldAllowance {
 			return 0, false
 		}
 		expected *= coldSlowdown
@@ -221,6 +262,11 @@
 	return score + r.failureRate(now)*float64(failurePenalty), true
 }
 
+// cold reports whether the target is expected to be cold.
+func (r *record) cold(now time.Time, t registrar.Target) bool {
+	return now.Before(t.ColdUntil) || now.Before(r.coldUntil)
+}
+
 // queue returns the expected wait for a slot in multiples of the usual latency.
 func (r *record) queue(now time.Time, t registrar.Target) float64 {
 	slots := slots(t)
@@ -268,7 +314,7 @@
 	patience := time.Duration(overdueFactor*r.currentSpeed(now)*float64(usual)) + overdueFloor
 	a := &Attempt{record: r, usual: usual, due: now.Add(patience)}
 	r.flying[a] = struct{}{}
-	if now.Before(t.ColdUntil) || now.Before(r.coldUntil) {
+	if r.cold(now, t) {
 		r.sent = append(r.sent, now)
 	}
 	return a
--- a/internal/target/picker/picker_test.go
+++ b/internal/target/picker/picker_test.go
@@ -15,7 +15,23 @@
 
 const usual = 10 * time.Millisecond
 
-func instances(n int) func() int { return func() int { return n } }
+// fleet is a number of instances, of which near are in the failure domain east.
+type fleet struct{ all, near, preceding int }
+
+func (f fleet) Instances() int { return f.all }
+
+func (f fleet) InstancesIn(domain string) int {
+	if domain == "east" {
+		return f.near
+	}
+	return f.all - f.near
+}
+
+func (f fleet) Preceding(string) int { return f.preceding }
+
+func newPicker(cold picker.ColdLimits, f fleet) *picker.Picker { return picker.New(cold, f, "east") }
+
+func instances(n int) fleet { return fleet{all: n, near: n} }
 
 func targets(domains ...string) []registrar.Target {
 	var all []registrar.Target
@@ -40,7 +56,7 @@
 
 // Bytes between failure domains are dear: a target of the own one is preferred unless something speaks against it.
 func TestOwnFailureDomainIsPreferred(t *testing.T) {
-	p := picker.New(picker.ColdLimits{}, instances(1))
+	p := newPicker(picker.ColdLimits{}, instances(1))
 	all := targets("west", "east", "east")
 	picked := shares(p, all, mapper.Service{})
 	assert.Equal(t, picked["a"], 0)
@@ -65,7 +81,7 @@
 	}
 	for name, spoil := range cases {
 		t.Run(name, func(t *testing.T) {
-			p := picker.New(picker.ColdLimits{}, instances(1))
+			p := newPicker(picker.ColdLimits{}, instances(1))
 			spoil(p)
 			assert.Equal(t, shares(p, all, mapper.Service{})[bad.ID], 0)
 		})
@@ -74,7 +90,7 @@
 
 // A target that lacks connections for this instance is not at fault.
 func TestLackOfConnectionsSpeaksAgainstNoTarget(t *testing.T) {
-	p := picker.New(picker.ColdLimits{}, instances(1))
+	p := newPicker(picker.ColdLimits{}, instances(1))
 	all := targets("east", "east")
 	p.Begin(all[0], usual).End(transporter.Result{Outcome: transporter.Unsent, Err: &transporter.BusyError{}})
 	assert.Assert(t, shares(p, all, mapper.Service{})["a"] > 50)
@@ -82,7 +98,7 @@
 
 // All instances together stay within what a cold target bears.
 func TestColdTargetGetsItsRate(t *testing.T) {
-	p := picker.New(picker.ColdLimits{Factor: 1.5, Slack: 5}, instances(4))
+	p := newPicker(picker.ColdLimits{Factor: 1.5, Slack: 5}, instances(4))
 	cold := targets("east")
 	cold[0].ColdUntil = time.Now().Add(time.Minute)
 	service := mapper.Service{WarmupRate: 10}
@@ -99,13 +115,47 @@
 // The requests in flight to one target are bounded by its slots and connections over all instances.
 func TestRequestsInFlightAreBounded(t *testing.T) {
 	for _, c := range []struct{ instances, connections, limit int }{{1, 26, 5}, {5, 26, 2}, {26, 54, 1}, {300, 54, 1}, {1, 0, 5}} {
-		p := picker.New(picker.ColdLimits{}, instances(c.instances))
+		p := newPicker(picker.ColdLimits{}, instances(c.instances))
 		assert.Equal(t, p.Limit(targets("east")[0], mapper.Service{MaxConnections: c.connections}), c.limit, c)
 	}
-	p := picker.New(picker.ColdLimits{}, instances(5))
+	p := newPicker(picker.ColdLimits{}, instances(5))
 	all := targets("east")
 	p.Begin(all[0], usual)
 	p.Begin(all[0], usual)
 	_, found := p.Pick(all, mapper.Service{MaxConnections: 26}, usual, "east", none)
 	assert.Assert(t, !found)
 }
+
+// All instances together stay within the connections of a target. Where they do not suffice for all, those near the
+// targets get more, since they send for the others too.
+func TestConnectionsAreSharedByDistance(t *testing.T) {
+	service := mapper.Service{MaxConnections: 54}
+	all := targets("east", "west")
+	for _, c := range []struct {
+		fleet     fleet
+		near, far int
+	}{{fleet{all: 5, near: 2}, 9, 9}, {fleet{all: 26, near: 8}, 3, 1}, {fleet{all: 26, near: 6}, 4, 1}, {fleet{all: 29, near: 1}, 17, 1}} {
+		p := newPicker(picker.ColdLimits{}, c.fleet)
+		assert.Equal(t, p.ConnectionLimit(all[0], service), c.near, c.fleet)
+		assert.Equal(t, p.ConnectionLimit(all[1], service), c.far, c.fleet)
+		assert.Assert(t, c.near*c.fleet.near+c.far*(c.fleet.all-c.fleet.near) <= 54)
+	}
+}
+
+// A cold target that bears less than one request a second from each instance gets them from the first in its order.
+func TestColdTargetIsLeftToAFewInstances(t *testing.T) {
+	cold := targets("east")
+	cold[0].ColdUntil = time.Now().Add(time.Minute)
+	service := mapper.Service{WarmupRate: 10}
+	sent := 0
+	for i := range 40 {
+		p := newPicker(picker.ColdLimits{Factor: 1.5, Slack: 5}, fleet{all: 40, near: 10, preceding: i})
+		for range 3 {
+			if target, found := p.Pick(cold, service, usual, "east", none); found {
+				p.Begin(target, usual).End(transporter.Result{Outcome: transporter.Answered, Reply: &transporter.Reply{Status: 200}})
+				sent++
+			}
+		}
+	}
+	assert.Equal(t, sent, 20)
+}
--- a/internal/target/sender/sender.go
+++ b/internal/target/sender/sender.go
@@ -27,6 +27,10 @@
 	usualPercent = 50
 	// hedgePercent is the quantile of the latency after which a request is sent a second time.
 	hedgePercent = 92
+	// hedgeFactor and hedgeFloor define the latency that is too long whatever the quantile says: that multiple of the
+	// usual latency and that time more. Pauses and slow targets of the last half minute raise the quantile far above it.
+	hedgeFactor = 2.2
+	hedgeFloor  = 2 * time.Millisecond
 	// firstUsual and firstHedge are assumed before enough requests were answered.
 	firstUsual = 20 * time.Millisecond
 	firstHedge = 40 * time.Millisecond
@@ -69,6 +73,12 @@
 	Hedge time.Duration
 }
 
+// WithHedge returns the pace with a hedge that is not later than the delay.
+func (p Pace) WithHedge(latest time.Duration) Pace {
+	p.Hedge = min(p.Hedge, latest)
+	return p
+}
+
 // Pace returns the latency of a kind of request, such as a route.
 func (s *Sender) Pace(kind string) Pace {
 	w := s.window(kind)
@@ -77,7 +87,8 @@
 		return Pace{Usual: firstUsual, Hedge: firstHedge}
 	}
 	hedge, _ := w.Quantile(hedgePercent)
-	return Pace{Usual: usual, Hedge: max(hedge, leastHedge)}
+	late := time.Duration(hedgeFactor*float64(usual)) + hedgeFloor
+	return Pace{Usual: usual, Hedge: max(min(hedge, late), leastHedge)}
 }
 
 func (s *Sender) window(kind string) *estimator.Window {
@@ -186,7 +197,7 @@
 		service = table.Service(target.Service)
 	}
 	end := s.Track(target, kind, s.Pace(kind), r.ID)
-	result := s.send(ctx, target, s.picker.ConnectionLimit(service), r, deadline)
+	result := s.send(ctx, target, s.picker.ConnectionLimit(target, service), r, deadline)
 	end(result)
 	return result
 }
