Show members, targets and changes of an instance that relays to operators

Cause: status of a relay named neither instances nor targets, and its time line was nearly empty, since only the native interface filled them. Change: an observer supplies members (suspected ones are out of reach), targets with their states and the age of what is known of the platform, and records changes of the table, of failure domains and of targets as events.

--- a/internal/caller/assembler/relay.go
+++ b/internal/caller/assembler/relay.go
@@ -18,6 +18,7 @@
 	"apricotflow/internal/cluster/registrar"
 	"apricotflow/internal/operator/loader"
 	"apricotflow/internal/operator/logger"
+	"apricotflow/internal/operator/observer"
 	"apricotflow/internal/operator/recorder"
 	"apricotflow/internal/operator/reporter"
 	admin "apricotflow/internal/operator/server"
@@ -65,7 +66,7 @@
 		fx.Supply(settings, Version(version), platform, lines),
 		fx.Provide(newIncarnation, newClock, newRecorder, reporter.New, newScope, newRelayLogger),
 		fx.Provide(registrar.New, newDiscoverer, newFeeder, newRelayMessenger, newFollower),
-		fx.Provide(newPicker, newBudgeter, newTransporter, newProber, newDomain, sender.New, newConcentrator, relayer.New, newReceiver, newRelayAdmin),
+		fx.Provide(newPicker, newBudgeter, newTransporter, newProber, newDomain, sender.New, newConcentrator, relayer.New, newReceiver, newObserver, newRelayAdmin),
 		fx.Invoke(runRelay),
 	)
 	return runApp(ctx, app)
@@ -160,16 +161,15 @@
 
 func newRelayAdmin(
 	settings loader.Settings, incarnation Incarnation, version Version, events *recorder.Recorder, totals *reporter.Reporter,
-	clock *timekeeper.HybridClock, r *registrar.Registrar, callers *receiver.Receiver,
+	clock *timekeeper.HybridClock, o *observer.Observer, callers *receiver.Receiver,
 ) *admin.Server {
 	self := admin.Identity{
 		Instance: settings.Instance(), Incarnation: string(incarnation), FailureDomain: settings.FailureDomain(), Version: string(version),
 	}
-	inForce := func() admin.Configuration {
-		if table := r.View().Table(); table != nil {
-			return admin.Configuration{Generation: table.Version()}
-		}
-		return admin.Configuration{}
-	}
-	return admin.New(self, events, totals, clock, admin.WithReady(callers.Ready), admin.WithConfiguration(inForce))
+	return admin.New(self, events, totals, clock, admin.WithReady(callers.Ready), admin.WithConfiguration(o.Configuration),
+		admin.WithMembers(o.Members), admin.WithTargets(o.Targets))
+}
+
+func newObserver(r *registrar.Registrar, p *picker.Picker, d *discoverer.Discoverer, f *feeder.Feeder, events *recorder.Recorder) *observer.Observer {
+	return observer.New(r, p, d, f, events)
 }
--- a/internal/caller/assembler/relay_lifecycle.go
+++ b/internal/caller/assembler/relay_lifecycle.go
@@ -21,6 +21,7 @@
 	"apricotflow/internal/cluster/messenger"
 	"apricotflow/internal/cluster/registrar"
 	"apricotflow/internal/operator/loader"
+	"apricotflow/internal/operator/observer"
 	"apricotflow/internal/operator/recorder"
 	"apricotflow/internal/operator/reporter"
 	admin "apricotflow/internal/operator/server"
@@ -65,6 +66,7 @@
 	Receiver    *receiver.Receiver
 	Operators   *admin.Server
 	Events      *recorder.Recorder
+	Observer    *observer.Observer
 	Reporter    *reporter.Reporter
 	Logger      *log.Logger
 }
@@ -116,6 +118,7 @@
 	n.background.Go(func() { n.Follower.Run(ctx) })
 	n.background.Go(func() { n.Discoverer.Run(ctx) })
 	n.background.Go(func() { n.Prober.Run(ctx) })
+	n.background.Go(func() { n.Observer.Run(ctx) })
 	n.background.Go(func() { n.maintain(ctx) })
 	n.background.Go(func() { n.reload(ctx) })
 	return nil
@@ -162,6 +165,9 @@
 		if ready := n.Receiver.Ready(); ready != wasReady {
 			wasReady = ready
 			n.Logger.Info("readiness changed", "ready", ready, "revision", view.Revision())
+			if ready {
+				n.Events.Record(recorder.KindInstanceReady, n.Settings.Instance(), "", "")
+			}
 		}
 	}
 }
@@ -221,6 +227,7 @@
 	grace := n.Settings.Relay().Grace
 	end, cancelEnd := context.WithTimeout(ctx, grace-min(finishMargin, grace/2))
 	defer cancelEnd()
+	n.Events.Record(recorder.KindInstanceStopping, n.Settings.Instance(), "", "")
 	n.Logger.Info("instance stopping", "running", n.Receiver.Running(), "grace", grace)
 	n.Receiver.Drain()
 	timekeeper.Sleep(end, min(drainTime, time.Duration(drainShare*float64(grace))))
--- a/internal/cluster/discoverer/discoverer.go
+++ b/internal/cluster/discoverer/discoverer.go
@@ -125,6 +125,20 @@
 	return n + len(d.roster.In(domain))
 }
 
+// Statuses describes the other instances; one that is suspected counts as out of reach.
+func (d *Discoverer) Statuses() []encoder.MemberStatus {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	statuses := make([]encoder.MemberStatus, 0, d.roster.Len())
+	for _, name := range d.roster.Names() {
+		m, _ := d.roster.Member(name)
+		statuses = append(statuses, encoder.MemberStatus{
+			Instance: name, FailureDomain: m.FailureDomain, Reachable: !m.Suspected(), State: string(encoder.MemberInstanceStateLive),
+		})
+	}
+	return statuses
+}
+
 // Preceding returns the number of known instances before this one in rendezvous order for the key.
 func (d *Discoverer) Preceding(key string) int {
 	return owner.Preceding(key, d.identity.Instance, d.Members())
--- a/internal/cluster/feeder/feeder.go
+++ b/internal/cluster/feeder/feeder.go
@@ -114,6 +114,16 @@
 	f.news = make(chan struct{})
 }
 
+// Age returns the time since the state was known to be current, or since the start.
+func (f *Feeder) Age() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.confirmed.IsZero() {
+		return time.Since(f.start)
+	}
+	return time.Since(f.confirmed)
+}
+
 // Feeding reports whether other instances follow this one.
 func (f *Feeder) Feeding() bool {
 	at := f.askedAt.Load()
--- /dev/null
+++ b/internal/operator/observer/observer_test.go
@@ -0,0 +1,93 @@
+package observer_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"apricotflow/internal/cluster/registrar"
+	"apricotflow/internal/manifest/mapper"
+	"apricotflow/internal/operator/observer"
+	"apricotflow/internal/operator/recorder"
+	"apricotflow/internal/operator/timekeeper"
+	"apricotflow/internal/target/picker"
+	"apricotflow/internal/wire/encoder"
+)
+
+// reports holds what is known of the requests to each target.
+type reports map[string]picker.Report
+
+func (r reports) Report(t registrar.Target, _ mapper.Service) picker.Report { return r[t.ID] }
+
+type members struct{}
+
+func (members) Statuses() []encoder.MemberStatus {
+	return []encoder.MemberStatus{{Instance: "b", Reachable: true}}
+}
+
+type freshness struct{}
+
+func (freshness) Age() time.Duration { return 2 * time.Second }
+
+func target(id, domain string) registrar.Target {
+	return registrar.Target{ID: id, Service: "s", Address: "127.0.0.1:1", FailureDomain: domain}
+}
+
+// Each state of a target has its name, the one that keeps work away for the longest first.
+func TestStatesOfTargets(t *testing.T) {
+	r := registrar.New()
+	draining, withdrawn := target("b", "east"), target("c", "east")
+	draining.Draining, withdrawn.Withdrawn = true, true
+	r.Apply(registrar.Change{Revision: 1, Closed: []string{"west"}, Put: []registrar.Target{
+		target("a", "west"), draining, withdrawn, target("d", "east"), target("e", "east"), target("f", "east"),
+	}}, true)
+	known := reports{"d": {Limit: 2, InFlight: 1, Down: true}, "e": {Cold: true}}
+	o := observer.New(r, known, members{}, freshness{}, recorder.New("a", timekeeper.NewHybridClock(time.Now), 10))
+	var states []string
+	for _, s := range o.Targets() {
+		states = append(states, s.Target+" "+s.State)
+	}
+	assert.DeepEqual(t, states, []string{"a closed", "b draining", "c leaving", "d down", "e cold", "f serving"})
+	assert.Equal(t, o.Targets()[3].InFlight, 1)
+	assert.Equal(t, o.Configuration().PlatformAge, 2*time.Second)
+	assert.Equal(t, len(o.Members()), 1)
+}
+
+// Changes of table, failure domains and targets are events of the time line, each once.
+func TestChangesAreEvents(t *testing.T) {
+	r := registrar.New()
+	events := recorder.New("a", timekeeper.NewHybridClock(time.Now), 100)
+	o := observer.New(r, reports{}, members{}, freshness{}, events)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); o.Run(ctx) }()
+	table, problems := mapper.New(encoder.RoutingTable{Version: 4})
+	assert.Equal(t, len(problems), 0)
+	wait := func(n int) []string {
+		var kinds []string
+		for start := time.Now(); len(kinds) < n; time.Sleep(time.Millisecond) {
+			assert.Assert(t, time.Since(start) < 5*time.Second, "only %v", kinds)
+			kinds = nil
+			all, _ := events.Events(0)
+			for _, e := range all {
+				kinds = append(kinds, e.Kind+" "+e.Subject)
+			}
+		}
+		return kinds
+	}
+	r.Apply(registrar.Change{Revision: 1, Table: table, Put: []registrar.Target{target("a", "east")}}, true)
+	wait(1)
+	leaving := target("a", "east")
+	leaving.Draining = true
+	r.Apply(registrar.Change{Revision: 2, Put: []registrar.Target{leaving, target("b", "east")}, Closed: []string{"west"}}, true)
+	wait(4)
+	r.Apply(registrar.Change{Revision: 3, Removed: []string{"a"}, Opened: []string{"west"}}, true)
+	assert.DeepEqual(t, wait(6), []string{
+		"manifest-applied platform", "failure-domain-closed west", "target-draining a", "target-up b", "failure-domain-open west", "target-down a",
+	})
+	assert.Equal(t, o.Configuration().Generation, 4)
+	cancel()
+	<-done
+}
--- a/internal/target/picker/picker.go
+++ b/internal/target/picker/picker.go
@@ -215,6 +215,24 @@
 // unlimited is the allowance for a target that is warm or bears any load.
 const unlimited = math.MaxInt
 
+// Report is what this instance knows of its requests to a target.
+type Report struct {
+	// Limit is the number of requests that may be in flight.
+	Limit    int
+	InFlight int
+	// Down targets could not be connected to.
+	Down bool
+	Cold bool
+}
+
+// Report describes the requests to a target.
+func (p *Picker) Report(t registrar.Target, service mapper.Service) Report {
+	r, now := p.record(t.ID), time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return Report{Limit: p.Limit(t, service), InFlight: len(r.flying), Down: now.Before(r.downUntil), Cold: r.cold(now, t)}
+}
+
 // coldAllowance returns the requests that this instance may send to a target in a second. Where a cold target bears less
 // than one from each instance, the first in its rendezvous order send one each.
 func (p *Picker) coldAllowance(t registrar.Target, service mapper.Service, now time.Time) int {
--- a/internal/target/transporter/transporter_test.go
+++ b/internal/target/transporter/transporter_test.go
@@ -4,8 +4,8 @@
 	"context"
 	"errors"
 	"net/http"
-	"strings"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
