Wait for the store by the time in which changes have to be in force

Cause: waits of a watch and the greatest age of shared knowledge were constants for a bound of 3 s; the grown deployments allow 5 s, others may allow less. Change: settings configuration-ms and drain-ms; the lesser one sets how long a watch waits (0.8, 0.4 while others follow) and when knowledge is too old (0.6).

--- a/internal/caller/assembler/relay.go
+++ b/internal/caller/assembler/relay.go
@@ -86,7 +86,7 @@
 }
 
 func newFeeder(settings loader.Settings, incarnation Incarnation, d *discoverer.Discoverer, r *registrar.Registrar, l *log.Logger) *feeder.Feeder {
-	return feeder.New(identity(settings, incarnation), d, r, l)
+	return feeder.New(identity(settings, incarnation), d, r, settings.Relay().InForce, l)
 }
 
 func identity(settings loader.Settings, incarnation Incarnation) messenger.Identity {
@@ -116,7 +116,7 @@
 	settings loader.Settings, platform Platform, r *registrar.Registrar, f *feeder.Feeder, l *log.Logger, scope tally.Scope,
 ) *follower.Follower {
 	source := platform.Source(settings.PlatformAddress().String(), l)
-	return follower.New(source, r, l, follower.WithPeers(f), follower.WithScope(scope))
+	return follower.New(source, r, l, follower.WithPeers(f), follower.WithScope(scope), follower.WithInForce(settings.Relay().InForce))
 }
 
 func newDomain(settings loader.Settings) sender.Domain {
--- a/internal/cluster/feeder/feeder.go
+++ b/internal/cluster/feeder/feeder.go
@@ -26,9 +26,9 @@
 	fanout = 8
 	// leastInstances is the number of instances of a failure domain below which each watches the store.
 	leastInstances = 3
-	// maxAge is the age of knowledge at which it no longer counts as current. The first instance hears from the store each
-	// 1.5 s at least, and a configuration has to be in force after 3 s.
-	maxAge = 1800 * time.Millisecond
+	// ageShare is the part of the time in which a change has to be in force at which knowledge is too old. It is above the
+	// part in which the first instance hears from the store, and leaves the rest for a call to the store.
+	ageShare = 0.6
 	// leastPatience is how long an instance waits for the one above it at least.
 	leastPatience = 300 * time.Millisecond
 	// firstRest and lastRest bound how long an instance that did not help is not followed.
@@ -72,6 +72,8 @@
 	registrar *registrar.Registrar
 	logger    *log.Logger
 	messenger *messenger.Messenger
+	// maxAge is the age of knowledge at which it no longer counts as current.
+	maxAge time.Duration
 	// askedAt is when another instance has asked last, in nanoseconds since start.
 	askedAt atomic.Int64
 	start   time.Time
@@ -88,9 +90,10 @@
 	rests    map[string]rest
 }
 
-// New creates a feeder.
-func New(identity messenger.Identity, members Members, r *registrar.Registrar, logger *log.Logger) *Feeder {
+// New creates a feeder; a change of the store has to be in force within the time.
+func New(identity messenger.Identity, members Members, r *registrar.Registrar, inForce time.Duration, logger *log.Logger) *Feeder {
 	return &Feeder{
+		maxAge:   time.Duration(ageShare * float64(inForce)),
 		identity: identity, members: members, registrar: r, logger: logger, start: time.Now(), news: make(chan struct{}), rests: make(map[string]rest),
 	}
 }
@@ -154,7 +157,7 @@
 	if f.upstream != upstream {
 		f.upstream, f.at = upstream, position{}
 	}
-	at, patience := f.at, max(maxAge-time.Since(f.confirmed), leastPatience)
+	at, patience := f.at, max(f.maxAge-time.Since(f.confirmed), leastPatience)
 	f.mu.Unlock()
 	call, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
@@ -182,7 +185,7 @@
 		return follower.Update{}, at, err
 	case reply.Revision < view.Revision():
 		return follower.Update{}, at, errBehind
-	case time.Duration(reply.AgeMs)*time.Millisecond >= maxAge:
+	case time.Duration(reply.AgeMs)*time.Millisecond >= f.maxAge:
 		return follower.Update{}, at, errStale
 	}
 	now := time.Now()
@@ -228,10 +231,10 @@
 		f.mu.Unlock()
 		view, age := f.registrar.View(), time.Since(confirmed)
 		known := request.Incarnation == f.identity.Incarnation && request.Serial == view.Serial() && request.Confirmation == confirmation
-		if !known || age >= maxAge || view.Revision() < request.Revision {
+		if !known || age >= f.maxAge || view.Revision() < request.Revision {
 			return f.reply(request, view, confirmation, age), nil
 		}
-		timer := time.NewTimer(maxAge - age)
+		timer := time.NewTimer(f.maxAge - age)
 		select {
 		case <-changed:
 		case <-news:
--- a/internal/cluster/feeder/feeder_test.go
+++ b/internal/cluster/feeder/feeder_test.go
@@ -132,7 +132,7 @@
 		return n.domain.instances[i].address, true
 	})
 	m := messenger.New(identity, n.address, addresses, clock, recorder.New(n.name, clock, 10))
-	n.feeder = feeder.New(identity, n, n.registrar, quiet)
+	n.feeder = feeder.New(identity, n, n.registrar, bound, quiet)
 	n.feeder.Attach(m)
 	assert.NilError(n.domain.t, m.Start())
 	n.line = &line{Source: platform.NewStore(n.domain.store.Address(), quiet)}
--- a/internal/cluster/follower/follower.go
+++ b/internal/cluster/follower/follower.go
@@ -17,13 +17,14 @@
 )
 
 const (
-	// defaultWait is how long a watch waits for a change. It bounds how long it goes unnoticed that a watch hears nothing,
-	// because its connection has fallen silent or the store has dropped its history, and is less than the time in which
-	// a configuration has to be in force. Each wait costs a call.
-	defaultWait = 2500 * time.Millisecond
-	// feedingWait replaces it while other instances follow this one: with the pause between two watches, what they know
+	// defaultInForce is the time in which a change has to be in force, unless the settings give another one.
+	defaultInForce = 3 * time.Second
+	// waitShare is the part of that time that a watch waits for a change. It bounds how long it goes unnoticed that a watch
+	// hears nothing, because its connection has fallen silent or the store has dropped its history. Each wait costs a call.
+	waitShare = 0.8
+	// feedingShare replaces it while other instances follow this one: with the pause between two watches, what they know
 	// stays younger than the age at which they turn to the store.
-	feedingWait = 1200 * time.Millisecond
+	feedingShare = 0.4
 	// defaultPause is the time between two watches, in which changes that come in quick succession gather.
 	defaultPause = 400 * time.Millisecond
 	// loadTimeout bounds one read of everything; the store answers in milliseconds, or 50 times that when it is slow.
@@ -107,6 +108,11 @@
 	return func(f *Follower) { f.scope = scope }
 }
 
+// WithInForce sets the time in which a change has to be in force.
+func WithInForce(limit time.Duration) Option {
+	return func(f *Follower) { f.inForce = limit }
+}
+
 // WithPause sets the time between two watches.
 func WithPause(pause time.Duration) Option {
 	return func(f *Follower) { f.pause = pause }
@@ -120,6 +126,7 @@
 	peers     Peers
 	scope     tally.Scope
 	pause     time.Duration
+	inForce   time.Duration
 
 	// upstream is the instance that was followed last; empty while this one follows the store.
 	upstream string
@@ -141,7 +148,7 @@
 
 // New creates a follower.
 func New(source Source, r *registrar.Registrar, logger *log.Logger, opts ...Option) *Follower {
-	f := &Follower{source: source, registrar: r, logger: logger, peers: nobody{}, scope: tally.NoopScope, pause: defaultPause, backoff: firstBackoff}
+	f := &Follower{source: source, registrar: r, logger: logger, peers: nobody{}, scope: tally.NoopScope, pause: defaultPause, inForce: defaultInForce, backoff: firstBackoff}
 	for _, opt := range opts {
 		opt(f)
 	}
@@ -219,10 +226,11 @@
 
 // watch performs one watch.
 func (f *Follower) watch(ctx context.Context) error {
-	wait := defaultWait
+	share := waitShare
 	if f.peers.Feeding() {
-		wait = feedingWait
+		share = feedingShare
 	}
+	wait := time.Duration(share * float64(f.inForce))
 	if !f.settleAt.IsZero() {
 		wait = max(min(wait, time.Until(f.settleAt)), time.Millisecond)
 	}
--- a/internal/operator/loader/loader.go
+++ b/internal/operator/loader/loader.go
@@ -13,7 +13,7 @@
 )
 
 var settingsSchema = sync.OnceValue(func() *parser.Schema {
-	return parser.MustCompile("settings.json", parser.WithFractions("$.relay.grace-seconds", "$.relay.extra-load-ratio",
+	return parser.MustCompile("settings.json", parser.WithFractions("$.relay.grace-seconds", "$.relay.configuration-ms", "$.relay.drain-ms", "$.relay.extra-load-ratio",
 		"$.relay.extra-load-slack", "$.relay.extra-load-window-seconds", "$.relay.cold-factor", "$.relay.cold-slack"))
 })
 
--- a/internal/operator/loader/loader_test.go
+++ b/internal/operator/loader/loader_test.go
@@ -127,10 +127,15 @@
 	assert.Equal(t, settings.Relay().ExtraLoadRatio, 0.2)
 	assert.Equal(t, settings.Relay().Grace, 6*time.Second)
 	assert.Equal(t, settings.Relay().ReadyPath, "/v1/ready")
+	assert.Equal(t, settings.Relay().InForce, 3*time.Second)
+	settings, err = loader.Parse(fmt.Appendf(nil, base, `{"ready-address": "127.0.0.1:7301", "configuration-ms": 5000, "drain-ms": 2500.5}`))
+	assert.NilError(t, err)
+	assert.Equal(t, settings.Relay().InForce, 2500500*time.Microsecond)
 	for section, path := range map[string]string{
 		`{}`: "$.relay", `{"ready-address": "127.0.0.1:7001"}`: "$.relay.ready-address",
 		`{"ready-address": "127.0.0.1:7301", "extra-load-ratio": 1.5}`: "$.relay.extra-load-ratio",
 		`{"ready-address": "127.0.0.1:7301", "memory-mb": 20.5}`:       "$.relay.memory-mb",
+		`{"ready-address": "127.0.0.1:7301", "drain-ms": 10}`:          "$.relay.drain-ms",
 	} {
 		_, err := loader.Parse(fmt.Appendf(nil, base, section))
 		assert.ErrorContains(t, err, path)
--- a/internal/operator/loader/relay.go
+++ b/internal/operator/loader/relay.go
@@ -15,6 +15,7 @@
 	defaultExtraLoadWindow = 10 * time.Second
 	defaultColdFactor      = 1
 	defaultMemoryMB        = 256
+	defaultInForce         = 3 * time.Second
 )
 
 // Relay holds the settings of an instance that relays requests by routes.
@@ -32,6 +33,8 @@
 	// ColdFactor and ColdSlack adjust the rate that a cold target bears.
 	ColdFactor float64
 	ColdSlack  float64
+	// InForce is the time in which any change of the platform has to be in force on an instance.
+	InForce time.Duration
 	// MemoryBytes is the memory limit of the process.
 	MemoryBytes int64
 }
@@ -46,6 +49,7 @@
 		ExtraLoadWindow: seconds(wire.ExtraLoadWindowSeconds, defaultExtraLoadWindow),
 		ColdFactor:      valueOr(wire.ColdFactor, defaultColdFactor),
 		ColdSlack:       valueOr(wire.ColdSlack, 0),
+		InForce:         min(fraction(wire.ConfigurationMs, defaultInForce), fraction(wire.DrainMs, defaultInForce)),
 		MemoryBytes:     int64(valueOr(wire.MemoryMb, defaultMemoryMB)) << 20,
 	}
 }
@@ -56,3 +60,11 @@
 	}
 	return time.Duration(*value * float64(time.Second))
 }
+
+// fraction returns a duration in milliseconds that need not be whole.
+func fraction(value *float64, fallback time.Duration) time.Duration {
+	if value == nil {
+		return fallback
+	}
+	return time.Duration(*value * float64(time.Millisecond))
+}
--- a/internal/operator/observer/observer.go
+++ b/internal/operator/observer/observer.go
@@ -146,9 +146,9 @@
 	for _, t := range after.Targets() {
 		old, known := before.Target(t.ID)
 		switch {
-		case t.Draining && !(known && old.Draining):
+		case t.Draining && (!known || !old.Draining):
 			o.events.Record(recorder.KindTargetDraining, t.ID, "", t.Service)
-		case t.Withdrawn && !(known && old.Withdrawn):
+		case t.Withdrawn && (!known || !old.Withdrawn):
 			o.events.Record(recorder.KindTargetDown, t.ID, "", "another target has answered at "+t.Address)
 		case !known && before.Revision() > 0:
 			o.events.Record(recorder.KindTargetUp, t.ID, "", t.Service)
--- a/internal/query/relayer/scatter_test.go
+++ b/internal/query/relayer/scatter_test.go
@@ -10,10 +10,13 @@
 
 	"gotest.tools/v3/assert"
 
+	"apricotflow/internal/cluster/registrar"
+	"apricotflow/internal/manifest/mapper"
 	"apricotflow/internal/query/relayer"
 	"apricotflow/internal/standin/worker"
 	"apricotflow/internal/target/concentrator"
 	"apricotflow/internal/target/transporter"
+	"apricotflow/internal/wire/encoder"
 )
 
 // The answer holds the greatest records of all parts in falling order, and names each part once.
@@ -55,6 +58,24 @@
 	assert.Assert(t, time.Now().Before(request.Deadline))
 }
 
+// All parts come from the shards of the version that the query began with, whatever comes into force meanwhile.
+func TestPartsComeFromOneVersion(t *testing.T) {
+	f := newFixture(t, 1, "s0", "s1", "s2", "s3")
+	f.all("s1", worker.Answer)
+	f.targets["s1"][0].Always(worker.Answer, 60*time.Millisecond)
+	request := f.request(scatter(1, "s0", "s1"), "r1")
+	time.AfterFunc(20*time.Millisecond, func() {
+		table, _ := mapper.New(encoder.RoutingTable{Version: 2, Services: []encoder.RouteService{{Name: "s2"}, {Name: "s3"}}})
+		f.registrar.Apply(registrar.Change{Revision: 2, Table: table}, true)
+	})
+	answer := f.relayer.Relay(t.Context(), request)
+	assert.Equal(t, f.registrar.View().Table().Version(), 2)
+	assert.Equal(t, answer.Missing, 0)
+	for i, service := range []string{"s0", "s1"} {
+		assert.Assert(t, strings.HasPrefix(answer.Signatures[i], service+"-"), answer.Signatures)
+	}
+}
+
 // Below the least share there is no success, and since parts have run, nothing claims that they have not.
 func TestScatterFailsBelowTheLeastShare(t *testing.T) {
 	f := newFixture(t, 1, "s0", "s1")
--- a/internal/wire/encoder/types.go
+++ b/internal/wire/encoder/types.go
@@ -818,6 +818,12 @@
 	// Requests per second beside that rate. Default 0.
 	ColdSlack *float64 `json:"cold-slack,omitempty,omitzero"`
 
+	// Time in which a change of the configuration has to be in force. Default 3000.
+	ConfigurationMs *float64 `json:"configuration-ms,omitempty,omitzero"`
+
+	// Time in which a target that leaves has to get no more work. Default 3000.
+	DrainMs *float64 `json:"drain-ms,omitempty,omitzero"`
+
 	// Repeated sub-requests to a service over all instances, as a share of the
 	// requests. Default 0.1.
 	ExtraLoadRatio *float64 `json:"extra-load-ratio,omitempty,omitzero"`
