Rehearse with five instances, three of them in one failure domain

Cause: with one instance in each failure domain the soak and the rehearsal did not reach the shared watch. Change: two more instances in the first domain; only three are seeds. go test -race ./internal/standin/rehearser passes.

--- a/internal/standin/rehearser/world.go
+++ b/internal/standin/rehearser/world.go
@@ -50,6 +50,11 @@
 // domains are the failure domains; the last one has no targets of the shards.
 var domains = []string{"east", "west", "north"}
 
+// entries are the instances by failure domain; those of the first one are enough to follow each other.
+var entries = []struct{ name, domain string }{
+	{"entry-east", "east"}, {"entry-west", "west"}, {"entry-north", "north"}, {"entry-east-2", "east"}, {"entry-east-3", "east"},
+}
+
 // instance is a running process.
 type instance struct {
 	name    string
@@ -79,7 +84,7 @@
 	born     int
 }
 
-// NewWorld starts the store, the targets and one instance in each failure domain.
+// NewWorld starts the store, the targets and the instances.
 func NewWorld(program, folder string) (*World, error) {
 	w := &World{program: program, folder: folder, store: keeper.New(), targets: make(map[string]*worker.Target), services: make(map[string][]string)}
 	w.links, w.domains = make(map[string]*forwarder.Forwarder), make(map[string]string)
@@ -198,18 +203,18 @@
 
 func (w *World) startInstances() error {
 	var peers []string
-	for range domains {
+	for range entries {
 		peers = append(peers, launcher.FreeAddress())
 	}
-	for i, domain := range domains {
+	for i, e := range entries {
 		w.storeLinks = append(w.storeLinks, link(w.store.Address()))
 		n := &instance{
-			name: "entry-" + domain, callers: launcher.FreeAddress(), admin: launcher.FreeAddress(), ready: launcher.FreeAddress(),
-			file: filepath.Join(w.folder, "entry-"+domain+".json"),
+			name: e.name, callers: launcher.FreeAddress(), admin: launcher.FreeAddress(), ready: launcher.FreeAddress(),
+			file: filepath.Join(w.folder, e.name+".json"),
 		}
 		settings, err := json.Marshal(map[string]any{
-			"instance": n.name, "failure-domain": domain, "caller-address": n.callers, "peer-address": peers[i],
-			"admin-address": n.admin, "platform-address": w.storeLinks[i].Address(), "seeds": peers,
+			"instance": n.name, "failure-domain": e.domain, "caller-address": n.callers, "peer-address": peers[i],
+			"admin-address": n.admin, "platform-address": w.storeLinks[i].Address(), "seeds": peers[:3],
 			"relay": map[string]any{
 				"ready-address": n.ready, "grace-seconds": graceSeconds, "extra-load-ratio": 0.2, "extra-load-slack": 60, "cold-factor": 1.5, "cold-slack": 5,
 			},
