Do not wait for targets that are down, and refuse what cannot succeed without them

Cause: while all targets of a shard refuse connections, each query tried them again every 12 ms until its cutoff, and callers waited for it. Change: a target that could not be connected to counts as not serving for 0.2 to 0.4 s; a part without any other target ends, and a request that cannot succeed is refused with a time to come back of 0.3 s.

--- a/internal/query/relayer/answers.go
+++ b/internal/query/relayer/answers.go
@@ -79,6 +79,16 @@
 	return Answer{Outcome: TimedOut}
 }
 
+// refuseUnserviceable answers a request that cannot succeed with the targets in reach. Another instance may reach those
+// of other failure domains; targets that are down are down for all.
+func (f *flight) refuseUnserviceable() Answer {
+	answer := f.refuse("too few targets in reach")
+	if f.sender.AllReachable() {
+		answer.RetryAfter = comeBackDown
+	}
+	return answer
+}
+
 func (f *flight) refuse(reason string) Answer {
 	f.note(f.parts[0], "", reason)
 	return Answer{Outcome: NotRun, RetryAfter: comeBack}
--- a/internal/query/relayer/flight.go
+++ b/internal/query/relayer/flight.go
@@ -121,7 +121,7 @@
 // run serves the request to its end.
 func (f *flight) run(ctx context.Context) Answer {
 	if !f.sender.Serviceable(f.request.Route, f.request.Wire.ID) {
-		return f.refuse("too few targets in reach")
+		return f.refuseUnserviceable()
 	}
 	f.work, f.cancel = context.WithDeadline(context.WithoutCancel(ctx), f.request.Deadline)
 	linger := lingerTime
--- a/internal/query/relayer/relayer.go
+++ b/internal/query/relayer/relayer.go
@@ -44,6 +44,8 @@
 	refusalShare = 0.2
 	// comeBack is when a refused caller should try again: by then another instance or a target is likely to have room.
 	comeBack = 50 * time.Millisecond
+	// comeBackDown replaces it where too many targets are down, which lasts longer.
+	comeBackDown = 300 * time.Millisecond
 )
 
 // Outcome tells how a request ended.
--- a/internal/query/relayer/results.go
+++ b/internal/query/relayer/results.go
@@ -94,9 +94,9 @@
 	f.send(i, false)
 }
 
-// pause waits before a target gets the request again, for as long as the answer can still be in time.
+// pause waits before a target gets the request again, for as long as there is one and the answer can still be in time.
 func (f *flight) pause(p *part) {
-	if time.Now().After(f.patience()) {
+	if !f.sender.Serving(p.service.Name) || time.Now().After(f.patience()) {
 		f.end(p)
 		return
 	}
--- a/internal/query/relayer/scatter_test.go
+++ b/internal/query/relayer/scatter_test.go
@@ -154,6 +154,26 @@
 	assert.Equal(t, f.runs(), 0)
 }
 
+// A query that cannot reach its least share because the targets of a shard are down is refused at once, and does not use
+// the others in vain; where the rest suffices, the answer does not wait for the shard.
+func TestQueryKnowsTargetsThatAreDown(t *testing.T) {
+	f := newFixture(t, 1, "s0", "s1", "s2")
+	f.targets["s2"][0].Close()
+	first, _ := f.relay(scatter(1, "s0", "s1", "s2"), "r1")
+	assert.Equal(t, first.Outcome, relayer.Failed)
+	// The requests to the other targets may still be on their way.
+	time.Sleep(30 * time.Millisecond)
+	runs := f.runs()
+	second, took := f.relay(scatter(1, "s0", "s1", "s2"), "r2")
+	assert.Equal(t, second.Outcome, relayer.NotRun)
+	assert.Assert(t, second.RetryAfter > 0)
+	assert.Assert(t, took < 20*time.Millisecond, took)
+	assert.Equal(t, f.runs(), runs)
+	third, took := f.relay(scatter(0.6, "s0", "s1", "s2"), "r3")
+	assert.Equal(t, third.Missing, 1)
+	assert.Assert(t, took < 40*time.Millisecond, took)
+}
+
 // When the caller leaves, targets stop working within half a second.
 func TestWorkEndsAfterTheCallerHasLeft(t *testing.T) {
 	f := newFixture(t, 1, "s0")
--- a/internal/target/picker/picker.go
+++ b/internal/target/picker/picker.go
@@ -27,7 +27,7 @@
 	downPenalty = 2 * time.Second
 	// firstDown and lastDown bound how long a target that cannot be connected to is left alone.
 	firstDown = 200 * time.Millisecond
-	lastDown  = time.Second
+	lastDown  = 400 * time.Millisecond
 	// overdueFactor and overdueFloor define when an answer is overdue: after that multiple of the usual latency of the
 	// target and that time more.
 	overdueFactor = 2.5
@@ -215,6 +215,14 @@
 // unlimited is the allowance for a target that is warm or bears any load.
 const unlimited = math.MaxInt
 
+// Down reports whether the target could not be connected to a moment ago.
+func (p *Picker) Down(id string) bool {
+	r := p.record(id)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Now().Before(r.downUntil)
+}
+
 // Report is what this instance knows of its requests to a target.
 type Report struct {
 	// Limit is the number of requests that may be in flight.
--- a/internal/target/sender/sender.go
+++ b/internal/target/sender/sender.go
@@ -99,13 +99,12 @@
 	return w.(*estimator.Window)
 }
 
-// Serving reports whether a target of the service may get new work and its failure domain is in reach.
+// Serving reports whether a target of the service may get new work, can be connected to, and is in a failure domain in
+// reach.
 func (s *Sender) Serving(service string) bool {
-	targets := s.registrar.View().Serving(service)
-	if s.prober.AllReachable() {
-		return len(targets) > 0
-	}
-	return slices.ContainsFunc(targets, func(t registrar.Target) bool { return s.prober.Reachable(t.FailureDomain) })
+	return slices.ContainsFunc(s.registrar.View().Serving(service), func(t registrar.Target) bool {
+		return s.prober.Reachable(t.FailureDomain) && !s.picker.Down(t.ID)
+	})
 }
 
 // Serviceable reports whether a request of the route can succeed with the targets that are in reach.
