--- a/internal/cluster/discoverer/discoverer.go
+++ b/internal/cluster/discoverer/discoverer.go
@@ -1,5 +1,4 @@
-// Package discoverer finds the other instances through a few seeds and what instances tell each other, and hands on what
-// they know of the platform while its store cannot be reached.
+// Package discoverer finds the other instances through a few seeds and what instances tell each other.
 package discoverer
 
 import (
--- a/internal/cluster/follower/follower.go
+++ b/internal/cluster/follower/follower.go
@@ -1,5 +1,5 @@
-// Package follower keeps the routing table and the directory of targets in step with the platform's store, or with
-// other instances while the store cannot be reached.
+// Package follower keeps the routing table and the directory of targets in step with the platform's store, or with an
+// instance that does.
 package follower
 
 import (
