--- a/internal/query/relayer/fixture_test.go
+++ b/internal/query/relayer/fixture_test.go
@@ -17,6 +17,7 @@
 	"apricotflow/internal/manifest/mapper"
 	"apricotflow/internal/query/relayer"
 	"apricotflow/internal/standin/httpresponder"
+	"apricotflow/internal/standin/switcher"
 	"apricotflow/internal/target/budgeter"
 	"apricotflow/internal/target/concentrator"
 	"apricotflow/internal/target/picker"
@@ -49,10 +50,11 @@
 
 func (singleInstance) CountPreceding(string) int { return 0 }
 
-// fixture is a relayer with stand-in targets that it reaches over the loopback network.
+// fixture is a relayer with stand-in targets that it reaches over a network in memory.
 type fixture struct {
 	t         testing.TB
 	relayer   *relayer.Relayer
+	network   *switcher.Network
 	registrar *registrar.Registrar
 	// targets holds the targets of each service.
 	targets map[string][]*httpresponder.Target
@@ -74,14 +76,13 @@
 // newFixture starts a relayer and services with some targets each; part i has records from 100 x i.
 func newFixture(t testing.TB, replicas int, services ...string) *fixture {
 	t.Helper()
-	f := &fixture{t: t, registrar: registrar.New(), peers: noPeers{}, targets: make(map[string][]*httpresponder.Target), limits: budgeter.Limits{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}}
+	f := &fixture{t: t, network: switcher.New(), registrar: registrar.New(), peers: noPeers{}, targets: make(map[string][]*httpresponder.Target), limits: budgeter.Limits{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}}
 	wire := encoder.RoutingTable{Version: 1}
 	change := registrar.Change{Revision: 1}
 	for i, service := range services {
 		wire.Services = append(wire.Services, encoder.RouteService{Name: service, MaxConnections: 50})
 		for n := range replicas {
-			target := httpresponder.New(fmt.Sprintf("%s-%d", service, n), records(100*i, 10))
-			t.Cleanup(target.Close)
+			target := f.startTarget(fmt.Sprintf("%s-%d", service, n), records(100*i, 10))
 			f.targets[service] = append(f.targets[service], target)
 			change.Put = append(change.Put, registrar.Target{ID: target.ID(), Service: service, Address: target.Address(), FailureDomain: domain, Slots: 4})
 		}
@@ -94,9 +95,18 @@
 	return f
 }
 
+// startTarget starts a target that listens on its id.
+func (f *fixture) startTarget(id string, body []byte) *httpresponder.Target {
+	target := httpresponder.New(id, body, httpresponder.WithListener(f.network.Listen(id)))
+	f.t.Cleanup(target.Close)
+	return target
+}
+
 func (f *fixture) buildRelayer() {
+	connections := transporter.New(platform.TargetHeaders{}, transporter.WithDial(f.network.Dial))
+	f.t.Cleanup(func() { connections.Retain(func(string) bool { return false }) })
 	s := sender.New(domain, f.registrar, picker.New(picker.ColdLimits{Factor: 1}, singleInstance{}, domain), budgeter.New(f.limits, singleInstance{}.InstanceEstimate),
-		transporter.New(platform.TargetHeaders{}), prober.New(f.registrar, log.New(io.Discard)), log.New(io.Discard), tally.NoopScope)
+		connections, prober.New(f.registrar, log.New(io.Discard)), log.New(io.Discard), tally.NoopScope)
 	f.relayer = relayer.New(s, f.peers, tally.NoopScope)
 }
 
--- a/internal/standin/httpresponder/httpresponder.go
+++ b/internal/standin/httpresponder/httpresponder.go
@@ -76,14 +76,27 @@
 	acceptedCount int
 }
 
+// Option configures a Target.
+type Option func(*Target)
+
+// WithListener makes the target accept connections from the listener instead of on a loopback address.
+func WithListener(l net.Listener) Option {
+	return func(t *Target) { t.listener = l }
+}
+
 // New starts a target with an id on a loopback address. Until SetBehaviour or SetFixedBehaviour is called, it responds
 // to every request at once with the body.
-func New(id string, body []byte) *Target {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic("httpresponder: listen: " + err.Error())
+func New(id string, body []byte, opts ...Option) *Target {
+	t := &Target{id: id, body: body, conns: make(map[net.Conn]bool)}
+	for _, opt := range opts {
+		opt(t)
+	}
+	if t.listener == nil {
+		var err error
+		if t.listener, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+			panic("httpresponder: listen: " + err.Error())
+		}
 	}
-	t := &Target{id: id, listener: listener, body: body, conns: make(map[net.Conn]bool)}
 	t.SetBehaviour(func(*http.Request) (Behaviour, time.Duration) { return Answer, 0 })
 	go t.accept()
 	return t
--- a/internal/target/transporter/transporter.go
+++ b/internal/target/transporter/transporter.go
@@ -51,16 +51,31 @@
 
 // Transporter sends requests and manages the connections to targets.
 type Transporter struct {
-	codec  HeaderCodec
-	dialer net.Dialer
+	codec HeaderCodec
+	// dial opens a connection to an address.
+	dial func(ctx context.Context, address string) (net.Conn, error)
 
 	mu    sync.Mutex
 	pools map[string]*pool
 }
 
+// Option configures a Transporter.
+type Option func(*Transporter)
+
+// WithDial sets the function that opens connections. By default they are TCP connections.
+func WithDial(dial func(ctx context.Context, address string) (net.Conn, error)) Option {
+	return func(t *Transporter) { t.dial = dial }
+}
+
 // New returns a Transporter without connections.
-func New(codec HeaderCodec) *Transporter {
-	return &Transporter{codec: codec, dialer: dialer.New(dialTimeout), pools: make(map[string]*pool)}
+func New(codec HeaderCodec, opts ...Option) *Transporter {
+	d := dialer.New(dialTimeout)
+	t := &Transporter{codec: codec, pools: make(map[string]*pool)}
+	t.dial = func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) }
+	for _, opt := range opts {
+		opt(t)
+	}
+	return t
 }
 
 // pool holds the connections to one start of a target.
@@ -205,10 +220,14 @@
 // acquire puts the exchange in flight on an idle connection or a new one.
 func (p *pool) acquire(ctx context.Context, limit int, x *exchange, fresh bool) (*connection, error) {
 	for {
-		c, err := p.takeIdleOrReserve(limit, fresh)
+		c, replaced, err := p.takeIdleOrReserve(limit, fresh)
 		if err != nil {
 			return nil, err
 		}
+		if replaced != nil {
+			// Closed before the new connection is opened, so that the target never has more than the limit.
+			replaced.close(errors.New("replaced"))
+		}
 		if c == nil {
 			break
 		}
@@ -217,7 +236,7 @@
 		}
 		c.close(errors.New("connection ended while idle"))
 	}
-	conn, err := p.transporter.dialer.DialContext(ctx, "tcp", p.address)
+	conn, err := p.transporter.dial(ctx, p.address)
 	if err != nil {
 		p.mu.Lock()
 		p.openCount--
@@ -233,8 +252,8 @@
 
 // takeIdleOrReserve removes an idle connection from the pool and returns it. If none is suitable, it returns nil and
 // counts a new connection in openCount, which must then be opened, or openCount decremented. If the new connection
-// replaces an idle one, both count until the old one is closed.
-func (p *pool) takeIdleOrReserve(limit int, fresh bool) (*connection, error) {
+// replaces an idle one, that one is returned too and must be closed first; both count until then.
+func (p *pool) takeIdleOrReserve(limit int, fresh bool) (taken, replaced *connection, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
@@ -243,22 +262,19 @@
 		age := now.Sub(c.idleSince)
 		if age < c.idleLimit && (!fresh || age <= maxFreshIdle) {
 			p.idle = p.idle[:n-1]
-			return c, nil
+			return c, nil, nil
 		}
 	}
-	if len(p.idle) > 0 && p.openCount >= limit {
-		// Replace an idle connection that is too old for this request by a new one.
-		old := p.idle[0]
-		p.idle = slices.Delete(p.idle, 0, 1)
-		go old.close(errors.New("replaced"))
-		p.openCount++
-		return nil, nil
-	}
 	if p.openCount >= limit {
-		return nil, &BusyError{Target: p.target}
+		if len(p.idle) == 0 {
+			return nil, nil, &BusyError{Target: p.target}
+		}
+		// The idle connections are too old for this request.
+		replaced = p.idle[0]
+		p.idle = slices.Delete(p.idle, 0, 1)
 	}
 	p.openCount++
-	return nil, nil
+	return nil, replaced, nil
 }
 
 // release returns a connection without a request to the pool. The idle limit is what the target has announced, or 0 if
--- a/internal/target/transporter/transporter_test.go
+++ b/internal/target/transporter/transporter_test.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -207,3 +210,37 @@
 	tr.Retain(func(string) bool { return false })
 	assert.Equal(t, tr.ConnectionCount(), 0)
 }
+
+// countedConn is a connection that is counted until it is closed.
+type countedConn struct {
+	net.Conn
+	closeOnce sync.Once
+	open      *atomic.Int64
+}
+
+func (c *countedConn) Close() error {
+	c.closeOnce.Do(func() { c.open.Add(-1) })
+	return c.Conn.Close()
+}
+
+// Guards against more connections to a target than the limit, even for a moment, when an idle connection is replaced by
+// a new one.
+func TestIdleConnectionIsClosedBeforeItsReplacementOpens(t *testing.T) {
+	target := httpresponder.New("t1", nil)
+	t.Cleanup(target.Close)
+	var open, most atomic.Int64
+	tr := transporter.New(platform.TargetHeaders{}, transporter.WithDial(func(ctx context.Context, address string) (net.Conn, error) {
+		most.Store(max(most.Load(), open.Add(1)))
+		var d net.Dialer
+		conn, err := d.DialContext(ctx, "tcp", address)
+		return &countedConn{Conn: conn, open: &open}, err
+	}))
+	assert.Equal(t, send(t, tr, target, request("r1"), 1).Outcome, transporter.Answered)
+	// Longer than a connection may be idle before a request that cannot be repeated.
+	time.Sleep(600 * time.Millisecond)
+	fresh := request("r2")
+	fresh.RequireFreshConnection = true
+	assert.Equal(t, send(t, tr, target, fresh, 1).Outcome, transporter.Answered)
+	assert.Equal(t, target.AcceptedCount(), 2)
+	assert.Equal(t, most.Load(), int64(1))
+}
