Wait until a paused process has stopped

Cause: SIGSTOP takes effect when each thread next enters the kernel, so TestSignalsAndRestartReachProcess could see one more answer. Change: Pause waits for the stopped state (waitid with WSTOPPED), as the kernel reports it.

--- a/internal/standin/launcher/launcher.go
+++ b/internal/standin/launcher/launcher.go
@@ -465,8 +465,14 @@
 	return p.kill()
 }
 
-// Pause pauses a process.
-func (l *Launcher) Pause(name string) error { return l.signal(name, syscall.SIGSTOP) }
+// Pause pauses a process and waits until it has stopped.
+func (l *Launcher) Pause(name string) error {
+	p, err := l.process(name)
+	if err != nil {
+		return err
+	}
+	return p.pause()
+}
 
 // Resume resumes a paused process.
 func (l *Launcher) Resume(name string) error { return l.signal(name, syscall.SIGCONT) }
--- a/internal/standin/launcher/process.go
+++ b/internal/standin/launcher/process.go
@@ -11,6 +11,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Ports are below the ephemeral range, so that no outgoing connection takes one between its selection and the listen
@@ -68,6 +70,23 @@
 	return fmt.Sprintf("launcher: %s has not exited within %s", e.Name, e.Wait)
 }
 
+// PauseTimeoutError reports a process that has not stopped within the wait time after the signal.
+type PauseTimeoutError struct {
+	Name string
+	Wait time.Duration
+}
+
+func (e *PauseTimeoutError) Error() string {
+	return fmt.Sprintf("launcher: %s has not stopped within %s", e.Name, e.Wait)
+}
+
+const (
+	// pauseLimit is how long a paused process may take to stop.
+	pauseLimit = 5 * time.Second
+	// pauseCheckInterval is the time between two checks whether a process has stopped.
+	pauseCheckInterval = time.Millisecond
+)
+
 // process is a child process that writes its output to a file.
 type process struct {
 	name    string
@@ -124,6 +143,26 @@
 	return nil
 }
 
+// pause stops the process and waits until all its threads have stopped: the signal only requests that, and a thread on
+// another processor may serve one more request.
+func (p *process) pause() error {
+	if err := p.signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	for start := time.Now(); time.Since(start) < pauseLimit; time.Sleep(pauseCheckInterval) {
+		var info unix.Siginfo
+		// WNOWAIT leaves the state to Wait, which reports the exit.
+		err := unix.Waitid(unix.P_PID, p.pid(), &info, unix.WSTOPPED|unix.WNOHANG|unix.WNOWAIT, nil)
+		if err != nil {
+			return fmt.Errorf("launcher: wait for %s to stop: %w", p.name, err)
+		}
+		if info.Signo == int32(syscall.SIGCHLD) {
+			return nil
+		}
+	}
+	return &PauseTimeoutError{Name: p.name, Wait: pauseLimit}
+}
+
 // kill kills the process and waits until it has exited.
 func (p *process) kill() error {
 	err := p.signal(syscall.SIGKILL)
