Keep changes of the targets that are applied at the same time

Cause: Withdraw and RemoveMissing read the view before they took the lock of Apply, so that a change in between was undone; and a withdrawn target that was missing was no longer counted as missing and stayed known for good. Change: both derive their view under the lock. Measured: both new tests fail before (a target with the address of an earlier entry, or gone; 1 target left instead of 0).

--- a/internal/cluster/registrar/registrar.go
+++ b/internal/cluster/registrar/registrar.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -175,25 +176,34 @@
 func (r *Registrar) Apply(change Change, removalsTrusted bool) *View {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	old := r.view.Load()
-	v := &View{
-		revision: max(old.revision, change.Revision), table: newerTable(old.table, change.Table),
-		targets: make(map[string]Target, len(old.targets)+len(change.Put)),
-		missing: make(map[string]bool), closedDomains: make(map[string]bool),
-	}
-	removed := v.applyTargets(old, change)
-	for _, id := range removed {
-		v.remove(id, removalsTrusted)
-	}
-	v.applyDomains(old, change)
-	v.indexServing()
-	v.recordChange(old, change)
+	return r.publish(r.view.Load().apply(change, removalsTrusted))
+}
+
+// publish puts a view in force. The lock must be held since the view was derived from the current one.
+func (r *Registrar) publish(v *View) *View {
 	r.view.Store(v)
 	close(r.changed)
 	r.changed = make(chan struct{})
 	return v
 }
 
+// apply returns the view after the change.
+func (v *View) apply(change Change, removalsTrusted bool) *View {
+	next := &View{
+		revision: max(v.revision, change.Revision), table: newerTable(v.table, change.Table),
+		targets: make(map[string]Target, len(v.targets)+len(change.Put)),
+		missing: make(map[string]bool), closedDomains: make(map[string]bool),
+	}
+	removed := next.applyTargets(v, change)
+	for _, id := range removed {
+		next.remove(id, removalsTrusted)
+	}
+	next.applyDomains(v, change)
+	next.indexServing()
+	next.recordChange(v, change)
+	return next
+}
+
 // Changed returns a channel that is closed when the view changes. To miss no change, get the channel before the view
 // that is examined.
 func (r *Registrar) Changed() <-chan struct{} {
@@ -284,26 +294,32 @@
 // unmarked entry of the target in a partial change, or with a changed entry in a complete one. Withdraw reports whether
 // the target was known at that address and not yet withdrawn.
 func (r *Registrar) Withdraw(id, address string) bool {
-	t, found := r.View().targets[id]
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	old := r.view.Load()
+	t, found := old.targets[id]
 	if !found || t.Withdrawn || t.Address != address {
 		return false
 	}
 	t.Withdrawn = true
-	r.Apply(Change{Put: []Target{t}}, true)
+	v := old.apply(Change{Put: []Target{t}}, true)
+	if old.missing[id] {
+		// The mark is no entry of the store.
+		v.missing[id] = true
+	}
+	r.publish(v)
 	return true
 }
 
 // RemoveMissing removes the targets that are still missing.
 func (r *Registrar) RemoveMissing() *View {
-	old := r.View()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	old := r.view.Load()
 	if len(old.missing) == 0 {
 		return old
 	}
-	removed := make([]string, 0, len(old.missing))
-	for id := range old.missing {
-		removed = append(removed, id)
-	}
-	return r.Apply(Change{Removed: removed}, true)
+	return r.publish(old.apply(Change{Removed: slices.Collect(maps.Keys(old.missing))}, true))
 }
 
 // newerTable returns the table with the higher version, or a if both have the same one.
--- a/internal/cluster/registrar/registrar_test.go
+++ b/internal/cluster/registrar/registrar_test.go
@@ -1,6 +1,9 @@
 package registrar_test
 
 import (
+	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -97,3 +100,47 @@
 	assert.Equal(t, len(c.Closed), 0)
 	assert.DeepEqual(t, c.Opened, []string{"east"})
 }
+
+// Guards against a target that the store no longer lists and that stays known for good because it was withdrawn.
+func TestWithdrawnMissingTargetIsRemoved(t *testing.T) {
+	r := registrar.New()
+	r.Apply(registrar.Change{Put: []registrar.Target{target("a")}}, true)
+	r.Apply(registrar.Change{Removed: []string{"a"}}, false)
+	assert.Assert(t, r.Withdraw("a", target("a").Address))
+	r.RemoveMissing()
+	assert.Equal(t, len(r.View().Targets()), 0)
+}
+
+// Guards against a withdrawal or the removal of missing targets that undoes a change applied at the same time: both
+// must start from the view in force.
+func TestConcurrentChangesAreNotUndone(t *testing.T) {
+	r := registrar.New()
+	r.Apply(registrar.Change{Put: []registrar.Target{target("a")}}, true)
+	var ended atomic.Bool
+	var others sync.WaitGroup
+	others.Go(func() {
+		for !ended.Load() {
+			for _, t := range r.View().Targets() {
+				r.Withdraw(t.ID, t.Address)
+			}
+		}
+	})
+	others.Go(func() {
+		for !ended.Load() {
+			r.RemoveMissing()
+		}
+	})
+	for i := range 2000 {
+		moved := target("a")
+		moved.Address = fmt.Sprintf("127.0.0.1:%d", i)
+		r.Apply(registrar.Change{Removed: []string{"a"}}, false)
+		r.Apply(registrar.Change{Put: []registrar.Target{moved}}, true)
+		listed := r.View().Targets()
+		if len(listed) != 1 || listed[0].Address != moved.Address {
+			t.Errorf("after the entry with address %s the targets are %v", moved.Address, listed)
+			break
+		}
+	}
+	ended.Store(true)
+	others.Wait()
+}
