Refuse a manifest of another deployment, and member lists that break a rule

Cause: instances applied a manifest without comparing its deployment, and member lists after fewer checks than the check command, without an event. Change: both are refused as a whole, with the events manifest-refused and members-refused. Measured: both tests fail before.

--- a/internal/cluster/configurer/configurer.go
+++ b/internal/cluster/configurer/configurer.go
@@ -5,6 +5,7 @@
 package configurer
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"strings"
@@ -117,6 +118,10 @@
 		c.events.Record(recorder.KindManifestRefused, source, "", err.Error())
 		return false, &ManifestError{Source: source, Cause: err}
 	}
+	if err := checkDeployment(c.Manifest(), manifest); err != nil {
+		c.events.Record(recorder.KindManifestRefused, source, "", err.Error())
+		return false, &ManifestError{Source: source, Cause: err}
+	}
 	subscribers, applied := c.replaceManifest(manifest, raw, source)
 	for _, f := range subscribers {
 		f()
@@ -124,14 +129,23 @@
 	return applied, nil
 }
 
-// ApplyMembers puts the member list in force if its revision is higher, and reports whether it did. Unlike a refused
-// manifest, a refused member list is reported only by the error, not by an event.
+// checkDeployment returns an error if the manifest belongs to another deployment than the one in force, such as after a
+// mix-up in the build pipeline.
+func checkDeployment(current, next *resolver.Manifest) error {
+	if current != nil && next.Deployment() != current.Deployment() {
+		return fmt.Errorf("deployment must stay %q, not %q", current.Deployment(), next.Deployment())
+	}
+	return nil
+}
+
+// ApplyMembers puts the member list in force if its revision is higher, and reports whether it did.
 func (c *Configurer) ApplyMembers(raw []byte, source string) (bool, error) {
 	list, err := encoder.Decode[encoder.MemberList](raw)
-	if err != nil {
-		return false, &MembersError{Source: source, Cause: err}
+	if err == nil {
+		err = checkMembers(list)
 	}
-	if err := validateMembers(list); err != nil {
+	if err != nil {
+		c.events.Record(recorder.KindMembersRefused, source, "", err.Error())
 		return false, &MembersError{Source: source, Cause: err}
 	}
 	subscribers, applied := c.replaceMembers(resolver.NewMembers(list), raw, source)
@@ -205,18 +219,10 @@
 	return description
 }
 
-// validateMembers checks that all instances have distinct names. The other rules of resolver.CheckMembers are not
-// applied.
-func validateMembers(list encoder.MemberList) error {
-	seen := make(map[string]bool, len(list.Instances))
-	for i, n := range list.Instances {
-		switch {
-		case n.Name == "":
-			return fmt.Errorf("$.instances[%d].name is empty", i)
-		case seen[n.Name]:
-			return fmt.Errorf("$.instances[%d].name: duplicate instance %q", i, n.Name)
-		}
-		seen[n.Name] = true
+// checkMembers applies the rules of the check command to a member list.
+func checkMembers(list encoder.MemberList) error {
+	if problems := resolver.CheckMembers(list); len(problems) > 0 {
+		return errors.New(resolver.Summarize(problems))
 	}
 	return nil
 }
--- a/internal/cluster/configurer/configurer_test.go
+++ b/internal/cluster/configurer/configurer_test.go
@@ -27,15 +27,15 @@
 
 var errParse = errors.New("parse")
 
-// parseManifest parses "<generation> <state of failure domain a>" and uses the raw form as the digest.
+// parseManifest parses "<generation> <state of failure domain a> [<deployment>]" and uses the raw form as the digest.
 func parseManifest(raw []byte) (*resolver.Manifest, error) {
 	var generation int
-	var state string
-	if _, err := fmt.Sscan(string(raw), &generation, &state); err != nil {
+	var state, deployment string
+	if n, _ := fmt.Sscan(string(raw), &generation, &state, &deployment); n < 2 {
 		return nil, errParse
 	}
 	m, _ := resolver.New(encoder.Manifest{
-		Generation:     generation,
+		Deployment: deployment, Generation: generation,
 		FailureDomains: []encoder.FailureDomain{{Name: "a", Region: "r", State: encoder.FailureDomainState(state)}},
 	}, string(raw))
 	return m, nil
@@ -98,11 +98,29 @@
 	assert.Assert(t, errors.As(err, &refused) && errors.Is(err, errParse))
 	assert.Equal(t, c.Manifest(), before)
 	var members *configurer.MembersError
-	for _, raw := range []string{`{`, `{"revision":1,"instances":[],"targets":[],"x":1}`, `{"revision":1,"instances":[{"name":""}],"targets":[]}`} {
+	kinds := []string{"manifest-applied", "manifest-refused"}
+	for _, raw := range []string{
+		`{`, `{"revision":1,"instances":[],"targets":[],"x":1}`, `{"revision":1,"instances":[{"name":""}],"targets":[]}`,
+		`{"revision":1,"instances":[{"name":"a","failure-domain":"a","peer-address":"127.0.0.1","admin-address":"127.0.0.1:1","state":"live"}],"targets":[]}`,
+		`{"revision":1,"instances":[],"targets":[{"name":"a","state":"leaving"},{"name":"a","state":"leaving"}]}`,
+	} {
 		_, err = c.ApplyMembers([]byte(raw), "platform")
 		assert.Assert(t, errors.As(err, &members), "%s", raw)
+		kinds = append(kinds, "members-refused")
 	}
 	assert.Equal(t, c.Members().Revision(), 0)
+	assert.DeepEqual(t, eventKinds(events), kinds)
+}
+
+// Guards against a manifest of another deployment that replaces the one in force.
+func TestManifestOfAnotherDeploymentIsRefused(t *testing.T) {
+	c, events := newConfigurer(func() time.Duration { return 0 })
+	_, err := c.ApplyManifest([]byte("1 open counters"), "platform")
+	assert.NilError(t, err)
+	_, err = c.ApplyManifest([]byte("2 open brooms"), "platform")
+	var refused *configurer.ManifestError
+	assert.Assert(t, errors.As(err, &refused))
+	assert.Equal(t, c.Manifest().Deployment(), "counters")
 	assert.DeepEqual(t, eventKinds(events), []string{"manifest-applied", "manifest-refused"})
 }
 
--- a/internal/operator/recorder/recorder.go
+++ b/internal/operator/recorder/recorder.go
@@ -31,6 +31,8 @@
 	KindManifestRefused Kind = "manifest-refused"
 	// KindMembersApplied: a member list came into force. The subject is its source.
 	KindMembersApplied Kind = "members-applied"
+	// KindMembersRefused: a received member list was invalid. The subject is its source.
+	KindMembersRefused Kind = "members-refused"
 	// KindPlatformLost: a read from the configuration service failed, for the first time since the start of the instance
 	// or since one succeeded.
 	KindPlatformLost Kind = "platform-lost"
