Let the second static owner run rounds, and announce a release in the exchange that confirms it

Cause: of a failure domain without listed instances only the first instance outside was a candidate, so the second static owner never noticed an unresponsive first one. And an exchange that was handled while its receiver released its leases confirmed the release although the reply did not announce it. Change: static owners are candidates; the reply is built last.

--- a/internal/cluster/gossiper/exchange.go
+++ b/internal/cluster/gossiper/exchange.go
@@ -99,7 +99,6 @@
 	if message.Instance != peer.Instance || message.Incarnation != peer.Incarnation {
 		return encoder.ExchangeMessage{}, &SenderError{Expected: peer.Instance, Actual: message.Instance}
 	}
-	reply, _ := g.newMessage(message.Instance)
 	g.recordMessage(message)
 	g.learnFacts(message)
 	g.confirmRelease(message)
@@ -110,6 +109,8 @@
 			// The queue is full; the next exchange announces the value again.
 		}
 	}
+	// The reply is built last: if the message has confirmed the release of this instance, the reply has to announce it.
+	reply, _ := g.newMessage(message.Instance)
 	return reply, nil
 }
 
--- a/internal/cluster/gossiper/gossiper_test.go
+++ b/internal/cluster/gossiper/gossiper_test.go
@@ -52,6 +52,8 @@
 	ownFact      atomic.Pointer[encoder.TargetFact]
 	learnedCount atomic.Int64
 	from         sync.Map
+	// onLearn is called for each learned fact, unless it is nil.
+	onLearn atomic.Pointer[func()]
 }
 
 func (s *targets) Facts() []encoder.TargetFact {
@@ -64,6 +66,9 @@
 func (s *targets) Learn(fact encoder.TargetFact, from string) {
 	s.learnedCount.Add(1)
 	s.from.Store(fact, from)
+	if f := s.onLearn.Load(); f != nil {
+		(*f)()
+	}
 }
 
 // allTargetsOwnership is an ownership under which every instance may own every target.
@@ -108,7 +113,9 @@
 	assert.NilError(c.t, n.messenger.Start())
 	c.instances[name] = n
 	c.memberList.Revision++
-	c.memberList.Instances = append(c.memberList.Instances, encoder.MemberInstance{Name: name, PeerAddress: n.messenger.Address(), State: "live"})
+	c.memberList.Instances = append(c.memberList.Instances, encoder.MemberInstance{
+		Name: name, FailureDomain: "east", PeerAddress: n.messenger.Address(), AdminAddress: n.messenger.Address(), State: "live",
+	})
 	return n
 }
 
@@ -284,6 +291,28 @@
 	}
 }
 
+// Guards against a grantor that counts as having confirmed a release that it does not know of, because the release came
+// while its exchange was handled: the stopping instance would end before the grantor knows.
+func TestExchangeThatConfirmsReleaseAnnouncesIt(t *testing.T) {
+	c := start(t, "1", "a", "b")
+	a, b := c.instances["a"], c.instances["b"]
+	eventually(t, func() bool { return a.Reachable("b") && b.Reachable("a") })
+	released := make(chan bool, 1)
+	release := func() {
+		ended, cancel := context.WithCancel(context.Background())
+		cancel()
+		a.AnnounceReleased(ended)
+		released <- true
+	}
+	release = sync.OnceFunc(release)
+	a.targets.onLearn.Store(&release)
+	b.targets.ownFact.Store(&encoder.TargetFact{Target: "t", Incarnation: "1", State: encoder.LoadStateDraining})
+	for len(released) == 0 {
+		assert.Assert(t, b.ExchangeWith(t.Context(), []string{"a"}))
+	}
+	assert.Assert(t, b.Released("a"))
+}
+
 // Guards against a message that changes the state of an instance other than the peer of its connection.
 func TestExchangeIsRefusedWhenSenderIsNotThePeer(t *testing.T) {
 	c := start(t, "1", "a", "b")
--- a/internal/cluster/owner/owner_test.go
+++ b/internal/cluster/owner/owner_test.go
@@ -188,6 +188,23 @@
 	assert.Equal(t, len(o.StaticOwners("s0c@c")), 2)
 }
 
+// Guards against a second static owner without rounds: it would never notice that the first one is unresponsive, and the
+// group would have no owner.
+func TestStaticOwnersAreCandidates(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := instanceLists().Draw(t, "list")
+		m := newManifest(t, 2, 2)
+		for _, n := range list {
+			o, _ := newOwner(n.Name, m, list)
+			for _, g := range m.Groups() {
+				if slices.Contains(o.StaticOwners(g.Name), n.Name) {
+					assert.Assert(t, slices.Contains(o.Candidates(), g.Name), "%s is a static owner of %s", n.Name, g.Name)
+				}
+			}
+		}
+	})
+}
+
 // Guards against a cached table that survives a change of the configuration and routes to former owners.
 func TestSharesFollowConfigurationChanges(t *testing.T) {
 	m := newManifest(t, 2, 2)
--- a/internal/cluster/owner/table.go
+++ b/internal/cluster/owner/table.go
@@ -39,8 +39,8 @@
 	// released holds the listed instances whose incarnations never grant or hold a lease again.
 	released map[string]bool
 	// candidates holds the groups that this instance may hold a lease or static share on, sorted by name: those in its own
-	// failure domain, those that it is the first owner of, and those for which it is the first listed instance outside the
-	// failure domain.
+	// failure domain, those that it is the first owner or a static owner of, and those for which it is the first listed
+	// instance outside the failure domain.
 	candidates []string
 }
 
@@ -97,7 +97,7 @@
 		staticOwners:          staticOwners[:min(2, len(staticOwners))],
 	}
 	t.groups[g.Name] = ownership
-	if slices.Contains(inside, self) || ownership.rank == 1 || len(outside) > 0 && outside[0] == self {
+	if slices.Contains(inside, self) || ownership.rank == 1 || len(outside) > 0 && outside[0] == self || slices.Contains(ownership.staticOwners, self) {
 		t.candidates = append(t.candidates, g.Name)
 	}
 	bySlots := make(map[int][]Share)
