Count a change of the window in the budget, and requests given up here not as silence

Cause: after a reload with a longer window the counts of the old buckets stayed for good; a request that found all connections in use counted as one without a reply of the failure domain. Change: a change of the window moves the extra requests into one new window; such a request is no evidence. Measured: the test of the budget fails before (0 of 8 extra requests after the new window).

--- a/internal/target/budgeter/budgeter.go
+++ b/internal/target/budgeter/budgeter.go
@@ -59,17 +59,25 @@
 	return b
 }
 
-// SetLimits replaces the limits.
+// SetLimits replaces the limits. After a change of the window, the extra requests counted so far count for a whole new
+// window, and the needed ones no longer count.
 func (b *Budgeter) SetLimits(limits Limits) {
 	b.limits.Store(&limits)
+	b.usages.Range(func(service, _ any) bool {
+		u, bucket, limits := b.currentUsage(service.(string))
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		u.advance(bucket, limits.Window)
+		return true
+	})
 }
 
 // RecordNeeded counts a needed request to the service, one that is neither a hedge nor a retry.
 func (b *Budgeter) RecordNeeded(service string) {
-	u, bucket, _ := b.currentUsage(service)
+	u, bucket, limits := b.currentUsage(service)
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.advance(bucket)
+	u.advance(bucket, limits.Window)
 	u.needed[bucket%bucketCount]++
 }
 
@@ -80,7 +88,7 @@
 	slack := limits.Slack / float64(max(b.instances(), 1))
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.advance(bucket)
+	u.advance(bucket, limits.Window)
 	needed, extra := 0, 0
 	for i := range bucketCount {
 		needed += u.needed[i]
@@ -104,21 +112,33 @@
 	if u, found := b.usages.Load(service); found {
 		return u.(*usage), bucket, limits
 	}
-	u, _ := b.usages.LoadOrStore(service, &usage{latestBucket: bucket})
+	u, _ := b.usages.LoadOrStore(service, &usage{window: limits.Window, latestBucket: bucket})
 	return u.(*usage), bucket, limits
 }
 
 // usage counts the needed and extra requests to one service in each bucket.
 type usage struct {
 	mu sync.Mutex
+	// window is the length of the window that the buckets divide.
+	window time.Duration
 	// latestBucket is the number of the newest bucket.
 	latestBucket int
 	needed       [bucketCount]int
 	extra        [bucketCount]int
 }
 
-// advance clears the buckets that have left the window.
-func (u *usage) advance(bucket int) {
+// advance clears the buckets that have left the window. Under another window the buckets have other numbers, so that
+// the counts of the old ones cannot be kept apart.
+func (u *usage) advance(bucket int, window time.Duration) {
+	if window != u.window {
+		extra := 0
+		for i := range bucketCount {
+			extra += u.extra[i]
+		}
+		u.window, u.latestBucket = window, bucket
+		u.needed, u.extra = [bucketCount]int{}, [bucketCount]int{}
+		u.extra[bucket%bucketCount] = extra
+	}
 	for i := max(u.latestBucket+1, bucket-bucketCount+1); i <= bucket; i++ {
 		u.needed[i%bucketCount], u.extra[i%bucketCount] = 0, 0
 	}
--- a/internal/target/budgeter/budgeter_test.go
+++ b/internal/target/budgeter/budgeter_test.go
@@ -80,3 +80,25 @@
 	b.SetLimits(budgeter.Limits{Slack: 20, Window: 10 * time.Second})
 	assert.Assert(t, take() > 0)
 }
+
+// Guards against counts that stay for good, or are forgotten at once, when a reload of the settings changes the window.
+func TestExtraRequestsCountForOneWindowAfterChangeOfWindow(t *testing.T) {
+	for _, window := range []time.Duration{5 * time.Second, 20 * time.Second} {
+		now := time.Unix(0, 0)
+		b := budgeter.New(budgeter.Limits{Slack: 10, Window: 10 * time.Second}, func() int { return 1 }, budgeter.WithClock(func() time.Time { return now }))
+		take := func() int {
+			n := 0
+			for b.TakeExtra("s", 1) {
+				n++
+			}
+			return n
+		}
+		now = now.Add(100 * time.Second)
+		first := take()
+		b.SetLimits(budgeter.Limits{Slack: 10, Window: window})
+		now = now.Add(window * 9 / 10)
+		assert.Equal(t, take(), 0, "within the window of %s", window)
+		now = now.Add(window / 5)
+		assert.Equal(t, take(), first, "after the window of %s", window)
+	}
+}
--- a/internal/target/prober/prober.go
+++ b/internal/target/prober/prober.go
@@ -129,6 +129,15 @@
 	s.failures++
 }
 
+// Cancel records that the request was given up by this instance before it could reach the network, which says nothing of
+// the path to the failure domain.
+func (r *PendingRequest) Cancel() {
+	p := r.prober
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.stateOf(r.domain).pending, r)
+}
+
 // stateOf returns the state of a failure domain and creates it if there is none. The lock must be held.
 func (p *Prober) stateOf(domain string) *domainState {
 	s := p.domains[domain]
--- a/internal/target/prober/prober_test.go
+++ b/internal/target/prober/prober_test.go
@@ -89,6 +89,18 @@
 	eventually(t, "partition not detected", func() bool { return !p.Reachable("west") })
 }
 
+// Guards against probes of a failure domain whose path no request has tried: requests that this instance gave up are no
+// sign of a partition.
+func TestDomainIsNotProbedAfterRequestsGivenUpHere(t *testing.T) {
+	p, partitioned := startProber(t, 4)
+	partitioned.Store(true)
+	for range 5 {
+		p.Begin("west").Cancel()
+	}
+	time.Sleep(500 * time.Millisecond)
+	assert.Assert(t, p.Reachable("west"))
+}
+
 // Guards against taking targets that are down for a partition: in a domain of two targets, both may be down
 // independently.
 func TestDomainStaysReachableWhenItHasTooFewTargets(t *testing.T) {
--- a/internal/target/sender/sender.go
+++ b/internal/target/sender/sender.go
@@ -213,8 +213,12 @@
 	inFlight, pending := s.picker.Begin(target, latency.Median), s.prober.Begin(target.FailureDomain)
 	return func(result transporter.Result) {
 		inFlight.End(result)
-		// Unsent also counts as no reply, because opening a connection fails if the failure domain is unreachable.
-		pending.End(result.Outcome != transporter.Lost && result.Outcome != transporter.Unsent)
+		if givenUpHere(result) {
+			pending.Cancel()
+		} else {
+			// Unsent also counts as no reply, because opening a connection fails if the failure domain is unreachable.
+			pending.End(result.Outcome != transporter.Lost && result.Outcome != transporter.Unsent)
+		}
 		if result.Outcome == transporter.Misdirected && s.registrar.Withdraw(target.ID, target.Address) {
 			s.logger.Info("target withdrawn, another one has its address", "target", target.ID, "address", target.Address,
 				"service", target.Service, "id", requestID)
@@ -226,6 +230,13 @@
 	}
 }
 
+// givenUpHere reports whether this instance has not tried to send the request, because all connections were in use or the
+// target was no longer serving.
+func givenUpHere(result transporter.Result) bool {
+	var busy *transporter.BusyError
+	return errors.As(result.Err, &busy) || errors.Is(result.Err, errNotServing)
+}
+
 func (s *Sender) send(ctx context.Context, target registrar.Target, limit int, r *transporter.Request, deadline time.Time) transporter.Result {
 	if !s.registrar.View().IsServing(target.ID) {
 		return transporter.Result{Outcome: transporter.Unsent, Err: errNotServing}
