Keep the Retry-After of a shed query with a ticket

Cause: an answer kept for a ticket had no retry delay, so its caller was told 1 s whatever the error said. Change: the answer and the reply between instances carry it (retry-after-ms, optional, so that older instances still understand). Remove the option WithPanicAnswer, which nothing used.

--- a/internal/caller/server/handlers.go
+++ b/internal/caller/server/handlers.go
@@ -102,13 +102,14 @@
 	// query may run on after ctx has ended, so the request that is executed carries the shortened deadline.
 	result, err := run(ctx, *request.Ticket, request, func(ctx context.Context) ticketer.Answer {
 		resp := s.execute(ctx, limitedRequest)
-		return ticketer.Answer{Status: resp.status, Body: resp.body}
+		return ticketer.Answer{Status: resp.status, Body: resp.body, RetryAfter: resp.retryAfter}
 	})
 	if err != nil {
 		return responseForTicketError(err)
 	}
-	resp := response{status: result.Status, body: result.Body}
-	if resp.status == http.StatusServiceUnavailable {
+	resp := response{status: result.Status, body: result.Body, retryAfter: result.RetryAfter}
+	if resp.status == http.StatusServiceUnavailable && resp.retryAfter <= 0 {
+		// An older version of the instance that issued the ticket does not send it.
 		resp.retryAfter = defaultRetryAfter
 	}
 	return resp
@@ -137,5 +138,10 @@
 }
 
 func toRunTicketReply(resp response) encoder.RunTicketReply {
-	return encoder.RunTicketReply{Status: resp.status, Body: string(resp.body)}
+	reply := encoder.RunTicketReply{Status: resp.status, Body: string(resp.body)}
+	if resp.retryAfter > 0 {
+		ms := int(resp.retryAfter.Milliseconds())
+		reply.RetryAfterMs = &ms
+	}
+	return reply
 }
--- a/internal/caller/server/server_test.go
+++ b/internal/caller/server/server_test.go
@@ -36,6 +36,8 @@
 	executions, logLines atomic.Int64
 	check                *checker.Checker
 	classesRemoved       atomic.Bool // whether the query classes were removed from the manifest
+	// forwardReply is the reply to forwarded queries; a success if it has no status.
+	forwardReply encoder.RunTicketReply
 }
 
 func (f *fakes) Class(name string) (encoder.QueryClass, error) {
@@ -51,6 +53,9 @@
 }
 
 func (f *fakes) RunTicket(context.Context, string, encoder.RunTicketRequest) (encoder.RunTicketReply, error) {
+	if f.forwardReply.Status != 0 {
+		return f.forwardReply, nil
+	}
 	return encoder.RunTicketReply{Status: 200, Body: `"forwarded"`}, nil
 }
 
@@ -183,6 +188,24 @@
 	}
 }
 
+// Guards against a shed query with a ticket whose caller is told another time to try again than the one without a
+// ticket, at the instance that issued the ticket and at one that forwards the query to it.
+func TestRetryAfterIsKeptWhenTicketedQueryIsShed(t *testing.T) {
+	f := &fakes{execute: executeFailing(&executor.ShedError{RetryAfter: 1500 * time.Millisecond})}
+	i := startServer(t, f)
+	_, ticketBody, _ := i.post(t, "/v1/tickets", `{"query-class":"order"}`)
+	reply, err := encoder.Decode[encoder.TicketReply]([]byte(ticketBody))
+	assert.NilError(t, err, ticketBody)
+	status, _, header := i.post(t, "/v1/queries", fmt.Sprintf(`{"query-class":"order","ticket":%q}`, reply.Ticket))
+	assert.Equal(t, status, 503)
+	assert.Equal(t, header.Get("Retry-After"), "2")
+	forwarded := i.RunForwardedTicket(t.Context(), encoder.RunTicketRequest{Request: encoder.QueryRequest{QueryClass: "order", Ticket: &reply.Ticket}, DeadlineMs: 100})
+	assert.Equal(t, *forwarded.RetryAfterMs, 1500)
+	f.forwardReply = forwarded
+	_, _, header = i.post(t, "/v1/queries", `{"query-class":"order","ticket":"j.1.x"}`)
+	assert.Equal(t, header.Get("Retry-After"), "2")
+}
+
 // Guards against a panic in one request that ends another one.
 func TestPanicDoesNotAffectOtherRequests(t *testing.T) {
 	entered, leave := make(chan struct{}), make(chan struct{})
--- a/internal/query/ticketer/table.go
+++ b/internal/query/ticketer/table.go
@@ -14,6 +14,8 @@
 	Status int
 	// Body is the raw JSON of a QueryReply or an ErrorReply and must not be changed.
 	Body []byte
+	// RetryAfter is when the caller of a refused query may try again; 0 if the answer does not state it.
+	RetryAfter time.Duration
 }
 
 // issuedTicket is a ticket with the state of its run. The lock of the table guards its fields.
--- a/internal/query/ticketer/ticketer.go
+++ b/internal/query/ticketer/ticketer.go
@@ -59,7 +59,6 @@
 	peers    Peers
 	events   Events
 	checker  Checker
-	onPanic  func(recovered any) Answer
 
 	ticketsIssued, ticketsRun, ticketsResent, ticketsForwarded, ticketsRefused, ticketsUnknown tally.Counter
 
@@ -77,16 +76,11 @@
 	return func(t *Ticketer) { t.table = newTable(maxTickets, maxAnswerBytes) }
 }
 
-// WithPanicAnswer sets the answer to a run that panics.
-func WithPanicAnswer(f func(recovered any) Answer) Option {
-	return func(t *Ticketer) { t.onPanic = f }
-}
-
 // New creates a ticketer for one incarnation of an instance, that is one run of its process.
 func New(instance, incarnation string, lifetime func() time.Duration, peers Peers, events Events, check Checker, scope tally.Scope, opts ...Option) *Ticketer {
 	t := &Ticketer{
 		instance: instance, incarnation: incarnation, lifetime: lifetime,
-		peers: peers, events: events, checker: check, onPanic: panicAnswer,
+		peers: peers, events: events, checker: check,
 		ticketsIssued: scope.Counter("tickets-issued"), ticketsRun: scope.Counter("tickets-run"), ticketsResent: scope.Counter("tickets-resent"),
 		ticketsForwarded: scope.Counter("tickets-forwarded"), ticketsRefused: scope.Counter("tickets-refused"), ticketsUnknown: scope.Counter("tickets-unknown"),
 		table: newTable(DefaultMaxTickets, DefaultMaxAnswerBytes),
@@ -195,7 +189,7 @@
 	defer func() {
 		if recovered := recover(); recovered != nil {
 			checker.RepanicViolation(recovered)
-			answer = t.onPanic(recovered)
+			answer = panicAnswer()
 		}
 	}()
 	return f(ctx)
@@ -228,7 +222,11 @@
 	if reply.Status < minStatus || reply.Status > maxStatus {
 		return t.unknownOutcome(id, fmt.Sprintf("the instance that issued the ticket sent status %d", reply.Status), nil)
 	}
-	return Answer{Status: reply.Status, Body: []byte(reply.Body)}, nil
+	answer := Answer{Status: reply.Status, Body: []byte(reply.Body)}
+	if reply.RetryAfterMs != nil {
+		answer.RetryAfter = time.Duration(*reply.RetryAfterMs) * time.Millisecond
+	}
+	return answer, nil
 }
 
 // unknownOutcome records that the outcome of a ticket is unknown, and returns the error that reports it.
@@ -248,7 +246,7 @@
 }
 
 // panicAnswer returns an answer with the code, status and outcome with which package server answers a panic.
-func panicAnswer(any) Answer {
+func panicAnswer() Answer {
 	reply := encoder.ErrorReply{Code: "internal-error", Message: "ticketer: run: panic", Outcome: encoder.QueryOutcomeUnknown}
 	return Answer{Status: 500, Body: encoder.Encode(reply)}
 }
--- a/internal/wire/encoder/types.go
+++ b/internal/wire/encoder/types.go
@@ -969,6 +969,9 @@
 	// Hybrid logical clock of the sender.
 	Clock int `json:"clock"`
 
+	// Milliseconds after which the caller of a refused query may try again.
+	RetryAfterMs *int `json:"retry-after-ms,omitempty,omitzero"`
+
 	// HTTP status.
 	Status int `json:"status"`
 }
