End a relaying instance after its background goroutines, and close listeners of a failed start

Cause: the instance logged its end before its goroutines had ended, and kept the listeners that were open when a later one failed.

--- a/internal/caller/assembler/relay_lifecycle.go
+++ b/internal/caller/assembler/relay_lifecycle.go
@@ -41,6 +41,8 @@
 	// closeMargin is the time that is left of the grace period for closing connections when the wait for requests in
 	// flight ends; at most half of the grace period.
 	closeMargin = 500 * time.Millisecond
+	// backgroundTimeout limits the wait for the background goroutines at the end of closeMargin.
+	backgroundTimeout = closeMargin / 4
 	// readinessTimeout limits reading and answering one readiness check of the load balancer.
 	readinessTimeout = 5 * time.Second
 	// cleanUpInterval is the interval at which idle connections are closed, the records of removed targets are
@@ -78,7 +80,7 @@
 type relayInstance struct {
 	relayComponents
 	readiness *http.Server
-	// cancel ends the background goroutines; stop does not wait for them.
+	// cancel ends the background goroutines.
 	cancel     context.CancelFunc
 	background sync.WaitGroup
 }
@@ -99,7 +101,21 @@
 	l.caller, errs[0] = net.Listen("tcp", n.Settings.CallerAddress().String())
 	l.admin, errs[1] = net.Listen("tcp", n.Settings.AdminAddress().String())
 	l.readiness, errs[2] = net.Listen("tcp", n.Settings.Relay().ReadyAddress.String())
-	return l, errors.Join(errs[:]...)
+	if err := errors.Join(errs[:]...); err != nil {
+		l.close()
+		return listeners{}, err
+	}
+	return l, nil
+}
+
+// close closes the listeners that are open.
+func (l listeners) close() {
+	for _, listener := range []net.Listener{l.caller, l.admin, l.readiness} {
+		if listener != nil {
+			// A listener fails to close only if it is closed.
+			_ = listener.Close()
+		}
+	}
 }
 
 func (n *relayInstance) start(context.Context) error {
@@ -108,6 +124,7 @@
 		return err
 	}
 	if err := n.Messenger.Start(); err != nil {
+		l.close()
 		return err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -237,10 +254,29 @@
 	n.Receiver.Drain()
 	timekeeper.Sleep(graceCtx, min(balancerDelay, time.Duration(maxBalancerDelayFraction*float64(grace))))
 	err := n.Receiver.Stop(graceCtx)
-	// The requests that are still running have not finished in time; they end with the process.
-	n.Logger.Info("instance stopped", "running", n.Receiver.InFlight(), "error", err)
 	n.cancel()
 	closeCtx, cancelClose := context.WithTimeout(context.Background(), closeMargin/2)
 	defer cancelClose()
-	return errors.Join(err, n.Messenger.Close(closeCtx), n.AdminServer.Stop(closeCtx), n.readiness.Close(), n.Reporter.Close())
+	err = errors.Join(err, n.Messenger.Close(closeCtx), n.AdminServer.Stop(closeCtx), n.readiness.Close(), n.awaitBackground(), n.Reporter.Close())
+	// The requests that are still running have not finished in time; they end with the process.
+	n.Logger.Info("instance stopped", "running", n.Receiver.InFlight(), "error", err)
+	return err
+}
+
+// errBackgroundRunning reports that background goroutines have not ended backgroundTimeout after they were told to.
+var errBackgroundRunning = errors.New("assembler: stop: background goroutines are still running")
+
+// awaitBackground waits until the background goroutines have ended, at most for backgroundTimeout.
+func (n *relayInstance) awaitBackground() error {
+	ended := make(chan struct{})
+	go func() {
+		n.background.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+		return nil
+	case <-time.After(backgroundTimeout):
+		return errBackgroundRunning
+	}
 }
