Tell operators what is known: lost platform, no answers, settings that cannot be decoded

Cause: an instance in native mode logged nothing while its platform could not be reached; status claimed an answer 0s ago when no instance answered; settings that cannot be decoded were reported with problems that only follow from that. Measured: the three tests fail before.

--- a/internal/caller/assembler/cluster.go
+++ b/internal/caller/assembler/cluster.go
@@ -3,6 +3,7 @@
 import (
 	"sync/atomic"
 
+	"github.com/charmbracelet/log"
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/fx"
 
@@ -84,10 +85,10 @@
 }
 
 func newWatcher(
-	settings loader.Settings, configuration *configurer.Configurer, g *gossiper.Gossiper, events *recorder.Recorder, scope tally.Scope,
+	settings loader.Settings, configuration *configurer.Configurer, g *gossiper.Gossiper, events *recorder.Recorder, scope tally.Scope, l *log.Logger,
 ) *watcher.Watcher {
 	return watcher.New(settings.PlatformAddress().String(), settings.Instance(), settings.FailureDomain(),
-		configuration, g, timekeeper.BootTime, events, watcher.WithScope(scope))
+		configuration, g, timekeeper.BootTime, events, watcher.WithScope(scope), watcher.WithLogger(l))
 }
 
 func newGossiper(
--- a/internal/cluster/watcher/watcher.go
+++ b/internal/cluster/watcher/watcher.go
@@ -74,8 +74,26 @@
 	return func(w *Watcher) { w.scope = scope }
 }
 
+// Logger logs when the platform is lost and regained. It is implemented by log.Logger.
+type Logger interface {
+	Info(message any, keyvals ...any)
+	Warn(message any, keyvals ...any)
+}
+
+// WithLogger sets the logger.
+func WithLogger(logger Logger) Option {
+	return func(w *Watcher) { w.logger = logger }
+}
+
+// noopLogger is the default when nothing is logged.
+type noopLogger struct{}
+
+func (noopLogger) Info(any, ...any) {}
+func (noopLogger) Warn(any, ...any) {}
+
 // Watcher reads and watches the platform's values for one instance.
 type Watcher struct {
+	address       string
 	instance      string
 	failureDomain string
 	configuration Configuration
@@ -85,6 +103,7 @@
 	client        *client
 	wait          time.Duration
 	scope         tally.Scope
+	logger        Logger
 
 	// lastRespondedAt is the boot time of the platform's latest response, in nanoseconds.
 	lastRespondedAt atomic.Int64
@@ -99,8 +118,8 @@
 	bootTime func() time.Duration, events Events, options ...Option,
 ) *Watcher {
 	w := &Watcher{
-		instance: instance, failureDomain: failureDomain, configuration: configuration, reachability: reachability,
-		bootTime: bootTime, events: events, client: newClient(address), wait: defaultWatchWait, scope: tally.NoopScope,
+		address: address, instance: instance, failureDomain: failureDomain, configuration: configuration, reachability: reachability,
+		bootTime: bootTime, events: events, client: newClient(address), wait: defaultWatchWait, scope: tally.NoopScope, logger: noopLogger{},
 	}
 	w.lastRespondedAt.Store(int64(bootTime()))
 	for _, option := range options {
@@ -203,8 +222,8 @@
 	if v.raw == nil {
 		return v.etag, nil
 	}
-	// The errors are ignored: a refused value is read again only after a change. The configuration records an event for a
-	// refused manifest, but none for a refused member list.
+	// The errors are ignored: a refused value is read again only after a change, and the configuration records an event
+	// for it.
 	if key == KeyManifest {
 		_, _ = w.configuration.ApplyManifest(v.raw, sourceName)
 		return v.etag, nil
@@ -213,7 +232,7 @@
 	return v.etag, nil
 }
 
-// recordOutcome updates the state of the platform after a read, and records an event when the platform is lost or
+// recordOutcome updates the state of the platform after a read, and records and logs when the platform is lost or
 // regained.
 func (w *Watcher) recordOutcome(err error) {
 	w.mu.Lock()
@@ -224,8 +243,10 @@
 	switch {
 	case err != nil && !w.platformLost:
 		w.events.Record(recorder.KindPlatformLost, sourceName, "", err.Error())
+		w.logger.Warn("platform lost", "address", w.address, "error", err)
 	case err == nil && w.platformLost:
 		w.events.Record(recorder.KindPlatformRegained, sourceName, "", "")
+		w.logger.Info("platform regained", "address", w.address)
 	}
 	w.platformLost = err != nil
 }
--- a/internal/cluster/watcher/watcher_test.go
+++ b/internal/cluster/watcher/watcher_test.go
@@ -107,8 +107,15 @@
 	return resolver.NewMembers(list)
 }
 
+// logLines counts the lines that are logged.
+type logLines struct{ warnings, infos atomic.Int32 }
+
+func (l *logLines) Info(any, ...any) { l.infos.Add(1) }
+func (l *logLines) Warn(any, ...any) { l.warnings.Add(1) }
+
 type fixture struct {
 	platform      *platform
+	logs          logLines
 	configuration *configuration
 	events        *recorder.Recorder
 	watcher       *watcher.Watcher
@@ -123,7 +130,7 @@
 	}
 	server := httptest.NewServer(f.platform)
 	f.watcher = watcher.New(server.Listener.Addr().String(), "n1", "a", f.configuration, reachable{}, timekeeper.BootTime, f.events,
-		watcher.WithWait(time.Second))
+		watcher.WithWait(time.Second), watcher.WithLogger(&f.logs))
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -164,7 +171,8 @@
 	assert.Assert(t, f.watcher.TimeSinceResponse() < 2*time.Second)
 }
 
-// Guards against reads in a tight loop while the platform fails, and against a loss or return that is not recorded.
+// Guards against reads in a tight loop while the platform fails, and against a loss or return that is not recorded, not
+// logged, or logged with each read.
 func TestPlatformLossAndReturnAreRecorded(t *testing.T) {
 	f := start(t, "1")
 	eventually(t, 5*time.Second, func() bool { return f.configuration.current() == "1" })
@@ -175,8 +183,10 @@
 	reads := f.platform.reads.Load() - before
 	assert.Assert(t, reads < 30, "%d", reads)
 	assert.Assert(t, f.watcher.TimeSinceResponse() > 500*time.Millisecond)
+	assert.Equal(t, f.logs.warnings.Load(), int32(1))
 	f.platform.set(func() { f.platform.failing, f.platform.value = false, []byte("2") })
 	eventually(t, 5*time.Second, func() bool { return f.has(recorder.KindPlatformRegained) && f.configuration.current() == "2" })
+	assert.Equal(t, f.logs.infos.Load(), int32(1))
 }
 
 // Guards against a watch that never ends on a connection that stopped responding: the instance would miss all later
--- a/internal/operator/commander/commander_test.go
+++ b/internal/operator/commander/commander_test.go
@@ -320,6 +320,13 @@
 	assert.Equal(t, runCommand(nil, "status", "--platform", "127.0.0.1:1").code, commander.ExitFailed)
 }
 
+// Guards against a status that claims an answer of the platform although no instance answered.
+func TestStatusDoesNotClaimPlatformAnswerWhenNoInstanceAnswered(t *testing.T) {
+	r := runCommand(nil, "status", "--instances", "127.0.0.1:1")
+	assert.Assert(t, r.code != commander.ExitSuccess)
+	assert.Assert(t, !strings.Contains(r.out, "platform last answered"), "%s", r.out)
+}
+
 // Guards against a timeline that is incomplete without saying so, because some instances did not answer, and against
 // filters and an event order that do not work.
 func TestTimelineNamesInstancesWithoutAnswer(t *testing.T) {
--- a/internal/operator/commander/status.go
+++ b/internal/operator/commander/status.go
@@ -141,6 +141,10 @@
 }
 
 func (s *statusPrinter) printConfigurations(h health) {
+	if len(h.Statuses) == 0 {
+		s.printLine("\nCONFIGURATION  unknown, no instance answered")
+		return
+	}
 	s.printLine("\nCONFIGURATION  platform last answered %s ago", formatAge(h.PlatformAgeMs))
 	printRows(s, h.Configurations, func(c configurationGroup) {
 		if c.Generation == 0 {
--- a/internal/operator/loader/loader.go
+++ b/internal/operator/loader/loader.go
@@ -60,8 +60,12 @@
 func Parse(raw []byte) (Settings, error) {
 	problems := settingsSchema().Check(raw)
 	var wire encoder.Settings
-	if err := json.Unmarshal(raw, &wire); err != nil && len(problems) == 0 {
-		problems = []resolver.Problem{{Path: "$", Message: fmt.Sprintf("cannot be decoded: %v", err)}}
+	if err := json.Unmarshal(raw, &wire); err != nil {
+		// Fields that were not decoded would be reported as further problems.
+		if len(problems) == 0 {
+			problems = []resolver.Problem{{Path: "$", Message: fmt.Sprintf("cannot be decoded: %v", err)}}
+		}
+		return Settings{}, &InvalidError{Problems: problems}
 	}
 	settings, allProblems := newSettings(wire, problems)
 	if len(allProblems) > 0 {
--- a/internal/operator/loader/loader_test.go
+++ b/internal/operator/loader/loader_test.go
@@ -86,6 +86,14 @@
 	assert.DeepEqual(t, got, []string{"$.admin-address", "$.caller-address", "$.failure-domain", "$.instance"})
 }
 
+// Guards against problems that only follow from settings that cannot be decoded, and that hide the cause.
+func TestParseReportsOnlyCauseWhenSettingsCannotBeDecoded(t *testing.T) {
+	_, err := loader.Parse([]byte(strings.Replace(validSettings, "}", "", 1)))
+	assert.DeepEqual(t, paths(t, err), []string{"$"})
+	_, err = loader.Parse([]byte(strings.Replace(validSettings, `"10.0.0.9:7900"`, `7900`, 1)))
+	assert.DeepEqual(t, paths(t, err), []string{"$.platform-address"})
+}
+
 // Guards against a missing file that is reported as invalid settings.
 func TestLoadReturnsReadErrorWhenFileMissing(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "settings.json")
