Remove code that only tests called, and let stand-ins recover after misbehaviour

Lessor.Expiry, Follower.Reachable and Table.RouteCount had no caller; the test of the lease time checks the allowance at the same two moments. The soak of the rehearser made targets fast and free of pauses after the fault targets; a target now gets back the behaviour it had, and keeps its service time while it misbehaves.

--- a/internal/cluster/follower/follower.go
+++ b/internal/cluster/follower/follower.go
@@ -168,12 +168,6 @@
 	return f
 }
 
-// Reachable reports whether the last call to the store succeeded. An update received from an upstream counts as a
-// successful call; a failed call to an upstream does not count.
-func (f *Follower) Reachable() bool {
-	return f.reachable.Load()
-}
-
 // Run follows the store, or an upstream, until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/internal/cluster/lessor/lessor.go
+++ b/internal/cluster/lessor/lessor.go
@@ -172,28 +172,6 @@
 	return allowance
 }
 
-// Expiry returns the boot time until which Allowance is above 0 if no further grants arrive, or 0.
-func (l *Lessor) Expiry(target string) time.Duration {
-	t, found := l.target(target)
-	if !found {
-		return 0
-	}
-	if l.policy == encoder.PolicyColdLimitEqual {
-		return l.bootTime() + l.leaseDuration()
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	h := l.holdings[t.Group]
-	if h == nil || l.stopped {
-		return 0
-	}
-	leasedUntil, staticUntil := l.validUntil(h, t.Group)
-	if l.staticShare(t.Group, t.ColdLimit) > 0 {
-		return max(leasedUntil, staticUntil)
-	}
-	return leasedUntil
-}
-
 // target returns the named target of the manifest in force.
 func (l *Lessor) target(name string) (resolver.Target, bool) {
 	manifest := l.configuration.Manifest()
--- a/internal/cluster/lessor/lessor_test.go
+++ b/internal/cluster/lessor/lessor_test.go
@@ -300,7 +300,6 @@
 	for _, request := range requests {
 		first.lessor.FinishRequest(request, second.lessor.HandleGrant(request.Request), nil)
 	}
-	assert.Equal(t, first.lessor.Expiry("a1"), at+lease)
 	assert.Equal(t, first.lessor.Allowance("a1", at+lease+1), 0)
 	assert.Equal(t, first.lessor.Allowance("a1", at+lease), 1)
 }
--- a/internal/manifest/mapper/mapper.go
+++ b/internal/manifest/mapper/mapper.go
@@ -207,9 +207,6 @@
 	return Service{Name: name}
 }
 
-// RouteCount returns the number of routes.
-func (t *Table) RouteCount() int { return len(t.encoded.Routes) }
-
 // Match returns the route of the host with the longest matching path prefix.
 func (t *Table) Match(host, path string) (*Route, bool) {
 	for _, r := range t.routes(host) {
--- a/internal/standin/rehearser/deployment.go
+++ b/internal/standin/rehearser/deployment.go
@@ -12,6 +12,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"apricotflow/internal/standin/forwarder"
@@ -86,8 +87,10 @@
 	links      map[string]*forwarder.Forwarder
 	storeLinks []*forwarder.Forwarder
 	// domains holds the failure domain of each target.
-	domains          map[string]string
-	services         map[string][]string
+	domains  map[string]string
+	services map[string][]string
+	// healthy holds the behaviour of each target while it does not misbehave.
+	healthy          map[string]func(*http.Request) (httpresponder.Behaviour, time.Duration)
 	configVersion    int
 	lastTargetNumber int
 }
@@ -95,6 +98,7 @@
 // NewDeployment starts the store, the targets and the instances.
 func NewDeployment(program, directory string) (*Deployment, error) {
 	d := &Deployment{program: program, directory: directory, store: keeper.New(), targets: make(map[string]*httpresponder.Target), services: make(map[string][]string)}
+	d.healthy = make(map[string]func(*http.Request) (httpresponder.Behaviour, time.Duration))
 	d.links, d.domains = make(map[string]*forwarder.Forwarder), make(map[string]string)
 	for i := range shardCount {
 		for _, domain := range domains[:2] {
@@ -131,7 +135,8 @@
 	id := fmt.Sprintf("i-%s-%d", service, d.lastTargetNumber)
 	pauseOffset := time.Duration(d.lastTargetNumber) * pauseInterval / 7
 	target := httpresponder.New(id, partRecordsOf(service))
-	target.SetBehaviour(normalBehaviour(service, serviceTime, pauseOffset))
+	d.healthy[id] = normalBehaviour(service, serviceTime, pauseOffset)
+	target.SetBehaviour(d.healthy[id])
 	d.targets[id] = target
 	d.domains[id] = domain
 	d.links[id] = startLink(target.Address())
@@ -157,10 +162,26 @@
 	})
 }
 
-func (d *Deployment) target(id string) *httpresponder.Target {
+// Misbehave makes a target handle every second request with the behaviour, until Recover.
+func (d *Deployment) Misbehave(id string, behaviour httpresponder.Behaviour) {
+	d.mu.Lock()
+	target, healthy := d.targets[id], d.healthy[id]
+	d.mu.Unlock()
+	var n atomic.Int64
+	target.SetBehaviour(func(r *http.Request) (httpresponder.Behaviour, time.Duration) {
+		normal, delay := healthy(r)
+		if n.Add(1)%2 == 0 {
+			return behaviour, delay
+		}
+		return normal, delay
+	})
+}
+
+// Recover ends the misbehaviour of a target.
+func (d *Deployment) Recover(id string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.targets[id]
+	d.targets[id].SetBehaviour(d.healthy[id])
 }
 
 // DrainTarget registers a target as draining.
--- a/internal/standin/rehearser/soak.go
+++ b/internal/standin/rehearser/soak.go
@@ -4,8 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net/http"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -237,23 +235,16 @@
 	return func() { setMode(links, forwarder.ModeNormal) }
 }
 
-// misbehaveTargets makes random targets misbehave for half of their requests. After the fault, these targets no longer
-// pause.
+// misbehaveTargets makes random targets misbehave for half of their requests.
 func (s *soak) misbehaveTargets() func() {
 	behaviour := httpresponder.Shed + httpresponder.Behaviour(s.random.IntN(int(httpresponder.Unframed-httpresponder.Shed)+1))
 	ids := s.randomTargets()
-	var n atomic.Int64
 	for _, id := range ids {
-		s.deployment.target(id).SetBehaviour(func(*http.Request) (httpresponder.Behaviour, time.Duration) {
-			if n.Add(1)%2 == 0 {
-				return behaviour, searchServiceTime
-			}
-			return httpresponder.Answer, searchServiceTime
-		})
+		s.deployment.Misbehave(id, behaviour)
 	}
 	return func() {
 		for _, id := range ids {
-			s.deployment.target(id).SetBehaviour(normalBehaviour("orders", searchServiceTime, 0))
+			s.deployment.Recover(id)
 		}
 	}
 }
