Read replies within limits, and end bodies of callers at the deadline

Cause: a head without end was read without limit, and closing a body above its limit read on until the connection closed, so a target that sends bytes without end filled the memory or held a request until its deadline. Change: package reader limits head (64 KB), body (8 MB in relay mode), informational replies, and all large bodies together (32 MB), for both ways to send; the sender counts such replies and logs one line for each target in 10 s. The stand-ins for targets and store send without end in seven ways, also in the soak.

--- a/internal/caller/receiver/receiver.go
+++ b/internal/caller/receiver/receiver.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -33,6 +34,8 @@
 	defaultMaxBodyBytes = 1 << 20
 	// defaultTimeout limits requests whose route sets no timeout.
 	defaultTimeout = 30 * time.Second
+	// writeTimeout limits how long a caller may take to receive a response.
+	writeTimeout = 10 * time.Second
 	// returnMargin is the time taken off the remaining time of a caller, so that the response reaches it before its
 	// deadline.
 	returnMargin = 8 * time.Millisecond
@@ -170,18 +173,19 @@
 		rc.writeEmpty(w, http.StatusNotFound)
 		return
 	}
-	body, status := readBody(w, r, table.Limits().MaxBodyBytes)
+	caller := rc.codec.ReadCaller(r.Header)
+	deadline := requestDeadline(arrived, caller.TimeLeft, route.Timeout)
+	body, status := readBody(w, r, table.Limits().MaxBodyBytes, deadline)
 	if status != 0 {
-		rc.logger.Info("request", "id", rc.codec.ReadCaller(r.Header).RequestID, "outcome", "body-refused", "status", status)
+		rc.logger.Info("request", "id", caller.RequestID, "outcome", "body-refused", "status", status)
 		rc.writeEmpty(w, status)
 		return
 	}
-	caller := rc.codec.ReadCaller(r.Header)
 	outbound := transporter.NewRequest(caller.RequestID, r.Method, requestURI(r), r.Host, rc.forwardedHeaders(r.Header), body)
 	outbound.RequireFreshConnection = !route.Idempotent
 	request := relayer.Request{
 		Route: route, Table: table, Outbound: outbound, Arrived: arrived,
-		Due: answerDue(started, route.Objective), Deadline: requestDeadline(arrived, caller.TimeLeft, route.Timeout),
+		Due: answerDue(started, route.Objective), Deadline: deadline,
 	}
 	answer := rc.relay.Relay(r.Context(), request)
 	rc.latency.RecordDuration(time.Since(arrived))
@@ -211,20 +215,31 @@
 	return arrived.Add(limit)
 }
 
-// readBody reads the whole body. It returns the status with which to refuse the request: 413 if the body is too large,
-// 400 if it cannot be read, such as when the caller has disconnected, or 0 if it has been read.
-func readBody(w http.ResponseWriter, r *http.Request, maxBytes int64) ([]byte, int) {
+// readBody reads the whole body until the deadline. It returns the status with which to refuse the request: 413 if the
+// body is too large, 408 if it is not complete by the deadline, 400 if it cannot be read, such as when the caller has
+// disconnected, or 0 if it has been read.
+func readBody(w http.ResponseWriter, r *http.Request, maxBytes int64, deadline time.Time) ([]byte, int) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, 0
 	}
 	if maxBytes <= 0 {
 		maxBytes = defaultMaxBodyBytes
 	}
+	connection := http.NewResponseController(w)
+	if err := connection.SetReadDeadline(deadline); err != nil {
+		return nil, http.StatusBadRequest
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBytes))
+	if err == nil {
+		// The read deadline would otherwise end the context of a request that is served until then.
+		err = connection.SetReadDeadline(time.Time{})
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, http.StatusRequestEntityTooLarge
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, http.StatusRequestTimeout
 	case err != nil:
 		return nil, http.StatusBadRequest
 	}
@@ -311,6 +326,9 @@
 	if status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified {
 		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
+	// Without a deadline, a caller that does not read its response keeps the request in flight. It fails only if the
+	// connection is closed.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
 	w.WriteHeader(status)
 	// A caller that has disconnected cannot be told of a failed write.
 	_, _ = w.Write(body)
--- a/internal/caller/receiver/receiver_test.go
+++ b/internal/caller/receiver/receiver_test.go
@@ -153,6 +153,24 @@
 	assert.Equal(t, response.ContentLength, int64(16))
 }
 
+// Guards against a caller that sends its body without end and keeps a request in flight after its deadline.
+func TestRequestIsRefusedWhenBodyIsIncompleteAtDeadline(t *testing.T) {
+	r := &fakeRelay{answer: relayedAnswer}
+	_, server := startReceiver(t, r, true)
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	start := time.Now()
+	_, err = conn.Write([]byte("POST /in/ HTTP/1.1\r\nHost: a.example\r\n" + platform.HeaderTimeLeft + ": 150\r\nContent-Length: 5\r\n\r\nabc"))
+	assert.NilError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	assert.Equal(t, response.StatusCode, http.StatusRequestTimeout)
+	assert.Assert(t, time.Since(start) < 500*time.Millisecond, time.Since(start))
+	assert.Assert(t, r.lastRequest.Route == nil, "the request was relayed")
+}
+
 // Guards against a draining instance that refuses requests, or that keeps its callers' connections open.
 func TestDrainingInstanceServesAndClosesConnections(t *testing.T) {
 	s, server := startReceiver(t, &fakeRelay{answer: relayedAnswer}, true)
--- a/internal/cluster/follower/follower_test.go
+++ b/internal/cluster/follower/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"testing"
 	"time"
@@ -180,6 +181,19 @@
 	assert.Assert(t, change.Complete)
 }
 
+// Guards against a store that fills the memory of the instance with a response without end, or keeps a call until its
+// time limit.
+func TestLoadFailsWhenResponseHasNoEnd(t *testing.T) {
+	store := keeper.New()
+	t.Cleanup(store.Close)
+	store.SetFault(keeper.Endless)
+	start := time.Now()
+	_, err := platform.NewStore(store.Address(), log.New(io.Discard)).Load(t.Context(), true)
+	var size *platform.SizeError
+	assert.Assert(t, errors.As(err, &size), "%v", err)
+	assert.Assert(t, time.Since(start) < 2*time.Second, time.Since(start))
+}
+
 // staticPeers is a peer with a fixed state that cannot be followed.
 type staticPeers struct{ change registrar.Change }
 
--- a/internal/cluster/watcher/client.go
+++ b/internal/cluster/watcher/client.go
@@ -12,6 +12,8 @@
 const (
 	// maxValueBytes is the maximum size of a value: 1 MB, which is parser.MaxBytes, and a margin.
 	maxValueBytes = 1<<20 + 64<<10
+	// maxHeadBytes is the maximum size of the status line and the headers of a response.
+	maxHeadBytes = 64 << 10
 	// responseTimeout limits the time for a response in addition to the time that the platform may wait for a change.
 	responseTimeout = 3 * time.Second
 	// dialTimeout limits the time to connect to the platform.
@@ -26,7 +28,7 @@
 
 func newClient(address string) *client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, DisableCompression: true}
+	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, DisableCompression: true, MaxResponseHeaderBytes: maxHeadBytes}
 	return &client{address: address, http: &http.Client{Transport: transport}}
 }
 
--- a/internal/query/relayer/scatter_test.go
+++ b/internal/query/relayer/scatter_test.go
@@ -110,6 +110,26 @@
 	})
 }
 
+// Bytes without end from one target must cost a query neither its parts nor its time, nor leave the target in use for the
+// queries that follow.
+func TestScatterIsServedWhenTargetSendsWithoutEnd(t *testing.T) {
+	for behaviour := httpresponder.EndlessLine; behaviour <= httpresponder.LastBehaviour; behaviour++ {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture(t, 2, "s0", "s1")
+			troubled := f.targets["s0"][0]
+			troubled.SetFixedBehaviour(behaviour, 0)
+			for i := range 20 {
+				answer, took := f.relay(shardedRoute(1, "s0", "s1"), "r"+string(rune('a'+i)))
+				assert.Equal(t, answer.Outcome, relayer.Merged, "behaviour %d", behaviour)
+				assert.Assert(t, took < objective, took)
+			}
+			if behaviour != httpresponder.EndlessTail {
+				assert.Assert(t, troubled.RunCount() <= 3, "behaviour %d: %d requests went to the target", behaviour, troubled.RunCount())
+			}
+		})
+	}
+}
+
 // A query must be answered completely and in time by a hedge when a target is paused.
 func TestScatterHedgesWhenTargetIsPaused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/standin/httpresponder/httpresponder.go
+++ b/internal/standin/httpresponder/httpresponder.go
@@ -14,7 +14,9 @@
 	"net/http"
 	"os"
 	"strconv"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"apricotflow/platform"
@@ -45,8 +47,25 @@
 	ReplyToAnotherFirst
 	// Unframed runs the request, responds without a Content-Length and closes the connection.
 	Unframed
+	// The following run the request and send bytes without end, until the caller closes the connection.
+
+	// EndlessLine sends a header line without end.
+	EndlessLine
+	// EndlessHead sends header lines without end.
+	EndlessHead
+	// EndlessInformation sends informational responses without end.
+	EndlessInformation
+	// EndlessTail sends bytes after the complete response.
+	EndlessTail
+	// EndlessChunks sends a chunked body without end.
+	EndlessChunks
+	// EndlessBody sends a body without a stated length and without end.
+	EndlessBody
 )
 
+// LastBehaviour is the highest value of Behaviour.
+const LastBehaviour = EndlessBody
+
 // ReceivedRequest is a request that reached the target.
 type ReceivedRequest struct {
 	Method string
@@ -67,6 +86,8 @@
 type Target struct {
 	id       string
 	listener net.Listener
+	// endlessBytes is the number of bytes written in responses without end.
+	endlessBytes atomic.Int64
 
 	mu            sync.Mutex
 	behaviour     func(r *http.Request) (Behaviour, time.Duration)
@@ -263,6 +284,9 @@
 		if _, err := conn.Write(t.encodeResponse("another", http.StatusOK, []byte("another"), false, true)); err != nil {
 			return false
 		}
+	case EndlessLine, EndlessHead, EndlessInformation, EndlessTail, EndlessChunks, EndlessBody:
+		t.writeEndlessly(conn, request, behaviour)
+		return false
 	case Unframed:
 		_, _ = conn.Write(t.encodeResponse(request.Header.Get(platform.HeaderRequestID), http.StatusOK, t.body, false, false))
 		return false
@@ -270,6 +294,40 @@
 	return t.writeResponse(conn, request, http.StatusOK, t.body, false)
 }
 
+// endlessParts holds the start of each endless response and what is repeated after it.
+var endlessParts = map[Behaviour]struct{ start, repeated string }{
+	EndlessLine:        {"HTTP/1.1 200 OK\r\nX-Line: ", strings.Repeat("x", 1024)},
+	EndlessHead:        {"HTTP/1.1 200 OK\r\n", "X-Line: " + strings.Repeat("x", 1000) + "\r\n"},
+	EndlessInformation: {"", "HTTP/1.1 102 Processing\r\n\r\n"},
+	EndlessChunks:      {"Transfer-Encoding: chunked\r\n\r\n", "400\r\n" + strings.Repeat("x", 1024) + "\r\n"},
+	EndlessBody:        {"Connection: close\r\n\r\n", strings.Repeat("x", 1024)},
+}
+
+// writeEndlessly writes until the caller closes the connection.
+func (t *Target) writeEndlessly(conn net.Conn, request *http.Request, behaviour Behaviour) {
+	id := request.Header.Get(platform.HeaderRequestID)
+	parts := endlessParts[behaviour]
+	switch behaviour {
+	case EndlessTail:
+		parts.start, parts.repeated = string(t.encodeResponse(id, http.StatusOK, t.body, false, true)), strings.Repeat("x", 1024)
+	case EndlessChunks, EndlessBody:
+		parts.start = fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\n", platform.HeaderRequestID, id, platform.HeaderSignature, t.Signature(id)) + parts.start
+	}
+	if _, err := io.WriteString(conn, parts.start); err != nil {
+		return
+	}
+	for {
+		n, err := io.WriteString(conn, parts.repeated)
+		t.endlessBytes.Add(int64(n))
+		if err != nil {
+			return
+		}
+	}
+}
+
+// EndlessBytes returns the number of bytes written in responses without end.
+func (t *Target) EndlessBytes() int64 { return t.endlessBytes.Load() }
+
 // writeResponse writes a response and reports whether that succeeded. notRun marks the response as that to a request
 // that did not run.
 func (t *Target) writeResponse(conn net.Conn, request *http.Request, status int, body []byte, notRun bool) bool {
--- a/internal/standin/keeper/keeper.go
+++ b/internal/standin/keeper/keeper.go
@@ -5,8 +5,10 @@
 package keeper
 
 import (
+	"bytes"
 	"cmp"
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -34,6 +36,8 @@
 	Silent
 	// Reset closes the connection of every call without a response.
 	Reset
+	// Endless responds to every call with a body without end.
+	Endless
 	// WatchesMissChanges hides all changes from watches; ranges work.
 	WatchesMissChanges
 )
@@ -150,12 +154,24 @@
 			<-r.Context().Done()
 		case Reset:
 			panic(http.ErrAbortHandler)
+		case Endless:
+			writeEndlessly(w)
 		default:
 			handler(w, r)
 		}
 	}
 }
 
+// writeEndlessly writes a body until the caller closes the connection.
+func writeEndlessly(w io.Writer) {
+	chunk := bytes.Repeat([]byte(" "), 64<<10)
+	for {
+		if _, err := w.Write(chunk); err != nil {
+			return
+		}
+	}
+}
+
 func (s *Store) serveRange(w http.ResponseWriter, r *http.Request) {
 	prefix, afterKey := r.FormValue(platform.ParameterPrefix), r.FormValue(platform.ParameterAfter)
 	s.mu.Lock()
--- a/internal/standin/rehearser/soak.go
+++ b/internal/standin/rehearser/soak.go
@@ -45,6 +45,7 @@
 	{"store busy", func(s *soak) func() { return s.failStore(keeper.Busy) }},
 	{"store silent", func(s *soak) func() { return s.failStore(keeper.Silent) }},
 	{"store reset", func(s *soak) func() { return s.failStore(keeper.Reset) }},
+	{"store endless", func(s *soak) func() { return s.failStore(keeper.Endless) }},
 	{"store watches silent", func(s *soak) func() { return s.failStore(keeper.WatchesMissChanges) }},
 	{"store link", (*soak).failStoreLink},
 	{"target links", (*soak).failTargetLinks},
@@ -237,7 +238,7 @@
 
 // misbehaveTargets makes random targets misbehave for half of their requests.
 func (s *soak) misbehaveTargets() func() {
-	behaviour := httpresponder.Shed + httpresponder.Behaviour(s.random.IntN(int(httpresponder.Unframed-httpresponder.Shed)+1))
+	behaviour := httpresponder.Shed + httpresponder.Behaviour(s.random.IntN(int(httpresponder.LastBehaviour-httpresponder.Shed)+1))
 	ids := s.randomTargets()
 	for _, id := range ids {
 		s.deployment.Misbehave(id, behaviour)
--- a/internal/target/connector/connection.go
+++ b/internal/target/connector/connection.go
@@ -1,12 +1,10 @@
 package connector
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -15,15 +13,21 @@
 
 	"apricotflow/internal/operator/timekeeper"
 	"apricotflow/internal/wire/encoder"
+	"apricotflow/internal/wire/reader"
 )
 
 const (
 	// maxReplyBytes is the maximum size of the body of one reply.
 	maxReplyBytes = 16 << 20
+	// maxLargeBodyBytes limits the memory for large bodies that are read from all targets at the same time.
+	maxLargeBodyBytes = 48 << 20
 	// writeTimeout limits a write whose request has no deadline.
 	writeTimeout = 500 * time.Millisecond
 )
 
+// largeBodies is the memory for large bodies of replies that are being read on all connections of the process.
+var largeBodies = reader.NewBudget(maxLargeBodyBytes)
+
 // pendingRequest is the one request in flight on a connection.
 type pendingRequest struct {
 	// body receives the body of the reply; the channel is buffered for it.
@@ -109,25 +113,19 @@
 // is closed, so that a restart of the target is detected before the next sub-query is sent.
 func (c *Connection) readReplies() {
 	defer c.close()
-	reader := bufio.NewReader(c.conn)
+	replies := reader.New(c.conn, maxReplyBytes, largeBodies)
 	for {
-		if _, err := reader.Peek(1); err != nil {
+		if err := replies.Await(); err != nil {
 			c.recordRemoteClose()
 			return
 		}
 		c.bytesReceived.Store(true)
-		response, err := http.ReadResponse(reader, nil)
-		if err != nil {
-			c.recordRemoteClose()
-			return
-		}
-		body, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
-		_ = response.Body.Close()
+		reply, err := replies.Read(http.MethodGet)
 		if err != nil {
 			c.recordRemoteClose()
 			return
 		}
-		if !c.deliverReply(body) || response.Close {
+		if !c.deliverReply(reply.Body) || reply.Closes {
 			return
 		}
 	}
--- a/internal/target/sender/sender.go
+++ b/internal/target/sender/sender.go
@@ -40,6 +40,8 @@
 	defaultHedgeDelay = 40 * time.Millisecond
 	// hedgeBudgetFraction is the fraction of the budget for extra requests that is available to hedges.
 	hedgeBudgetFraction = 0.9
+	// excessLogInterval is the minimum time between two log lines about excessive replies of a target.
+	excessLogInterval = 10 * time.Second
 	// minHedgeDelay is the minimum hedge delay.
 	minHedgeDelay = 3 * time.Millisecond
 )
@@ -60,6 +62,8 @@
 	scope       tally.Scope
 	// windows holds an *estimator.Window for each route.
 	windows sync.Map
+	// excessLog limits the log lines about replies that exceed a limit.
+	excessLog intervalLog
 }
 
 // OwnDomain is the name of the failure domain of this instance. It is a type of its own for dependency injection.
@@ -223,6 +227,7 @@
 			s.logger.Info("target withdrawn, another one has its address", "target", target.ID, "address", target.Address,
 				"service", target.Service, "id", requestID)
 		}
+		s.recordExcess(target, result.Err, requestID)
 		if result.Outcome == transporter.Answered && result.Reply.Success() {
 			s.window(route).Record(result.Latency)
 		}
@@ -230,6 +235,19 @@
 	}
 }
 
+// recordExcess counts a reply that exceeded a limit, and logs the first one of a target in each excessLogInterval.
+func (s *Sender) recordExcess(target registrar.Target, err error, requestID string) {
+	var excess *transporter.ExcessError
+	if !errors.As(err, &excess) {
+		return
+	}
+	s.scope.Counter("sender-excessive-replies").Inc(1)
+	if s.excessLog.due(target.ID, time.Now(), excessLogInterval) {
+		s.logger.Warn("reply of target exceeds a limit", "target", target.ID, "address", target.Address, "service", target.Service,
+			"id", requestID, "error", excess)
+	}
+}
+
 // givenUpHere reports whether this instance has not tried to send the request, because all connections were in use or the
 // target was no longer serving.
 func givenUpHere(result transporter.Result) bool {
--- a/internal/target/transporter/connection.go
+++ b/internal/target/transporter/connection.go
@@ -1,24 +1,23 @@
 package transporter
 
 import (
-	"bufio"
 	"errors"
 	"fmt"
-	"io"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"apricotflow/internal/wire/reader"
 )
 
 const (
 	// maxReplyBytes limits the body of a reply, which is buffered as a whole.
 	maxReplyBytes = 8 << 20
+	// maxLargeBodyBytes limits the memory for large bodies that are read from all targets at the same time.
+	maxLargeBodyBytes = 32 << 20
 	// maxForeignReplies is the maximum number of replies to other requests that are skipped before an exchange fails.
 	maxForeignReplies = 2
-	// readBufferBytes is the size of the read buffer. A typical reply fits and is read at once.
-	readBufferBytes = 4 << 10
 )
 
 // errForeignReplies is returned when only replies to other requests were received.
@@ -40,7 +39,7 @@
 type connection struct {
 	pool   *pool
 	conn   net.Conn
-	reader *bufio.Reader
+	reader *reader.Reader
 	closed atomic.Bool
 	// writeMu is held while a request is written.
 	writeMu sync.Mutex
@@ -57,7 +56,7 @@
 }
 
 func newConnection(p *pool, conn net.Conn) *connection {
-	c := &connection{pool: p, conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes)}
+	c := &connection{pool: p, conn: conn, reader: reader.New(conn, maxReplyBytes, p.transporter.largeBodies)}
 	go c.receiveReplies()
 	return c
 }
@@ -119,7 +118,7 @@
 // none, so the connection is closed.
 func (c *connection) receiveReplies() {
 	for {
-		if _, err := c.reader.Peek(1); err != nil {
+		if err := c.reader.Await(); err != nil {
 			c.close(fmt.Errorf("read from connection: %w", err))
 			return
 		}
@@ -147,7 +146,7 @@
 		c.writeMu.Lock()
 		c.writeMu.Unlock() //nolint:staticcheck // Waits for the writer only.
 	}
-	reusable = reusable && x != nil && x.written.Load() && c.reader.Buffered() == 0 && !c.hasForeignReply()
+	reusable = reusable && x != nil && x.written.Load() && !c.reader.HasUnread() && !c.hasForeignReply()
 	if reusable {
 		c.pool.release(c, idleLimit)
 	}
@@ -163,23 +162,27 @@
 // receive reads the reply to the exchange and skips replies to other requests.
 func (c *connection) receive(x *exchange) (result Result, reusable bool, idleLimit time.Duration, err error) {
 	for range maxForeignReplies + 1 {
-		reply, closes, err := c.readReply(x.method)
+		reply, err := c.reader.Read(x.method)
+		var limit *reader.LimitError
+		if errors.As(err, &limit) {
+			err = &ExcessError{Target: c.pool.target, Cause: limit}
+		}
 		if err != nil {
 			return Result{}, false, 0, err
 		}
 		info := c.pool.transporter.codec.ParseReply(reply.Status, reply.Header)
 		if info.RequestID == "" || info.RequestID == x.id {
-			return newResult(reply, info), !closes, info.IdleLimit, nil
+			return newResult(reply, info), !reply.Closes, info.IdleLimit, nil
 		}
 		c.markForeignReply()
-		if closes {
+		if reply.Closes {
 			break
 		}
 	}
 	return Result{}, false, 0, errForeignReplies
 }
 
-func newResult(reply *Reply, info ReplyInfo) Result {
+func newResult(reply reader.Reply, info ReplyInfo) Result {
 	result := Result{Load: info.Load, ColdFor: info.ColdFor}
 	switch {
 	case info.Misdirected:
@@ -187,53 +190,8 @@
 	case info.Refused:
 		result.Outcome = Refused
 	default:
-		reply.Signature = info.Signature
-		result.Outcome, result.Reply = Answered, reply
+		result.Outcome = Answered
+		result.Reply = &Reply{Status: reply.Status, Header: reply.Header, Body: reply.Body, Signature: info.Signature}
 	}
 	return result
 }
-
-// readReply reads the next final reply including its body. It skips informational replies (1xx) and reports whether
-// the target closes the connection after the reply.
-func (c *connection) readReply(method string) (reply *Reply, closes bool, err error) {
-	for {
-		reply, closes, err = readResponse(c.reader, method)
-		if err != nil || reply.Status >= http.StatusOK {
-			return reply, closes, err
-		}
-	}
-}
-
-func readResponse(reader *bufio.Reader, method string) (reply *Reply, closes bool, err error) {
-	response, err := http.ReadResponse(reader, &http.Request{Method: method})
-	if err != nil {
-		return nil, false, fmt.Errorf("read reply: %w", err)
-	}
-	// Closing a body that was read to its end has no effect.
-	defer func() { _ = response.Body.Close() }()
-	body, err := readBody(response)
-	if err != nil {
-		return nil, false, fmt.Errorf("read body: %w", err)
-	}
-	return &Reply{Status: response.StatusCode, Header: response.Header, Body: body}, response.Close, nil
-}
-
-func readBody(response *http.Response) ([]byte, error) {
-	if response.Body == http.NoBody {
-		// The reply to a HEAD request announces the length of a body that is not sent.
-		return nil, nil
-	}
-	if response.ContentLength > maxReplyBytes {
-		return nil, fmt.Errorf("%d bytes exceed the maximum of %d bytes", response.ContentLength, maxReplyBytes)
-	}
-	if response.ContentLength >= 0 {
-		body := make([]byte, response.ContentLength)
-		_, err := io.ReadFull(response.Body, body)
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes+1))
-	if err == nil && len(body) > maxReplyBytes {
-		return nil, fmt.Errorf("length exceeds the maximum of %d bytes", maxReplyBytes)
-	}
-	return body, err
-}
--- a/internal/target/transporter/transporter.go
+++ b/internal/target/transporter/transporter.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"apricotflow/internal/wire/dialer"
+	"apricotflow/internal/wire/reader"
 )
 
 const (
@@ -49,11 +50,26 @@
 
 func (e *DialError) Unwrap() error { return e.Cause }
 
+// ExcessError is returned when a target sent a reply that exceeds a limit, such as one without end.
+type ExcessError struct {
+	Target string
+	// Cause is never nil.
+	Cause error
+}
+
+func (e *ExcessError) Error() string {
+	return fmt.Sprintf("transporter: receive from %s: %v", e.Target, e.Cause)
+}
+
+func (e *ExcessError) Unwrap() error { return e.Cause }
+
 // Transporter sends requests and manages the connections to targets.
 type Transporter struct {
 	codec HeaderCodec
 	// dial opens a connection to an address.
 	dial func(ctx context.Context, address string) (net.Conn, error)
+	// largeBodies is the memory for large bodies of replies that are being read.
+	largeBodies *reader.Budget
 
 	mu    sync.Mutex
 	pools map[string]*pool
@@ -70,7 +86,7 @@
 // New returns a Transporter without connections.
 func New(codec HeaderCodec, opts ...Option) *Transporter {
 	d := dialer.New(dialTimeout)
-	t := &Transporter{codec: codec, pools: make(map[string]*pool)}
+	t := &Transporter{codec: codec, largeBodies: reader.NewBudget(maxLargeBodyBytes), pools: make(map[string]*pool)}
 	t.dial = func(ctx context.Context, address string) (net.Conn, error) { return d.DialContext(ctx, "tcp", address) }
 	for _, opt := range opts {
 		opt(t)
--- a/internal/target/transporter/transporter_test.go
+++ b/internal/target/transporter/transporter_test.go
@@ -244,3 +244,32 @@
 	assert.Equal(t, target.AcceptedCount(), 2)
 	assert.Equal(t, most.Load(), int64(1))
 }
+
+// Guards against bytes without end that fill the memory of the instance or keep a request until its deadline: the
+// connection must be closed at a limit, and the target must be usable again afterwards.
+func TestConnectionIsClosedWhenReplyHasNoEnd(t *testing.T) {
+	const maxBytes = 8<<20 + 16<<20 // the limit of a body, and what socket buffers may hold
+	for behaviour := httpresponder.EndlessLine; behaviour <= httpresponder.LastBehaviour; behaviour++ {
+		tr, target := startTarget(t)
+		target.SetFixedBehaviour(behaviour, 0)
+		start := time.Now()
+		result := send(t, tr, target, request("r1"), 4)
+		if behaviour == httpresponder.EndlessTail {
+			assert.Equal(t, result.Outcome, transporter.Answered, "%v", result.Err)
+		} else {
+			var excess *transporter.ExcessError
+			assert.Equal(t, result.Outcome, transporter.Lost)
+			assert.Assert(t, errors.As(result.Err, &excess), "%v", result.Err)
+		}
+		assert.Assert(t, time.Since(start) < timeLeft/2, "behaviour %d took %s", behaviour, time.Since(start))
+		target.SetFixedBehaviour(httpresponder.Answer, 0)
+		// What belongs to no request may still arrive while the next request is sent, so that one may be lost.
+		send(t, tr, target, request("r2"), 4)
+		assert.Equal(t, send(t, tr, target, request("r3"), 4).Outcome, transporter.Answered)
+		// The target notices with its next write that the connection is closed.
+		for written := int64(-1); written != target.EndlessBytes(); time.Sleep(50 * time.Millisecond) {
+			written = target.EndlessBytes()
+			assert.Assert(t, written < maxBytes, "behaviour %d: %d bytes were taken", behaviour, written)
+		}
+	}
+}
