Queue requests for targets by rank, and keep sharded queries to their deadline

Cause: parts that found no target with capacity polled for one in no order, and were given up at the cutoff, so that the query failed with most of its parts in hand, 130 ms into a deadline of 2.5 s, and its caller repeated all of them. A target that refused a request was tried again each 12 ms until the budget was empty, one that was down was connected to each 15 ms, and connections open for peers made the instance refuse its own requests. Change: package queuer ranks the waiting requests of each service (in time before late, urgent first, of those the newest) and wakes the first one when a request ends; hedges yield to them; a query with too few parts waits until its deadline; targets that are down or have just refused a request have no capacity; an empty budget is waited for.

--- a/internal/query/relayer/fixture_test.go
+++ b/internal/query/relayer/fixture_test.go
@@ -129,8 +129,8 @@
 	now := time.Now()
 	header := http.Header{platform.HeaderRequestID: {id}}
 	return relayer.Request{
-		Route: route, Table: f.registrar.View().Table(), Arrived: now, Due: now.Add(objective - 10*time.Millisecond), Deadline: now.Add(timeout),
-		Outbound: transporter.NewRequest(id, http.MethodGet, "/search/x", "shop.example", header, nil),
+		Route: route, Table: f.registrar.View().Table(), Arrived: now, Due: now.Add(objective - 10*time.Millisecond), Deadline: now.Add(route.Timeout),
+		Outbound: transporter.NewRequest(id, http.MethodGet, "/"+route.Name, "shop.example", header, nil),
 	}
 }
 
--- a/internal/query/relayer/forwarder.go
+++ b/internal/query/relayer/forwarder.go
@@ -6,6 +6,7 @@
 
 	"apricotflow/internal/cluster/registrar"
 	"apricotflow/internal/manifest/mapper"
+	"apricotflow/internal/target/queuer"
 	"apricotflow/internal/target/sender"
 	"apricotflow/internal/target/transporter"
 )
@@ -29,6 +30,8 @@
 	hedgeDelayStart time.Time
 	// waitUntil is the earliest time of the next request after a failure, or when no target had capacity.
 	waitUntil time.Time
+	// waiter is the place in the queue for a target; nil if the part does not wait for one.
+	waiter *queuer.Waiter
 	// reply is nil until the part has been served. Its body is empty if a peer has merged its records into
 	// mergedRecords.
 	reply *transporter.Reply
@@ -50,6 +53,15 @@
 	p.sentRequests++
 	p.possibleRuns++
 	p.hedgeDelayStart = time.Now()
+	p.leaveQueue()
+}
+
+// leaveQueue ends the wait for a target.
+func (p *part) leaveQueue() {
+	if p.waiter != nil {
+		p.waiter.Leave()
+		p.waiter = nil
+	}
 }
 
 // resultBatch holds the results of one or more requests that were sent together.
@@ -77,6 +89,9 @@
 	preferredDomain string
 	parts           []*part
 	resultBatches   chan resultBatch
+	// wakeups receives the parts for which a target may have capacity again. A wakeup that finds it full is dropped,
+	// because the part is also checked each capacityPollInterval.
+	wakeups chan int
 	// mergedRecords holds the records that peers have merged.
 	mergedRecords [][]byte
 	// sendCtx is the context of all requests in flight.
@@ -107,6 +122,7 @@
 	// No result is received after the answer, so the channel must hold the results of all requests in flight: at most
 	// two for each part.
 	f.resultBatches = make(chan resultBatch, len(services)*(route.MaxRuns+1))
+	f.wakeups = make(chan int, len(services))
 	if route.IsSharded() {
 		due := request.Due
 		if due.IsZero() {
@@ -134,6 +150,7 @@
 	f.sendCtx, f.cancel = context.WithDeadline(context.WithoutCancel(ctx), f.request.Deadline)
 	cancelDelay := cancelDelayAfterAnswer
 	defer func() { f.cancelAfter(cancelDelay) }()
+	defer f.leaveQueues()
 	f.sendFirst()
 	timer := time.NewTimer(f.timeUntilNextCheck())
 	defer timer.Stop()
@@ -147,6 +164,11 @@
 		case <-ctx.Done():
 			cancelDelay = cancelDelayAfterAbandonment
 			return Answer{Outcome: Abandoned}
+		case i := <-f.wakeups:
+			if f.parts[i].waiter != nil {
+				f.parts[i].waitUntil = time.Time{}
+				f.sendIfDue(i)
+			}
 		case <-timer.C:
 			for i := range f.parts {
 				f.sendIfDue(i)
@@ -156,6 +178,25 @@
 	}
 }
 
+// leaveQueues ends the waits for targets.
+func (f *forwarder) leaveQueues() {
+	for _, p := range f.parts {
+		p.leaveQueue()
+	}
+}
+
+// rank returns the rank of the request among those that wait for a target.
+func (f *forwarder) rank() queuer.Rank {
+	rank := queuer.Rank{Priority: f.request.Route.Priority, Deadline: f.request.Deadline}
+	switch {
+	case !f.cutoff.IsZero():
+		rank.LatestStart = f.cutoff.Add(-f.latency.Median)
+	case !f.request.Due.IsZero():
+		rank.LatestStart = f.request.Due.Add(-f.latency.Median)
+	}
+	return rank
+}
+
 // minParts returns the minimum number of parts for a successful answer.
 func (f *forwarder) minParts() int {
 	if f.request.Route.IsSharded() {
--- a/internal/query/relayer/relayer.go
+++ b/internal/query/relayer/relayer.go
@@ -42,6 +42,8 @@
 	minHedgeDelayFactor = 1.5
 	// capacityPollInterval is the time between two attempts to find a target with capacity.
 	capacityPollInterval = 5 * time.Millisecond
+	// budgetPollInterval is the time between two attempts to take a retry from an empty budget.
+	budgetPollInterval = 50 * time.Millisecond
 	// retryDelay is the time before a request is sent again to a target that refused or failed it, when there is no
 	// other target.
 	retryDelay = 12 * time.Millisecond
--- a/internal/query/relayer/results.go
+++ b/internal/query/relayer/results.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"time"
 
 	"apricotflow/internal/target/transporter"
 )
@@ -89,18 +88,8 @@
 		return
 	}
 	if _, found := f.pickUntried(p); !found {
-		f.waitBeforeRetry(p)
+		f.waitOrGiveUp(p, retryDelay)
 		return
 	}
 	f.send(i, false)
 }
-
-// waitBeforeRetry delays the next request to a target that was already tried, or gives the part up if no target is
-// serving or the answer would be late.
-func (f *forwarder) waitBeforeRetry(p *part) {
-	if !f.sender.HasAvailableTarget(p.service.Name) || time.Now().After(f.targetWaitDeadline()) {
-		f.giveUp(p)
-		return
-	}
-	p.waitUntil = time.Now().Add(retryDelay)
-}
--- a/internal/query/relayer/start.go
+++ b/internal/query/relayer/start.go
@@ -20,6 +20,10 @@
 	chosen := make(map[string][]choice)
 	for i, p := range f.parts {
 		f.sender.RecordNeeded(p.service.Name)
+		if !f.sender.MayTake(p.service.Name, f.rank(), nil) {
+			f.waitForCapacity(i)
+			continue
+		}
 		target, found := f.sender.Pick(p.service, f.latency, f.preferredDomain, func(string) bool { return false })
 		if !found {
 			f.waitForCapacity(i)
--- a/internal/query/relayer/steps.go
+++ b/internal/query/relayer/steps.go
@@ -27,6 +27,14 @@
 		f.giveUp(p)
 		return
 	}
+	if !f.sender.MayTake(p.service.Name, f.rank(), p.waiter) {
+		if hedge {
+			f.postponeHedge(p)
+			return
+		}
+		f.waitForCapacity(i)
+		return
+	}
 	target, found := f.pickUntried(p)
 	if !found && !hedge {
 		target, found = f.pickTried(p)
@@ -45,7 +53,7 @@
 			f.postponeHedge(p)
 			return
 		}
-		f.giveUp(p)
+		f.waitOrGiveUp(p, budgetPollInterval)
 		return
 	}
 	if hedge {
@@ -86,16 +94,33 @@
 	return f.sender.Pick(p.service, f.latency, f.preferredDomain, func(string) bool { return false })
 }
 
-// waitForCapacity makes the part wait for a target with capacity, or gives it up if no target is serving or the wait
-// has become too long.
+// waitForCapacity makes the part wait in the queue for a target with capacity, or gives it up if no target is serving or
+// the wait has become too long.
 func (f *forwarder) waitForCapacity(i int) {
 	p := f.parts[i]
-	if !f.sender.HasAvailableTarget(p.service.Name) || time.Now().After(f.targetWaitDeadline()) {
+	if !f.waitOrGiveUp(p, capacityPollInterval) {
 		f.addDecision(p, "", "no target with capacity")
-		f.giveUp(p)
 		return
 	}
-	p.waitUntil = time.Now().Add(capacityPollInterval)
+	if p.waiter == nil {
+		p.waiter = f.sender.Wait(p.service.Name, f.rank(), func() {
+			select {
+			case f.wakeups <- i:
+			default:
+			}
+		})
+	}
+}
+
+// waitOrGiveUp delays the next request for the part, or gives the part up if no target is serving or the wait has become
+// too long. It reports whether the part waits.
+func (f *forwarder) waitOrGiveUp(p *part, delay time.Duration) bool {
+	if !f.sender.HasAvailableTarget(p.service.Name) || time.Now().After(f.targetWaitDeadline()) {
+		f.giveUp(p)
+		return false
+	}
+	p.waitUntil = time.Now().Add(delay)
+	return true
 }
 
 // postponeHedge delays the next hedge of the part.
@@ -104,9 +129,14 @@
 }
 
 // targetWaitDeadline returns when a part stops waiting for a target. A sharded query with parts under way waits as
-// long as its answer can be in time; any other request is refused while its caller still has time to retry.
+// long as its answer can be in time and, while it has too few parts for an answer, until its deadline: a late answer is
+// worth more to the caller than a failure, whose retry would repeat all parts. Any other request is refused while its
+// caller still has time to retry.
 func (f *forwarder) targetWaitDeadline() time.Time {
 	if !f.cutoff.IsZero() && f.mayHaveRun() {
+		if f.servedParts < f.minParts() {
+			return f.request.Deadline.Add(-retryDelay)
+		}
 		return f.cutoff.Add(-retryDelay)
 	}
 	objective := f.request.Route.Objective
@@ -120,5 +150,6 @@
 	if p.inFlight == 0 && p.isPending() {
 		p.givenUp = true
 		f.pendingParts--
+		p.leaveQueue()
 	}
 }
--- a/internal/target/picker/picker.go
+++ b/internal/target/picker/picker.go
@@ -30,11 +30,12 @@
 	overduePenalty = 120 * time.Millisecond
 	// failurePenalty is added for a target that fails all requests, and proportionally for lower failure shares.
 	failurePenalty = 400 * time.Millisecond
-	// downPenalty ranks a target that cannot be connected to behind all others.
-	downPenalty = 2 * time.Second
 	// minDownTime and maxDownTime limit how long a target is considered down after a failed connection attempt.
 	minDownTime = 200 * time.Millisecond
 	maxDownTime = 400 * time.Millisecond
+	// maxFullTime is the maximum time for which a target that has refused a request counts as full. Before that, it is
+	// the expected latency of the target, after which one of its slots is free again.
+	maxFullTime = 200 * time.Millisecond
 	// overdueFactor and overdueOffset define when a reply is overdue: after overdueFactor times the expected
 	// latency of the target plus overdueOffset.
 	overdueFactor = 2.5
@@ -122,6 +123,8 @@
 	// attempt, up to maxDownTime.
 	downUntil time.Time
 	downTime  time.Duration
+	// fullUntil is the time until which the target counts as full after it has refused a request.
+	fullUntil time.Time
 	load      transporter.Load
 	loadAt    time.Time
 	coldUntil time.Time
@@ -282,11 +285,13 @@
 	return o.isCold(now, t)
 }
 
-// score returns the expected latency in nanoseconds including all penalties, and whether the target has capacity.
+// score returns the expected latency in nanoseconds including all penalties, and whether the target has capacity. A
+// target that is considered down has none, nor has one that has just refused a request: requests that wait for another
+// target would try it one after the other, and use up the budget for retries.
 func (o *observations) score(now time.Time, t registrar.Target, median time.Duration, limit, coldAllowance int) (float64, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if len(o.inFlight) >= limit {
+	if len(o.inFlight) >= limit || now.Before(o.downUntil) || now.Before(o.fullUntil) {
 		return 0, false
 	}
 	expected := o.currentRelativeLatency(now) * float64(median)
@@ -300,9 +305,6 @@
 	if o.hasOverdue(now) {
 		score += float64(overduePenalty)
 	}
-	if now.Before(o.downUntil) {
-		score += float64(downPenalty)
-	}
 	return score + o.currentFailureShare(now)*float64(failurePenalty), true
 }
 
@@ -383,12 +385,15 @@
 		o.recordUnsent(now, result.Err)
 		return
 	case transporter.Answered:
-		o.downUntil, o.downTime = time.Time{}, 0
+		o.downUntil, o.downTime, o.fullUntil = time.Time{}, 0, time.Time{}
 		o.recordLatency(now, result.Latency, r.median)
 		o.recordOutcome(now, !result.Reply.Success() && result.Reply.Status >= minFailureStatus)
 	case transporter.Lost:
 		// A request whose context ended before its reply was due is no evidence of a failure.
 		o.recordOutcome(now, now.After(r.due) || !endedByContext(result.Err))
+	case transporter.Refused:
+		o.fullUntil = now.Add(min(time.Duration(o.currentRelativeLatency(now)*float64(r.median)), maxFullTime))
+		o.recordOutcome(now, true)
 	default:
 		o.recordOutcome(now, true)
 	}
--- a/internal/target/sender/sender.go
+++ b/internal/target/sender/sender.go
@@ -22,6 +22,7 @@
 	"apricotflow/internal/target/estimator"
 	"apricotflow/internal/target/picker"
 	"apricotflow/internal/target/prober"
+	"apricotflow/internal/target/queuer"
 	"apricotflow/internal/target/transporter"
 )
 
@@ -58,6 +59,7 @@
 	budget      *budgeter.Budgeter
 	transporter *transporter.Transporter
 	prober      *prober.Prober
+	queue       *queuer.Queue
 	logger      *log.Logger
 	scope       tally.Scope
 	// windows holds an *estimator.Window for each route.
@@ -71,7 +73,7 @@
 
 // New returns a Sender for an instance in the given failure domain.
 func New(domain OwnDomain, r *registrar.Registrar, p *picker.Picker, b *budgeter.Budgeter, t *transporter.Transporter, probes *prober.Prober, logger *log.Logger, scope tally.Scope) *Sender {
-	return &Sender{domain: string(domain), registrar: r, picker: p, budget: b, transporter: t, prober: probes, logger: logger, scope: scope}
+	return &Sender{domain: string(domain), registrar: r, picker: p, budget: b, transporter: t, prober: probes, queue: queuer.New(), logger: logger, scope: scope}
 }
 
 // LatencyEstimate holds the latency estimates for the requests of a route.
@@ -161,6 +163,18 @@
 	return s.picker.Pick(targets, service, latency.Median, preferredDomain, excluded)
 }
 
+// Wait enters a request into the queue for targets of the service. The function wake is called when the request may be
+// able to take one; it must not block.
+func (s *Sender) Wait(service string, rank queuer.Rank, wake func()) *queuer.Waiter {
+	return s.queue.Enter(service, rank, wake)
+}
+
+// MayTake reports whether a request may take a target of the service: no waiting request goes first. The waiter is that
+// of the request, or nil if it does not wait.
+func (s *Sender) MayTake(service string, rank queuer.Rank, waiter *queuer.Waiter) bool {
+	return s.queue.MayTake(service, rank, waiter, time.Now())
+}
+
 // Healthy reports whether the target has no overdue reply and is not considered down.
 func (s *Sender) Healthy(target registrar.Target) bool {
 	return s.picker.Healthy(target.ID)
@@ -196,7 +210,8 @@
 // Send sends the request to the target and waits for the outcome until the context ends.
 func (s *Sender) Send(ctx context.Context, target registrar.Target, service mapper.Service, route string, latency LatencyEstimate, r *transporter.Request, deadline time.Time) transporter.Result {
 	end := s.Track(target, route, latency, r.ID)
-	result := s.send(ctx, target, s.picker.RequestLimit(target, service), r, deadline)
+	// The connections that are open for peers count too, so the limit of the requests would refuse this one.
+	result := s.send(ctx, target, s.picker.ConnectionLimit(target, service), r, deadline)
 	end(result)
 	return result
 }
@@ -232,6 +247,7 @@
 			s.window(route).Record(result.Latency)
 		}
 		s.scope.Counter("sender-" + result.Outcome.String()).Inc(1)
+		s.queue.Wake(target.Service, time.Now())
 	}
 }
 
