Send callers away for a second when the failure domain is cut off

Cause: an instance whose failure domain was cut off told refused callers to come back after 50 ms; another instance of the domain then refused them again, and they had no retry left. Change: Retry-After is 1 s in that case, and stays 50 ms where the instance does not reach its own domain, so that the next one probably can serve.

--- a/internal/query/relayer/answers.go
+++ b/internal/query/relayer/answers.go
@@ -81,13 +81,17 @@
 	return Answer{Outcome: TimedOut}
 }
 
-// answerCannotServe refuses a request for which too few targets are serving and reachable. If a failure domain is
-// unreachable, another instance may reach it, so the caller may retry soon. Otherwise targets are not serving or down
-// for every instance, so the retry delay is longer.
+// answerCannotServe refuses a request for which too few targets are serving and reachable. If this instance does not
+// even reach its own failure domain, the next one probably does, so the caller may retry soon. Otherwise the others of
+// its failure domain are in the same situation, or targets are not serving or down for every instance, so the retry
+// delay is longer.
 func (f *forwarder) answerCannotServe() Answer {
 	answer := f.answerNotRun("too few serving and reachable targets")
-	if f.sender.AllReachable() {
+	switch {
+	case f.sender.AllReachable():
 		answer.RetryAfter = retryAfterTargetsDown
+	case f.sender.OwnDomainReachable():
+		answer.RetryAfter = retryAfterPartition
 	}
 	return answer
 }
--- a/internal/query/relayer/fixture_test.go
+++ b/internal/query/relayer/fixture_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -60,7 +62,10 @@
 	targets map[string][]*httpresponder.Target
 	limits  budgeter.Limits
 	// peers sends requests through other instances.
-	peers relayer.Concentrator
+	peers  relayer.Concentrator
+	prober *prober.Prober
+	// cutOff holds the prefixes of the addresses that probes do not reach.
+	cutOff map[string]bool
 }
 
 // records returns n records in no particular order, whose leading numbers count up from first.
@@ -102,11 +107,24 @@
 	return target
 }
 
+// probe fails for the addresses that are cut off.
+func (f *fixture) probe(_ context.Context, address string) error {
+	for prefix := range f.cutOff {
+		if strings.HasPrefix(address, prefix) {
+			return errCutOff
+		}
+	}
+	return nil
+}
+
+var errCutOff = errors.New("cut off")
+
 func (f *fixture) buildRelayer() {
+	f.prober = prober.New(f.registrar, log.New(io.Discard), prober.WithDial(f.probe))
 	connections := transporter.New(platform.TargetHeaders{}, transporter.WithDial(f.network.Dial))
 	f.t.Cleanup(func() { connections.Retain(func(string) bool { return false }) })
 	s := sender.New(domain, f.registrar, picker.New(picker.ColdLimits{Factor: 1}, singleInstance{}, domain), budgeter.New(f.limits, singleInstance{}.InstanceEstimate),
-		connections, prober.New(f.registrar, log.New(io.Discard)), log.New(io.Discard), tally.NoopScope)
+		connections, f.prober, log.New(io.Discard), tally.NoopScope)
 	f.relayer = relayer.New(s, f.peers, tally.NoopScope)
 }
 
--- a/internal/query/relayer/relayer.go
+++ b/internal/query/relayer/relayer.go
@@ -56,6 +56,10 @@
 	// retryAfterTargetsDown replaces defaultRetryAfter when too few targets are serving although all failure domains
 	// are reachable, because such an outage lasts longer than a lack of capacity.
 	retryAfterTargetsDown = 300 * time.Millisecond
+	// retryAfterPartition replaces defaultRetryAfter when the failure domain of this instance is cut off from another
+	// one. An earlier retry would reach an instance in the same situation: the load balancer sends callers to other
+	// failure domains about 2 s after the instances here are not ready.
+	retryAfterPartition = time.Second
 )
 
 // Outcome is how a request ended.
--- a/internal/query/relayer/scatter_test.go
+++ b/internal/query/relayer/scatter_test.go
@@ -222,6 +222,45 @@
 	})
 }
 
+// Load pattern: callers that are refused during a partition and come back. Where all instances of the failure domain are
+// in the same situation, a caller must be sent away until the load balancer has found others; where only this instance
+// is cut off, the next one serves the retry.
+func TestRetryAfterDependsOnWhoIsCutOff(t *testing.T) {
+	for name, c := range map[string]struct {
+		cutOff     []string
+		retryAfter time.Duration
+	}{
+		"another failure domain": {[]string{"west"}, time.Second},
+		"only this instance":     {[]string{"west", domain, "s0"}, 50 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t, 1, "s0")
+				change := registrar.Change{}
+				for _, id := range []string{"west-a", "west-b", "west-c", "east-a", "east-b", "east-c"} {
+					change.Put = append(change.Put, registrar.Target{ID: id, Service: "in-" + id[:4], Address: id, FailureDomain: id[:4], Slots: 4})
+				}
+				f.registrar.Apply(change, true)
+				f.cutOff = make(map[string]bool)
+				for _, cut := range c.cutOff {
+					f.cutOff[cut] = true
+				}
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				go f.prober.Run(ctx)
+				for range 3 {
+					f.prober.Begin("west").End(false)
+					f.prober.Begin(domain).End(false)
+				}
+				time.Sleep(time.Second)
+				answer, _ := f.relay(shardedRoute(1, "s0", "in-west"), "r1")
+				assert.Equal(t, answer.Outcome, relayer.NotRun)
+				assert.Equal(t, answer.RetryAfter, c.retryAfter)
+			})
+		})
+	}
+}
+
 // Targets must stop working within half a second after the caller has left.
 func TestTargetsStopWorkingWhenCallerLeaves(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/target/sender/sender.go
+++ b/internal/target/sender/sender.go
@@ -140,6 +140,9 @@
 // AllReachable reports whether all failure domains are reachable.
 func (s *Sender) AllReachable() bool { return s.prober.AllReachable() }
 
+// OwnDomainReachable reports whether the failure domain of this instance is reachable.
+func (s *Sender) OwnDomainReachable() bool { return s.prober.Reachable(s.domain) }
+
 // OwnDomain returns the failure domain of this instance.
 func (s *Sender) OwnDomain() string { return s.domain }
 
