Take four tests off the list of known red ones: traced

TestScatterIsRefusedAtOnceWhenTargetsAreDown (2 of 192): the port of the closed target was in use by a target of the same name in another test process; one run got three parts although the only target of a shard was closed (Missing 0), the other waited 115 ms for it. TestPausedOwnerLosesItsLease stays: 0 of 24 runs fail (eight at a time beside four busy processes), so its cause could not be traced.

--- a/Makefile
+++ b/Makefile
@@ -21,12 +21,12 @@
 	bin/golangci-lint run ./...
 
 # Tests that KNOWN-RED.txt lists. They run on their own, and their failure does not fail the target.
-KNOWN_RED := ^(TestPausedOwnerLosesItsLease|TestSignalsAndRestartReachProcess|TestScatterIsRefusedAtOnceWhenTargetsAreDown|TestScatterAnswersBeforeDeadlineWhenRouteHasNoObjective|TestScatterAnswersWithinObjectiveWhenShardIsSilent)$$
+KNOWN_RED := ^(TestPausedOwnerLosesItsLease)$$
 
 test: lint build
 	@cat KNOWN-RED.txt
 	go test -race -timeout 15m -skip '$(KNOWN_RED)' ./...
-	-go test -race -timeout 15m -run '$(KNOWN_RED)' ./internal/query/relayer ./internal/standin/launcher ./internal/standin/soaker
+	-go test -race -timeout 15m -run '$(KNOWN_RED)' ./internal/standin/soaker
 
 demo: build
 	out/standin demo
