Send nothing that cannot be answered, nor for callers that left during a standstill

Cause: a query that waits until its deadline could send a request with 1 ms left, which only takes a slot; and an instance that woke up after it was frozen fanned out requests whose callers had left, since it read them before the end of their connections. Tests check the headers that are forwarded and the time left that is sent.

--- a/internal/caller/assembler/relay.go
+++ b/internal/caller/assembler/relay.go
@@ -70,7 +70,7 @@
 		fx.Supply(settings, Version(version), platform, logWriter),
 		fx.Provide(newIncarnation, newClock, newRecorder, reporter.New, newScope, newRelayLogger),
 		fx.Provide(registrar.New, newDiscoverer, newFeeder, newRelayMessenger, newFollower),
-		fx.Provide(newPicker, newBudgeter, newTransporter, newProber, newOwnFailureDomain, sender.New, newConcentrator, relayer.New, newReceiver, newObserver, newRelayAdminServer),
+		fx.Provide(newPicker, newBudgeter, newTransporter, newProber, newOwnFailureDomain, sender.New, newConcentrator, newStandstillDetector, newRelayer, newReceiver, newObserver, newRelayAdminServer),
 		fx.Invoke(registerRelayInstance),
 	)
 	return runApp(ctx, app)
@@ -128,13 +128,22 @@
 }
 
 func newConcentrator(
-	d *discoverer.Discoverer, m *messenger.Messenger, r *registrar.Registrar, s *sender.Sender, l *log.Logger, scope tally.Scope,
+	d *discoverer.Discoverer, m *messenger.Messenger, r *registrar.Registrar, s *sender.Sender, standstills *timekeeper.StandstillDetector,
+	l *log.Logger, scope tally.Scope,
 ) relayer.Concentrator {
-	c := concentrator.New(d, r, s, l, scope)
+	c := concentrator.New(d, r, s, l, scope, concentrator.WithStandstills(standstills.JustResumed))
 	c.Attach(m)
 	return c
 }
 
+func newStandstillDetector() *timekeeper.StandstillDetector {
+	return timekeeper.NewStandstillDetector(timekeeper.BootTime)
+}
+
+func newRelayer(s *sender.Sender, c relayer.Concentrator, standstills *timekeeper.StandstillDetector, scope tally.Scope) *relayer.Relayer {
+	return relayer.New(s, c, scope, relayer.WithStandstills(standstills.JustResumed))
+}
+
 func newPicker(settings loader.Settings, d *discoverer.Discoverer) *picker.Picker {
 	relaySettings := settings.Relay()
 	return picker.New(picker.ColdLimits{Factor: relaySettings.ColdFactor, Slack: relaySettings.ColdSlack}, d, settings.FailureDomain())
--- a/internal/caller/assembler/relay_lifecycle.go
+++ b/internal/caller/assembler/relay_lifecycle.go
@@ -72,6 +72,7 @@
 	AdminServer *admin.Server
 	Events      *recorder.Recorder
 	Observer    *observer.Observer
+	Standstills *timekeeper.StandstillDetector
 	Reporter    *reporter.Reporter
 	Logger      *log.Logger
 }
@@ -140,6 +141,7 @@
 	n.background.Go(func() { n.Discoverer.Run(ctx) })
 	n.background.Go(func() { n.Prober.Run(ctx) })
 	n.background.Go(func() { n.Observer.Run(ctx) })
+	n.background.Go(func() { n.Standstills.Run(ctx) })
 	n.background.Go(func() { n.cleanUp(ctx) })
 	n.background.Go(func() { n.watchSettings(ctx) })
 	return nil
--- a/internal/caller/receiver/receiver_test.go
+++ b/internal/caller/receiver/receiver_test.go
@@ -103,8 +103,8 @@
 	Status: http.StatusTeapot, Body: []byte("body"), Header: http.Header{platform.HeaderSignature: {"sig"}, "Connection": {"close, X-Gone"}, "X-Gone": {"1"}, "Keep-Alive": {"timeout=1"}},
 }}
 
-// Guards against a changed status, body or signature of a target's reply, and against hop-by-hop headers that reach the
-// other connection.
+// Guards against a changed status, body or signature of a target's reply, against a changed request line, and against
+// hop-by-hop headers, or those that the instance sets itself, that reach the other connection.
 func TestReplyIsForwardedWithoutHopByHopHeaders(t *testing.T) {
 	r := &fakeRelay{answer: relayedAnswer}
 	_, server := startReceiver(t, r, true)
@@ -115,6 +115,12 @@
 	assert.Equal(t, response.Header.Get("X-Gone")+response.Header.Get("Keep-Alive")+response.Header.Get("Content-Type"), "")
 	assert.Equal(t, r.lastRequest.Route.Name, "inner")
 	assert.Equal(t, r.lastRequest.Outbound.ID, "r1")
+	head := string(r.lastRequest.Outbound.Head())
+	assert.Assert(t, strings.HasPrefix(head, "POST /in/%2f//x?q=1 HTTP/1.1\r\nHost: a.example\r\n"), head)
+	assert.Assert(t, strings.Contains(head, "\r\nX-Other: kept\r\n"), head)
+	for _, dropped := range []string{"X-Local", "Connection:", platform.HeaderExpectedTarget, platform.HeaderTimeLeft} {
+		assert.Assert(t, !strings.Contains(head, dropped), head)
+	}
 	assert.Assert(t, r.lastRequest.Outbound.RequireFreshConnection)
 	assert.Assert(t, r.lastRequest.Deadline.Sub(r.lastRequest.Arrived) == 500*time.Millisecond)
 }
--- a/internal/query/relayer/fixture_test.go
+++ b/internal/query/relayer/fixture_test.go
@@ -66,6 +66,8 @@
 	prober *prober.Prober
 	// cutOff holds the prefixes of the addresses that probes do not reach.
 	cutOff map[string]bool
+	// justResumed reports whether the process has just stood still.
+	justResumed bool
 }
 
 // records returns n records in no particular order, whose leading numbers count up from first.
@@ -125,7 +127,7 @@
 	f.t.Cleanup(func() { connections.Retain(func(string) bool { return false }) })
 	s := sender.New(domain, f.registrar, picker.New(picker.ColdLimits{Factor: 1}, singleInstance{}, domain), budgeter.New(f.limits, singleInstance{}.InstanceEstimate),
 		connections, f.prober, log.New(io.Discard), tally.NoopScope)
-	f.relayer = relayer.New(s, f.peers, tally.NoopScope)
+	f.relayer = relayer.New(s, f.peers, tally.NoopScope, relayer.WithStandstills(func() bool { return f.justResumed }))
 }
 
 // shardedRoute returns the route of a query over the services, which are its shards.
--- a/internal/query/relayer/relayer.go
+++ b/internal/query/relayer/relayer.go
@@ -12,6 +12,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"apricotflow/internal/manifest/mapper"
+	"apricotflow/internal/operator/timekeeper"
 	"apricotflow/internal/target/concentrator"
 	"apricotflow/internal/target/sender"
 	"apricotflow/internal/target/transporter"
@@ -27,6 +28,9 @@
 	// cancelDelayAfterAbandonment replaces cancelDelayAfterAnswer when the caller has left, since nobody needs the
 	// result any more.
 	cancelDelayAfterAbandonment = 200 * time.Millisecond
+	// departureCheckTime is how long a request that was read after a standstill waits for the end of its connection to be
+	// noticed.
+	departureCheckTime = 5 * time.Millisecond
 	// peerHopTime is the extra time of a reply through another instance: a round trip between failure domains and the
 	// work of that instance.
 	peerHopTime = 4 * time.Millisecond
@@ -47,6 +51,8 @@
 	// retryDelay is the time before a request is sent again to a target that refused or failed it, when there is no
 	// other target.
 	retryDelay = 12 * time.Millisecond
+	// minSendFraction is the fraction of the objective that a request to a target must at least have until the deadline.
+	minSendFraction = 0.1
 	// maxTargetWaitFraction is the fraction of the objective for which a request waits for a target with capacity. Then
 	// it is refused, so that the caller has time to retry. A sharded query with parts under way may wait longer.
 	maxTargetWaitFraction = 0.2
@@ -135,15 +141,37 @@
 	concentrator Concentrator
 	scope        tally.Scope
 	recent       *recentRoutes
+	// justResumed reports whether a standstill of the process has ended within the last moments.
+	justResumed func() bool
+}
+
+// Option configures a Relayer.
+type Option func(*Relayer)
+
+// WithStandstills sets the function that reports whether a standstill of the process has ended within the last moments.
+func WithStandstills(justResumed func() bool) Option {
+	return func(r *Relayer) { r.justResumed = justResumed }
 }
 
 // New creates a relayer.
-func New(s *sender.Sender, c Concentrator, scope tally.Scope) *Relayer {
-	return &Relayer{sender: s, concentrator: c, scope: scope, recent: newRecentRoutes()}
+func New(s *sender.Sender, c Concentrator, scope tally.Scope, opts ...Option) *Relayer {
+	r := &Relayer{sender: s, concentrator: c, scope: scope, recent: newRecentRoutes(), justResumed: func() bool { return false }}
+	for _, opt := range opts {
+		opt(r)
+	}
+	return r
 }
 
 // Relay serves one request. The context ends when the caller leaves.
 func (r *Relayer) Relay(ctx context.Context, request Request) Answer {
+	if r.justResumed() {
+		// The caller may have left during the standstill, which is noticed a moment after its request was read.
+		timekeeper.Sleep(ctx, departureCheckTime)
+		if ctx.Err() != nil {
+			r.scope.Counter("relayer-" + string(Abandoned)).Inc(1)
+			return Answer{Outcome: Abandoned}
+		}
+	}
 	r.recent.add(request.Route)
 	f := newForwarder(r.sender, r.concentrator, request)
 	answer := f.run(ctx)
--- a/internal/query/relayer/scatter_test.go
+++ b/internal/query/relayer/scatter_test.go
@@ -18,6 +18,7 @@
 	"apricotflow/internal/target/concentrator"
 	"apricotflow/internal/target/transporter"
 	"apricotflow/internal/wire/encoder"
+	"apricotflow/platform"
 )
 
 // The answer must hold the greatest records of all parts in descending order, and name each part once.
@@ -261,6 +262,45 @@
 	}
 }
 
+// A target must not get a request that it cannot answer by the deadline: it would only take a slot. Neither a retry nor
+// a hedge may be sent with less than a tenth of the objective left.
+func TestNoRequestIsSentShortlyBeforeDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 2, "s0")
+		f.setBehaviour("s0", httpresponder.Shed)
+		f.targets["s0"][0].SetFixedBehaviour(httpresponder.Fail, 50*time.Millisecond)
+		for i := range 40 {
+			request := f.request(shardedRoute(1, "s0"), "r"+strconv.Itoa(i))
+			request.Deadline = request.Arrived.Add(time.Duration(50+i) * time.Millisecond)
+			f.relayer.Relay(t.Context(), request)
+		}
+		for _, target := range f.targets["s0"] {
+			for _, r := range target.Received() {
+				left, err := strconv.Atoi(r.Header.Get(platform.HeaderTimeLeft))
+				assert.NilError(t, err)
+				assert.Assert(t, left >= int(objective.Milliseconds()/10), "%d ms left", left)
+			}
+		}
+	})
+}
+
+// Load pattern: an instance stands still and then reads requests whose callers have left meanwhile. None of them may
+// reach a target.
+func TestRequestsOfDepartedCallersAreNotSentAfterStandstill(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 1, "s0")
+		f.justResumed = true
+		f.buildRelayer()
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(time.Millisecond, cancel)
+		answer := f.relayer.Relay(ctx, f.request(shardedRoute(1, "s0"), "r1"))
+		assert.Equal(t, answer.Outcome, relayer.Abandoned)
+		assert.Equal(t, len(f.targets["s0"][0].Received()), 0)
+		answer, _ = f.relay(shardedRoute(1, "s0"), "r2")
+		assert.Equal(t, answer.Outcome, relayer.Merged)
+	})
+}
+
 // Targets must stop working within half a second after the caller has left.
 func TestTargetsStopWorkingWhenCallerLeaves(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/query/relayer/steps.go
+++ b/internal/query/relayer/steps.go
@@ -23,7 +23,16 @@
 // send sends a request for the part to the best target. A hedge is sent only to a healthy target.
 func (f *forwarder) send(i int, hedge bool) {
 	p := f.parts[i]
-	if p.possibleRuns >= f.request.Route.MaxRuns {
+	switch {
+	case p.possibleRuns >= f.request.Route.MaxRuns:
+		f.giveUp(p)
+		return
+	case time.Now().After(f.latestUsefulSend()):
+		if hedge {
+			f.postponeHedge(p)
+			return
+		}
+		f.addDecision(p, "", "too little time left")
 		f.giveUp(p)
 		return
 	}
@@ -135,7 +144,7 @@
 func (f *forwarder) targetWaitDeadline() time.Time {
 	if !f.cutoff.IsZero() && f.mayHaveRun() {
 		if f.servedParts < f.minParts() {
-			return f.request.Deadline.Add(-retryDelay)
+			return f.latestUsefulSend()
 		}
 		return f.cutoff.Add(-retryDelay)
 	}
@@ -146,6 +155,13 @@
 	return f.request.Arrived.Add(time.Duration(maxTargetWaitFraction * float64(objective)))
 }
 
+// latestUsefulSend returns the latest time at which a target can still be expected to reply before the deadline. A
+// request sent later would only take its slot.
+func (f *forwarder) latestUsefulSend() time.Time {
+	needed := time.Duration(minSendFraction * float64(f.request.Route.Objective))
+	return f.request.Deadline.Add(-max(needed, f.latency.Median, retryDelay))
+}
+
 func (f *forwarder) giveUp(p *part) {
 	if p.inFlight == 0 && p.isPending() {
 		p.givenUp = true
--- a/internal/target/concentrator/concentrator.go
+++ b/internal/target/concentrator/concentrator.go
@@ -40,6 +40,9 @@
 	replyMargin = 25 * time.Millisecond
 	// lateResultsInterval is the time over which late results are collected into one message.
 	lateResultsInterval = 8 * time.Millisecond
+	// cancellationCheckTime is how long a batch that was read after a standstill waits for its cancellation, which may be
+	// among the messages that were read with it.
+	cancellationCheckTime = 5 * time.Millisecond
 	// notifyTimeout limits the sending of a message that has no reply.
 	notifyTimeout = 500 * time.Millisecond
 )
@@ -96,14 +99,28 @@
 	// suspendedUntil holds the time until which a peer gets no batches.
 	suspendedUntil map[string]time.Time
 	nextPeer       int
+	// justResumed reports whether a standstill of the process has ended within the last moments.
+	justResumed func() bool
+}
+
+// Option configures a Concentrator.
+type Option func(*Concentrator)
+
+// WithStandstills sets the function that reports whether a standstill of the process has ended within the last moments.
+func WithStandstills(justResumed func() bool) Option {
+	return func(c *Concentrator) { c.justResumed = justResumed }
 }
 
 // New returns a Concentrator without a messenger; see Attach.
-func New(peers Peers, r *registrar.Registrar, local LocalSender, logger *log.Logger, scope tally.Scope) *Concentrator {
-	return &Concentrator{
+func New(peers Peers, r *registrar.Registrar, local LocalSender, logger *log.Logger, scope tally.Scope, opts ...Option) *Concentrator {
+	c := &Concentrator{
 		peers: peers, registrar: r, local: local, logger: logger, scope: scope, lateResults: make(map[string]chan encoder.LateParts),
-		cancelServed: make(map[string]context.CancelFunc), suspendedUntil: make(map[string]time.Time),
+		cancelServed: make(map[string]context.CancelFunc), suspendedUntil: make(map[string]time.Time), justResumed: func() bool { return false },
+	}
+	for _, opt := range opts {
+		opt(c)
 	}
+	return c
 }
 
 // Attach sets the messenger and registers the methods on it. It must be called before the messenger starts.
--- a/internal/target/concentrator/serve.go
+++ b/internal/target/concentrator/serve.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"apricotflow/internal/cluster/messenger"
+	"apricotflow/internal/operator/timekeeper"
 	"apricotflow/internal/target/transporter"
 	"apricotflow/internal/wire/encoder"
 )
@@ -15,6 +16,9 @@
 // errUnknownTarget is returned for a target that is not in the registrar of this instance.
 var errUnknownTarget = errors.New("concentrator: unknown target")
 
+// errCanceledBeforeSend is returned for a batch that was canceled during a standstill of this instance.
+var errCanceledBeforeSend = errors.New("concentrator: batch canceled before its requests were sent")
+
 // indexedResult is the result of a request with the index of its target in the batch.
 type indexedResult struct {
 	index  int
@@ -35,6 +39,13 @@
 	key := peer.Instance + " " + peer.Incarnation + " " + message.Batch
 	batchCtx, cancel := context.WithDeadline(ctx, deadline)
 	c.registerBatch(key, cancel)
+	if c.justResumed() {
+		timekeeper.Sleep(batchCtx, cancellationCheckTime)
+		if batchCtx.Err() != nil {
+			c.finishBatch(key)
+			return encoder.PartsReply{}, errCanceledBeforeSend
+		}
+	}
 	ids := strings.Fields(message.Targets)
 	results := make(chan indexedResult, len(ids))
 	for i, id := range ids {
--- a/internal/target/transporter/transporter_test.go
+++ b/internal/target/transporter/transporter_test.go
@@ -87,7 +87,9 @@
 	assert.Equal(t, got.Method+" "+got.URI+" "+got.Host+" "+string(got.Body), "POST /a//b/%2e?x shop.example:80 body")
 	assert.DeepEqual(t, got.Header["X-Other"], []string{"one", "two"})
 	assert.Equal(t, got.Header.Get(platform.HeaderExpectedTarget), "t1")
-	assert.Assert(t, got.Header.Get(platform.HeaderTimeLeft) <= "2000", got.Header)
+	left, err := strconv.Atoi(got.Header.Get(platform.HeaderTimeLeft))
+	assert.NilError(t, err)
+	assert.Assert(t, left > 1000 && left <= 2000, left)
 }
 
 // Guards against accepting the reply of another target at the same address: it refuses the request, and nothing of
