--- a/internal/standin/rehearser/deployment.go
+++ b/internal/standin/rehearser/deployment.go
@@ -8,9 +8,11 @@
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
+	"math"
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,10 +38,10 @@
 	searchHost   = "shop.example"
 	searchPrefix = "/search/"
 	orderPrefix  = "/orders/"
-	// searchObjective and searchTimeout are the latency objective and the time-out of searches, orderTimeout the
-	// time-out of orders, in milliseconds.
+	// The objectives and time-outs of the two routes are in milliseconds.
 	searchObjective = 120
 	searchTimeout   = 1200
+	orderObjective  = 400
 	orderTimeout    = 2000
 	// searchServiceTime and orderServiceTime are the times that a target takes for a search and for an order.
 	searchServiceTime = 6 * time.Millisecond
@@ -224,7 +226,7 @@
 	}
 	config.Services = append(config.Services, platform.Service{Name: "orders", MaxConnections: 40})
 	orders := platform.Route{
-		Name: "orders", Host: searchHost, Prefix: orderPrefix, Kind: "non_idempotent", TimeoutMs: orderTimeout, ObjectiveMs: 400, MaxAttempts: 2, Service: "orders",
+		Name: "orders", Host: searchHost, Prefix: orderPrefix, Kind: "non_idempotent", TimeoutMs: orderTimeout, ObjectiveMs: orderObjective, MaxAttempts: 2, Service: "orders",
 	}
 	config.Routes = []platform.Route{search, orders}
 	d.store.Put(platform.KeyRoutingConfig, config)
@@ -329,6 +331,34 @@
 	return runs
 }
 
+// SearchRuns returns how many targets ran each search, by request id, and the least time left that a search or an order
+// had when it reached a target that ran it, as a fraction of the objective.
+func (d *Deployment) SearchRuns() (runs map[string]int, leastTimeLeft float64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	runs, leastTimeLeft = make(map[string]int), math.Inf(1)
+	for service, ids := range d.services {
+		objective := float64(searchObjective)
+		if service == "orders" {
+			objective = orderObjective
+		}
+		for _, id := range ids {
+			for _, r := range d.targets[id].Received() {
+				if !r.Ran {
+					continue
+				}
+				if service != "orders" {
+					runs[r.Header.Get(platform.HeaderRequestID)]++
+				}
+				if ms, err := strconv.ParseFloat(r.Header.Get(platform.HeaderTimeLeft), 64); err == nil {
+					leastTimeLeft = min(leastTimeLeft, ms/objective)
+				}
+			}
+		}
+	}
+	return runs, leastTimeLeft
+}
+
 // ReceivedAfter returns the number of requests that a target received after the given time.
 func (d *Deployment) ReceivedAfter(id string, after time.Time) int {
 	d.mu.Lock()
--- a/internal/standin/rehearser/load.go
+++ b/internal/standin/rehearser/load.go
@@ -55,8 +55,8 @@
 
 	mu     sync.Mutex
 	report Report
-	// refusedOrders holds the ids of the orders that were answered as not run.
-	refusedOrders []string
+	// refusedOrders and refusedSearches hold the ids of the requests that were answered as not run.
+	refusedOrders, refusedSearches []string
 }
 
 // RunLoad sends requests at the rate to all instances for the duration and verifies every answer.
@@ -79,6 +79,7 @@
 	}
 	running.Wait()
 	l.checkOrders()
+	l.checkSearches()
 	return l.report
 }
 
@@ -158,6 +159,9 @@
 	l.report.Searches++
 	if response.StatusCode != http.StatusOK {
 		l.report.Failed++
+		if response.StatusCode == http.StatusServiceUnavailable {
+			l.refusedSearches = append(l.refusedSearches, id)
+		}
 		return
 	}
 	if problem != "" {
@@ -213,3 +217,23 @@
 		}
 	}
 }
+
+// minTimeLeft is the minimum time left of a request that reaches a target, as a fraction of the objective. With less, the
+// target only loses a slot.
+const minTimeLeft = 0.1
+
+// checkSearches verifies that no search ran that was answered as not run, and that no target ran a request that it could
+// not answer in time.
+func (l *load) checkSearches() {
+	runs, leastTimeLeft := l.deployment.SearchRuns()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, id := range l.refusedSearches {
+		if runs[id] > 0 {
+			l.report.Violations = append(l.report.Violations, fmt.Sprintf("search %s ran on %d targets although it was answered as not run", id, runs[id]))
+		}
+	}
+	if leastTimeLeft < minTimeLeft {
+		l.report.Violations = append(l.report.Violations, fmt.Sprintf("a target got a request with %.2f of the objective left", leastTimeLeft))
+	}
+}
