Probe silent failure domains at the same time

Change: one round probes them in parallel. Measured: the new test fails before (second domain not noticed after 0.65 s).

--- a/internal/target/prober/prober.go
+++ b/internal/target/prober/prober.go
@@ -158,12 +158,15 @@
 	return hasEvidence && now.Sub(s.repliedAt) > silenceThreshold
 }
 
-// Run probes failure domains that need it until the context ends.
+// Run probes failure domains that need it until the context ends. Those of one round are probed at the same time: an
+// instance whose failure domain is cut off loses all others at once.
 func (p *Prober) Run(ctx context.Context) {
 	for ctx.Err() == nil {
+		var probes sync.WaitGroup
 		for _, domain := range p.domainsToProbe() {
-			p.probe(ctx, domain)
+			probes.Go(func() { p.probe(ctx, domain) })
 		}
+		probes.Wait()
 		timekeeper.Sleep(ctx, checkInterval)
 	}
 }
--- a/internal/target/prober/prober_test.go
+++ b/internal/target/prober/prober_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -67,6 +68,37 @@
 	eventually(t, "end of partition not detected", func() bool { return p.AllReachable() })
 }
 
+// Load pattern: requests that wait for five failure domains when the one of the instance is cut off. All of them must be
+// noticed within the time of one probe, not one after the other.
+func TestAllDomainsAreNoticedAtOnceWhenCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		state := registrar.New()
+		var change registrar.Change
+		domains := []string{"b", "c", "d", "e", "f"}
+		for _, domain := range domains {
+			for i := range 3 {
+				change.Put = append(change.Put, registrar.Target{ID: fmt.Sprintf("%s%d", domain, i), Address: domain, FailureDomain: domain})
+			}
+		}
+		state.Apply(change, true)
+		p := prober.New(state, log.New(io.Discard), prober.WithDial(func(ctx context.Context, _ string) error {
+			<-ctx.Done()
+			return ctx.Err()
+		}))
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go p.Run(ctx)
+		for _, domain := range domains {
+			p.Begin(domain)
+		}
+		// The silence that is needed, the time to the next check, and the time of a probe.
+		time.Sleep(650 * time.Millisecond)
+		for _, domain := range domains {
+			assert.Assert(t, !p.Reachable(domain), domain)
+		}
+	})
+}
+
 // Guards against taking slow targets for a partition: they still accept connections.
 func TestDomainStaysReachableWhenTargetsAreSlow(t *testing.T) {
 	p, _ := startProber(t, 4)
