--- a/internal/target/budgeter/budgeter_test.go
+++ b/internal/target/budgeter/budgeter_test.go
@@ -60,17 +60,20 @@
 	})
 }
 
+// takeAll takes extra requests until the budget is empty, and returns their number.
+func takeAll(b *budgeter.Budgeter) int {
+	n := 0
+	for b.TakeExtra("s", 1) {
+		n++
+	}
+	return n
+}
+
 // Guards against a slack that is unavailable before there are needed requests, or is not restored after the window.
 func TestSlackIsRestoredAfterWindow(t *testing.T) {
 	now := time.Unix(0, 0)
 	b := budgeter.New(budgeter.Limits{Slack: 10, Window: 10 * time.Second}, func() int { return 1 }, budgeter.WithClock(func() time.Time { return now }))
-	take := func() int {
-		n := 0
-		for b.TakeExtra("s", 1) {
-			n++
-		}
-		return n
-	}
+	take := func() int { return takeAll(b) }
 	first := take()
 	assert.Assert(t, first >= 8 && first <= 10, first)
 	now = now.Add(9 * time.Second)
@@ -86,13 +89,7 @@
 	for _, window := range []time.Duration{5 * time.Second, 20 * time.Second} {
 		now := time.Unix(0, 0)
 		b := budgeter.New(budgeter.Limits{Slack: 10, Window: 10 * time.Second}, func() int { return 1 }, budgeter.WithClock(func() time.Time { return now }))
-		take := func() int {
-			n := 0
-			for b.TakeExtra("s", 1) {
-				n++
-			}
-			return n
-		}
+		take := func() int { return takeAll(b) }
 		now = now.Add(100 * time.Second)
 		first := take()
 		b.SetLimits(budgeter.Limits{Slack: 10, Window: window})
