Take a part without budget for its retry out of the queue

Cause: a part whose retry found a target but no budget kept its place, so that requests that rank after it waited until it was late. Measured: TestRequestWithoutBudgetBlocksNoOthers fails before.

--- a/internal/query/relayer/overload_test.go
+++ b/internal/query/relayer/overload_test.go
@@ -115,3 +115,37 @@
 		assert.Assert(t, otherShare <= urgentShare+0.05, "in time: %.2f of the urgent queries, %.2f of the others", urgentShare, otherShare)
 	})
 }
+
+// Load pattern: an urgent query that lost a part has no budget for a retry left, while a less urgent one waits for the
+// same service. The first one must not keep its place in the queue.
+func TestRequestWithoutBudgetBlocksNoOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 2, "s0")
+		f.limits.Slack, f.limits.Ratio = 0, 0
+		f.buildRelayer()
+		for _, target := range f.targets["s0"] {
+			target.SetBehaviour(func(r *http.Request) (httpresponder.Behaviour, time.Duration) {
+				if r.URL.Path == "/urgent" {
+					return httpresponder.Fail, 20 * time.Millisecond
+				}
+				return httpresponder.Answer, 60 * time.Millisecond
+			})
+		}
+		urgent, other := shardedRoute(1, "s0"), shardedRoute(1, "s0")
+		urgent.Name, urgent.Priority, other.Priority = "urgent", 1, 2
+		var running sync.WaitGroup
+		running.Go(func() { f.relay(urgent, "urgent") })
+		time.Sleep(time.Millisecond)
+		// These fill both targets, also after the failure of the urgent query, so that its retry has to wait.
+		for i := range 20 {
+			if i == 19 {
+				time.Sleep(24 * time.Millisecond)
+			}
+			running.Go(func() { f.relay(other, "r"+strconv.Itoa(i)) })
+		}
+		time.Sleep(70 * time.Millisecond)
+		_, took := f.relay(other, "last")
+		assert.Assert(t, took <= 60*time.Millisecond, took)
+		running.Wait()
+	})
+}
--- a/internal/query/relayer/steps.go
+++ b/internal/query/relayer/steps.go
@@ -62,6 +62,8 @@
 			f.postponeHedge(p)
 			return
 		}
+		// Until there is budget, the part must not block those that rank after it.
+		p.leaveQueue()
 		f.waitOrGiveUp(p, budgetPollInterval)
 		return
 	}
--- a/internal/target/sender/sender.go
+++ b/internal/target/sender/sender.go
@@ -213,7 +213,7 @@
 // Send sends the request to the target and waits for the outcome until the context ends.
 func (s *Sender) Send(ctx context.Context, target registrar.Target, service mapper.Service, route string, latency LatencyEstimate, r *transporter.Request, deadline time.Time) transporter.Result {
 	end := s.Track(target, route, latency, r.ID)
-	// The connections that are open for peers count too, so the limit of the requests would refuse this one.
+	// The pool also holds connections that were opened for peers, so the limit of the requests would be too low for it.
 	result := s.send(ctx, target, s.picker.ConnectionLimit(target, service), r, deadline)
 	end(result)
 	return result
