--- a/internal/query/relayer/overload_test.go
+++ b/internal/query/relayer/overload_test.go
@@ -82,10 +82,10 @@
 	}
 }
 
-// Load pattern: a burst of 2 s in which three of twelve shards have one slow target, so that their slots are short for
-// two thirds of the queries that arrive. Each of them can be served by its deadline: three shards have slots for 110
-// searches a second, 150 arrive for 2 s, and each may take 2.5 s. None may fail, and the less urgent kind, which needs
-// the same targets, must not be served in time more often than the urgent one.
+// Load pattern: a burst of 2 s in which three of twelve shards have one slow target. These shards have 2.25 slots' worth
+// of targets for 2.77 slots' worth of parts. Every query can be served by its deadline of 2.5 s, since it may miss one
+// part. None may fail, and the less urgent kind, which needs the same targets, must not be served in time more often than
+// the urgent one.
 func TestOverloadedShardsDelayQueriesInsteadOfFailingThem(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		services := make([]string, 12)
