--- a/internal/target/picker/picker.go
+++ b/internal/target/picker/picker.go
@@ -33,8 +33,8 @@
 	// minDownTime and maxDownTime limit how long a target is considered down after a failed connection attempt.
 	minDownTime = 200 * time.Millisecond
 	maxDownTime = 400 * time.Millisecond
-	// maxFullTime is the maximum time for which a target that has refused a request counts as full. Before that, it is
-	// the expected latency of the target, after which one of its slots is free again.
+	// maxFullTime limits how long a target counts as full after it has refused a request. Usually it does so for its
+	// expected latency, after which one of its slots is free again.
 	maxFullTime = 200 * time.Millisecond
 	// overdueFactor and overdueOffset define when a reply is overdue: after overdueFactor times the expected
 	// latency of the target plus overdueOffset.
