--- a/internal/query/relayer/overload_test.go
+++ b/internal/query/relayer/overload_test.go
@@ -17,7 +17,7 @@
 
 // limitSlots makes a target run as many requests at a time as it has slots, each for the service time of its route, and
 // refuse those that would wait for longer than the given number of service times of a search.
-func limitSlots(target *httpresponder.Target, slots int, maxQueue int, serviceTime map[string]time.Duration) {
+func limitSlots(target *httpresponder.Target, slots, maxQueue int, serviceTime map[string]time.Duration) {
 	var mu sync.Mutex
 	freeAt := make([]time.Time, slots)
 	target.SetBehaviour(func(r *http.Request) (httpresponder.Behaviour, time.Duration) {
