--- a/internal/standin/rehearser/deployment.go
+++ b/internal/standin/rehearser/deployment.go
@@ -331,32 +331,46 @@
 	return runs
 }
 
-// SearchRuns returns how many targets ran each search, by request id, and the least time left that a search or an order
-// had when it reached a target that ran it, as a fraction of the objective.
-func (d *Deployment) SearchRuns() (runs map[string]int, leastTimeLeft float64) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	runs, leastTimeLeft = make(map[string]int), math.Inf(1)
-	for service, ids := range d.services {
+// SearchRuns returns how many targets ran each search, by request id.
+func (d *Deployment) SearchRuns() map[string]int {
+	runs := make(map[string]int)
+	d.forEachRun(func(service string, r httpresponder.ReceivedRequest) {
+		if service != "orders" {
+			runs[r.Header.Get(platform.HeaderRequestID)]++
+		}
+	})
+	return runs
+}
+
+// LeastTimeLeft returns the least time left that a request had when it reached a target that ran it, as a fraction of
+// the objective of its route.
+func (d *Deployment) LeastTimeLeft() float64 {
+	least := math.Inf(1)
+	d.forEachRun(func(service string, r httpresponder.ReceivedRequest) {
 		objective := float64(searchObjective)
 		if service == "orders" {
 			objective = orderObjective
 		}
+		if ms, err := strconv.ParseFloat(r.Header.Get(platform.HeaderTimeLeft), 64); err == nil {
+			least = min(least, ms/objective)
+		}
+	})
+	return least
+}
+
+// forEachRun calls a function for each request that a target ran, with the service of the target.
+func (d *Deployment) forEachRun(f func(service string, r httpresponder.ReceivedRequest)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for service, ids := range d.services {
 		for _, id := range ids {
 			for _, r := range d.targets[id].Received() {
-				if !r.Ran {
-					continue
-				}
-				if service != "orders" {
-					runs[r.Header.Get(platform.HeaderRequestID)]++
-				}
-				if ms, err := strconv.ParseFloat(r.Header.Get(platform.HeaderTimeLeft), 64); err == nil {
-					leastTimeLeft = min(leastTimeLeft, ms/objective)
+				if r.Ran {
+					f(service, r)
 				}
 			}
 		}
 	}
-	return runs, leastTimeLeft
 }
 
 // ReceivedAfter returns the number of requests that a target received after the given time.
--- a/internal/standin/rehearser/load.go
+++ b/internal/standin/rehearser/load.go
@@ -225,7 +225,7 @@
 // checkSearches verifies that no search ran that was answered as not run, and that no target ran a request that it could
 // not answer in time.
 func (l *load) checkSearches() {
-	runs, leastTimeLeft := l.deployment.SearchRuns()
+	runs, leastTimeLeft := l.deployment.SearchRuns(), l.deployment.LeastTimeLeft()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, id := range l.refusedSearches {
