Log how old the configuration is when a request finds no route, and when it is confirmed late

A request refused with 404 named the version of the configuration, but not how long ago that version was known to be current. So a log could not tell an instance whose call to the store got no response from one that had put an older answer in force. The line of such a request now has age-ms, and the follower warns when its state was older than the limit until confirmed.

Follower.reachable had no reader any more and is gone. No decision changes.

--- a/internal/caller/assembler/relay.go
+++ b/internal/caller/assembler/relay.go
@@ -167,9 +167,9 @@
 }
 
 func newReceiver(
-	settings loader.Settings, platform PlatformAdapters, r *registrar.Registrar, relay *relayer.Relayer, l *log.Logger, scope tally.Scope,
+	settings loader.Settings, platform PlatformAdapters, r *registrar.Registrar, relay *relayer.Relayer, f *feeder.Feeder, l *log.Logger, scope tally.Scope,
 ) *receiver.Receiver {
-	return receiver.New(platform.CallerHeaders, r, relay, settings.Concurrency(), l, scope)
+	return receiver.New(platform.CallerHeaders, r, relay, settings.Concurrency(), l, scope, receiver.WithStateAge(f.Age))
 }
 
 func newRelayAdminServer(
--- a/internal/caller/receiver/receiver.go
+++ b/internal/caller/receiver/receiver.go
@@ -71,6 +71,15 @@
 	CanServe() bool
 }
 
+// Option configures a Receiver.
+type Option func(*Receiver)
+
+// WithStateAge sets the function that returns the time since the routing table was last known to be current, for the
+// log.
+func WithStateAge(age func() time.Duration) Option {
+	return func(rc *Receiver) { rc.stateAge = age }
+}
+
 // Receiver is the HTTP server for callers.
 type Receiver struct {
 	codec     HeaderCodec
@@ -81,6 +90,7 @@
 	latency   tally.Histogram
 	http      *http.Server
 	idle      *idleConnections
+	stateAge  func() time.Duration
 	// inFlight is the number of requests in flight, and maxInFlight its limit.
 	inFlight    atomic.Int64
 	maxInFlight int64
@@ -88,11 +98,14 @@
 }
 
 // New creates a receiver that serves at most maxInFlight requests at a time.
-func New(codec HeaderCodec, r *registrar.Registrar, relay Relay, maxInFlight int, logger *log.Logger, scope tally.Scope) *Receiver {
+func New(codec HeaderCodec, r *registrar.Registrar, relay Relay, maxInFlight int, logger *log.Logger, scope tally.Scope, opts ...Option) *Receiver {
 	rc := &Receiver{
 		codec: codec, registrar: r, relay: relay, logger: logger, scope: scope, maxInFlight: int64(maxInFlight),
 		latency: scope.Histogram("receiver-latency", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)),
-		idle:    newIdleConnections(),
+		idle:    newIdleConnections(), stateAge: func() time.Duration { return 0 },
+	}
+	for _, opt := range opts {
+		opt(rc)
 	}
 	router := mux.NewRouter().SkipClean(true).UseEncodedPath()
 	router.PathPrefix("/").HandlerFunc(rc.serve)
@@ -169,7 +182,8 @@
 	route, found := table.Match(r.Host, path)
 	if !found {
 		rc.scope.Counter("receiver-no-route").Inc(1)
-		rc.logger.Info("request", "id", rc.codec.ReadCaller(r.Header).RequestID, "outcome", "no-route", "host", r.Host, "path", path, "version", table.Version())
+		rc.logger.Info("request", "id", rc.codec.ReadCaller(r.Header).RequestID, "outcome", "no-route", "host", r.Host, "path", path,
+			"version", table.Version(), "age-ms", rc.stateAge().Milliseconds())
 		rc.writeEmpty(w, http.StatusNotFound)
 		return
 	}
--- a/internal/cluster/follower/follower.go
+++ b/internal/cluster/follower/follower.go
@@ -10,7 +10,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -154,9 +153,8 @@
 	trustRemovalsAt time.Time
 	backoff         time.Duration
 	peersQueriedAt  time.Time
-	// reachable reports whether the last call to the store succeeded. An update received from an upstream also sets it; a
-	// failed call to an upstream leaves it unchanged.
-	reachable atomic.Bool
+	// confirmedAt is the latest time at which the state was known to be current; zero before the first one.
+	confirmedAt time.Time
 }
 
 // New creates a follower that applies the changes of the source to the registrar.
@@ -216,10 +214,9 @@
 	f.upstream, f.upstreamHasMissingTargets = upstream, update.HasMissingTargets
 	// The upstream keeps the targets whose removal it does not trust, so all removals that it reports are trusted here.
 	f.failingSince, f.trustRemovalsAt, f.backoff = time.Time{}, time.Time{}, minBackoff
-	f.reachable.Store(true)
 	f.revision = max(f.revision, update.Change.Revision)
 	f.apply(update.Change, upstream)
-	f.peers.ConfirmCurrent(update.ConfirmedAt)
+	f.confirmCurrent(update.ConfirmedAt, upstream)
 	return true
 }
 
@@ -256,7 +253,7 @@
 	}
 	f.apply(change, "watch")
 	f.trustRemovalsWhenDue()
-	f.peers.ConfirmCurrent(time.Now())
+	f.confirmCurrent(time.Now(), "watch")
 	if !isEmpty(change) {
 		timekeeper.Sleep(ctx, f.watchPause)
 	}
@@ -277,12 +274,25 @@
 	f.apply(change, "load")
 	if f.currentRequired {
 		// Other loads may return older state, so they confirm nothing.
-		f.peers.ConfirmCurrent(time.Now())
+		f.confirmCurrent(time.Now(), "load")
 	}
 	f.currentRequired = false
 	return nil
 }
 
+// confirmCurrent records a time at which the state was known to be current. It logs if the state was older than the
+// propagation limit before, so that a change may have come into force late.
+func (f *Follower) confirmCurrent(at time.Time, origin string) {
+	if age := at.Sub(f.confirmedAt); !f.confirmedAt.IsZero() && age > f.propagationLimit {
+		f.scope.Counter("follower-late-confirmations").Inc(1)
+		f.logger.Warn("state confirmed late", "from", origin, "after", age, "limit", f.propagationLimit, "revision", f.revision)
+	}
+	if at.After(f.confirmedAt) {
+		f.confirmedAt = at
+	}
+	f.peers.ConfirmCurrent(at)
+}
+
 // isEmpty reports whether the change names nothing that changed.
 func isEmpty(c registrar.Change) bool {
 	return c.Table == nil && len(c.Put) == 0 && len(c.Removed) == 0 && len(c.Closed) == 0 && len(c.Opened) == 0
@@ -320,7 +330,6 @@
 // recordSuccess records a successful call to the store. After an outage, removals are not trusted until live targets
 // have had the time to renew their entries.
 func (f *Follower) recordSuccess() {
-	f.reachable.Store(true)
 	f.backoff = minBackoff
 	if f.failingSince.IsZero() {
 		return
@@ -343,7 +352,6 @@
 
 // handleFailure records a failed call to the store, applies the state of a peer and waits for the backoff.
 func (f *Follower) handleFailure(ctx context.Context, err error) {
-	f.reachable.Store(false)
 	f.scope.Counter("follower-failures").Inc(1)
 	if f.failingSince.IsZero() {
 		f.failingSince = time.Now()
