Give up calls to the store in time for a change after an outage

Cause: the limits of single calls added up to more than the time in which a change has to be in force. A watch had 0.8 of that time + 2 s, a load 4 s, up to three peers 1 s each, one after the other, and then came a backoff of up to 1 s. A call that began just before the store answered again held the instance back for 4.4 s and more, and an instance that lost its upstream first waited for that and then for a whole watch on a connection that may be silent too.

Change: a watch and its response have 0.9 of the limit together. After a failure, or after the upstream was lost, the next watch returns at once and has 0.3, each page of a load has 0.3, all peers have 0.25, and the backoff, at most 0.25, counts from the start of the failed call. Whatever call an outage swallows, the next one comes within 0.9 of the limit.

--- a/internal/cluster/feeder/feeder.go
+++ b/internal/cluster/feeder/feeder.go
@@ -39,8 +39,9 @@
 	maxBackoff = 16 * time.Second
 	// downstreamExpiry is how long an instance counts as downstream after its latest request.
 	downstreamExpiry = 5 * time.Second
-	// callTimeout limits a call for the whole state of another instance.
-	callTimeout = time.Second
+	// callTimeout limits a call for the whole state of another instance. Several are asked in turn while the store is not
+	// called.
+	callTimeout = 250 * time.Millisecond
 )
 
 var (
--- a/internal/cluster/feeder/feeder_test.go
+++ b/internal/cluster/feeder/feeder_test.go
@@ -37,13 +37,15 @@
 	calls  atomic.Int64
 }
 
-func (l *storeLink) Load(ctx context.Context, requireCurrent bool) (registrar.Change, error) {
+func (l *storeLink) Load(ctx context.Context, requireCurrent bool, pageTimeout time.Duration) (registrar.Change, error) {
 	l.calls.Add(1)
 	if l.silent.Load() {
+		ctx, cancel := context.WithTimeout(ctx, pageTimeout)
+		defer cancel()
 		<-ctx.Done()
 		return registrar.Change{}, ctx.Err()
 	}
-	return l.Source.Load(ctx, requireCurrent)
+	return l.Source.Load(ctx, requireCurrent, pageTimeout)
 }
 
 func (l *storeLink) Watch(ctx context.Context, after int, wait time.Duration) (registrar.Change, error) {
--- a/internal/cluster/follower/follower.go
+++ b/internal/cluster/follower/follower.go
@@ -25,21 +25,28 @@
 	// watchShare is the fraction of the propagation limit that a watch waits for a change. It limits how long it goes
 	// undetected that a watch misses changes, because its connection is silent or the store has compacted its history.
 	// Each wait costs a call.
-	watchShare = 0.8
+	watchShare = 0.7
 	// watchShareWithDownstream replaces watchShare while other instances follow this one. Together with the pause between
 	// two watches, it keeps their state younger than the age at which they fall back to the store (maxAgeShare in package
 	// feeder).
 	watchShareWithDownstream = 0.4
+	// responseShare is the fraction of the propagation limit that a watch has for the response after its wait. Added to
+	// watchShare it stays below 1, so that a call to replace a lost one is in time.
+	responseShare = 0.2
+	// shortCallShare is the fraction of the propagation limit that a call without a wait has for its response: a watch
+	// after a failure, or one page of a load. A call takes milliseconds, or 50 times that when the store is slow.
+	shortCallShare = 0.3
+	// peerQueryShare is the fraction of the propagation limit that a query to peers may take, during which the store is
+	// not called.
+	peerQueryShare = 0.25
 	// defaultWatchPause is the delay between a change and the next watch. Changes in quick succession share a call.
 	defaultWatchPause = 400 * time.Millisecond
-	// loadTimeout limits a load, which takes one call per page. A call takes milliseconds, or 50 times that when the store
-	// is slow.
-	loadTimeout = 4 * time.Second
-	// watchResponseMargin is the time that a watch has for the response after its wait.
-	watchResponseMargin = 2 * time.Second
-	// minBackoff and maxBackoff limit the delay after a failed call.
-	minBackoff = 250 * time.Millisecond
-	maxBackoff = time.Second
+	// shortWait is the wait of a watch that is to return at once.
+	shortWait = time.Millisecond
+	// minBackoff and maxBackoffShare, a fraction of the propagation limit, limit the time from the start of a failed call
+	// to the next one.
+	minBackoff      = 250 * time.Millisecond
+	maxBackoffShare = 0.25
 	// entryRenewalTime is the time within which live targets renew expired entries after an outage of the store. Removals
 	// are not trusted until it has passed.
 	entryRenewalTime = 2100 * time.Millisecond
@@ -60,7 +67,8 @@
 // Source reads the platform's store.
 type Source interface {
 	// Load reads the whole store. Unless the current state is required, it may be seconds old, and the call is cheaper.
-	Load(ctx context.Context, requireCurrent bool) (registrar.Change, error)
+	// Each page must arrive within the page timeout.
+	Load(ctx context.Context, requireCurrent bool, pageTimeout time.Duration) (registrar.Change, error)
 	// Watch returns the changes after the revision as soon as there are any, or an empty change after the wait. The error
 	// may be a *CompactedError.
 	Watch(ctx context.Context, after int, wait time.Duration) (registrar.Change, error)
@@ -153,6 +161,9 @@
 	trustRemovalsAt time.Time
 	backoff         time.Duration
 	peersQueriedAt  time.Time
+	// unverified reports whether the last call to the store failed or the upstream was lost. The next watch then returns
+	// at once: a response that is lost as well would otherwise be missed for another wait.
+	unverified bool
 	// confirmedAt is the latest time at which the state was known to be current; zero before the first one.
 	confirmedAt time.Time
 }
@@ -169,6 +180,7 @@
 // Run follows the store, or an upstream, until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
+		start := time.Now()
 		err := f.applyNextUpdate(ctx)
 		var compacted *CompactedError
 		switch {
@@ -178,7 +190,7 @@
 			f.logger.Warn("store compacted its history, loading the whole state", "after", compacted.After)
 			f.revision, f.currentRequired = 0, true
 		case err != nil:
-			f.handleFailure(ctx, err)
+			f.handleFailure(ctx, start, err)
 		}
 	}
 }
@@ -224,7 +236,7 @@
 // the upstream, so if any were, the whole state is loaded.
 func (f *Follower) returnToStore() {
 	f.logger.Info("following the store", "revision", f.revision, "unsettled", f.upstreamHasMissingTargets)
-	f.upstream = ""
+	f.upstream, f.unverified = "", true
 	if f.upstreamHasMissingTargets {
 		f.revision, f.currentRequired = 0, true
 	}
@@ -232,15 +244,11 @@
 
 // watch performs one watch of the store and applies its changes.
 func (f *Follower) watch(ctx context.Context) error {
-	share := watchShare
-	if f.peers.HasDownstreamInstances() {
-		share = watchShareWithDownstream
-	}
-	wait := time.Duration(share * float64(f.propagationLimit))
-	if !f.trustRemovalsAt.IsZero() {
-		wait = max(min(wait, time.Until(f.trustRemovalsAt)), time.Millisecond)
+	wait, responseTime := f.watchWait(), f.shareOfLimit(responseShare)
+	if f.unverified {
+		wait, responseTime = shortWait, f.shareOfLimit(shortCallShare)
 	}
-	callCtx, cancel := context.WithTimeout(ctx, wait+watchResponseMargin)
+	callCtx, cancel := context.WithTimeout(ctx, wait+responseTime)
 	defer cancel()
 	f.scope.Counter("follower-watches").Inc(1)
 	change, err := f.source.Watch(callCtx, f.revision, wait)
@@ -260,12 +268,28 @@
 	return nil
 }
 
+// watchWait returns how long a watch waits for a change.
+func (f *Follower) watchWait() time.Duration {
+	share := watchShare
+	if f.peers.HasDownstreamInstances() {
+		share = watchShareWithDownstream
+	}
+	wait := f.shareOfLimit(share)
+	if f.trustRemovalsAt.IsZero() {
+		return wait
+	}
+	return max(min(wait, time.Until(f.trustRemovalsAt)), shortWait)
+}
+
+// shareOfLimit returns a fraction of the propagation limit.
+func (f *Follower) shareOfLimit(share float64) time.Duration {
+	return time.Duration(share * float64(f.propagationLimit))
+}
+
 // load reads the whole store and applies it.
 func (f *Follower) load(ctx context.Context) error {
-	callCtx, cancel := context.WithTimeout(ctx, loadTimeout)
-	defer cancel()
 	f.scope.Counter("follower-loads").Inc(1)
-	change, err := f.source.Load(callCtx, f.currentRequired)
+	change, err := f.source.Load(ctx, f.currentRequired, f.shareOfLimit(shortCallShare))
 	if err != nil {
 		return err
 	}
@@ -330,7 +354,7 @@
 // recordSuccess records a successful call to the store. After an outage, removals are not trusted until live targets
 // have had the time to renew their entries.
 func (f *Follower) recordSuccess() {
-	f.backoff = minBackoff
+	f.backoff, f.unverified = minBackoff, false
 	if f.failingSince.IsZero() {
 		return
 	}
@@ -350,16 +374,18 @@
 	f.logger.Info("directory trusted again", "removed", missing, "targets", len(after.Targets()))
 }
 
-// handleFailure records a failed call to the store, applies the state of a peer and waits for the backoff.
-func (f *Follower) handleFailure(ctx context.Context, err error) {
+// handleFailure records a failed call to the store, applies the state of a peer and waits for the backoff, which counts
+// from the start of the call.
+func (f *Follower) handleFailure(ctx context.Context, start time.Time, err error) {
+	f.unverified = true
 	f.scope.Counter("follower-failures").Inc(1)
 	if f.failingSince.IsZero() {
 		f.failingSince = time.Now()
 		f.logger.Warn("store lost", "revision", f.revision, "error", err)
 	}
 	f.applyPeerState(ctx)
-	timekeeper.Sleep(ctx, f.backoff)
-	f.backoff = min(2*f.backoff, maxBackoff)
+	timekeeper.Sleep(ctx, time.Until(start.Add(f.backoff)))
+	f.backoff = min(2*f.backoff, max(f.shareOfLimit(maxBackoffShare), minBackoff))
 }
 
 // applyPeerState applies the state of a peer with a higher revision, at most once per peerQueryInterval. The peer's
@@ -370,7 +396,9 @@
 	}
 	f.peersQueriedAt = time.Now()
 	known := f.registrar.View()
-	change, found := f.peers.NewerState(ctx, known.Revision())
+	queryCtx, cancel := context.WithTimeout(ctx, f.shareOfLimit(peerQueryShare))
+	defer cancel()
+	change, found := f.peers.NewerState(queryCtx, known.Revision())
 	if !found {
 		return
 	}
