Start from the current state of the store, not from a stale read

What callers saw: nothing yet. It is the second way in which an instance can serve an older configuration: the first load after a start asked for a read that may be seconds old, since the watch after it continues from there.

Cause: until that watch gets a response, the instance serves from the old state. After a compaction the watch gets 410 and everything is loaded again; if that gets no response either, the old state stays for as long as the store is silent.

Change: all loads read the current state; the parameter for stale reads and the difference between the two loads are gone. A start costs one call instead of a tenth of one. A load confirms the state as of its start.

--- a/internal/caller/assembler/assembler_test.go
+++ b/internal/caller/assembler/assembler_test.go
@@ -44,7 +44,7 @@
 
 var errStoreDown = errors.New("store is down")
 
-func (s *source) Load(ctx context.Context, _ bool, _ time.Duration) (registrar.Change, error) {
+func (s *source) Load(ctx context.Context, _ time.Duration) (registrar.Change, error) {
 	<-ctx.Done()
 	time.Sleep(s.endDelay)
 	s.ended.Add(1)
@@ -52,7 +52,7 @@
 }
 
 func (s *source) Watch(ctx context.Context, _ int, _ time.Duration) (registrar.Change, error) {
-	return s.Load(ctx, false, 0)
+	return s.Load(ctx, 0)
 }
 
 // writerFunc is a log output that calls the function with each line.
--- a/internal/cluster/feeder/feeder_test.go
+++ b/internal/cluster/feeder/feeder_test.go
@@ -37,7 +37,7 @@
 	calls  atomic.Int64
 }
 
-func (l *storeLink) Load(ctx context.Context, requireCurrent bool, pageTimeout time.Duration) (registrar.Change, error) {
+func (l *storeLink) Load(ctx context.Context, pageTimeout time.Duration) (registrar.Change, error) {
 	l.calls.Add(1)
 	if l.silent.Load() {
 		ctx, cancel := context.WithTimeout(ctx, pageTimeout)
@@ -45,7 +45,7 @@
 		<-ctx.Done()
 		return registrar.Change{}, ctx.Err()
 	}
-	return l.Source.Load(ctx, requireCurrent, pageTimeout)
+	return l.Source.Load(ctx, pageTimeout)
 }
 
 func (l *storeLink) Watch(ctx context.Context, after int, wait time.Duration) (registrar.Change, error) {
--- a/internal/cluster/follower/follower.go
+++ b/internal/cluster/follower/follower.go
@@ -66,9 +66,8 @@
 
 // Source reads the platform's store.
 type Source interface {
-	// Load reads the whole store. Unless the current state is required, it may be seconds old, and the call is cheaper.
-	// Each page must arrive within the page timeout.
-	Load(ctx context.Context, requireCurrent bool, pageTimeout time.Duration) (registrar.Change, error)
+	// Load reads the whole store. Each page must arrive within the page timeout.
+	Load(ctx context.Context, pageTimeout time.Duration) (registrar.Change, error)
 	// Watch returns the changes after the revision as soon as there are any, or an empty change after the wait. The error
 	// may be a *CompactedError.
 	Watch(ctx context.Context, after int, wait time.Duration) (registrar.Change, error)
@@ -153,8 +152,6 @@
 	upstreamHasMissingTargets bool
 	// revision is the revision after which the next watch continues; 0 if a load is due.
 	revision int
-	// currentRequired reports whether the next load must return the current state.
-	currentRequired bool
 	// failingSince is the time of the first failed call since the last successful one; zero if none failed.
 	failingSince time.Time
 	// trustRemovalsAt is the time at which removals are trusted again; zero while they are trusted.
@@ -188,7 +185,7 @@
 			return
 		case errors.As(err, &compacted):
 			f.logger.Warn("store compacted its history, loading the whole state", "after", compacted.After)
-			f.revision, f.currentRequired = 0, true
+			f.revision = 0
 		case err != nil:
 			f.handleFailure(ctx, start, err)
 		}
@@ -238,7 +235,7 @@
 	f.logger.Info("following the store", "revision", f.revision, "unsettled", f.upstreamHasMissingTargets)
 	f.upstream, f.unverified = "", true
 	if f.upstreamHasMissingTargets {
-		f.revision, f.currentRequired = 0, true
+		f.revision = 0
 	}
 }
 
@@ -289,18 +286,15 @@
 // load reads the whole store and applies it.
 func (f *Follower) load(ctx context.Context) error {
 	f.scope.Counter("follower-loads").Inc(1)
-	change, err := f.source.Load(ctx, f.currentRequired, f.shareOfLimit(shortCallShare))
+	start := time.Now()
+	change, err := f.source.Load(ctx, f.shareOfLimit(shortCallShare))
 	if err != nil {
 		return err
 	}
 	f.recordSuccess()
 	f.revision = change.Revision
 	f.apply(change, "load")
-	if f.currentRequired {
-		// Other loads may return older state, so they confirm nothing.
-		f.confirmCurrent(time.Now(), "load")
-	}
-	f.currentRequired = false
+	f.confirmCurrent(start, "load")
 	return nil
 }
 
--- a/internal/cluster/follower/follower_test.go
+++ b/internal/cluster/follower/follower_test.go
@@ -175,7 +175,7 @@
 	for i := range 120 {
 		store.Put(platform.PrefixTargets+"i"+string(rune('a'+i/26))+string(rune('a'+i%26)), targetEntry(platform.StateReady))
 	}
-	change, err := platform.NewStore(store.Address(), log.New(io.Discard)).Load(t.Context(), true, propagationLimit)
+	change, err := platform.NewStore(store.Address(), log.New(io.Discard)).Load(t.Context(), propagationLimit)
 	assert.NilError(t, err)
 	assert.Equal(t, len(change.Put), 120)
 	assert.Assert(t, change.Complete)
@@ -188,7 +188,7 @@
 	t.Cleanup(store.Close)
 	store.SetFault(keeper.Endless)
 	start := time.Now()
-	_, err := platform.NewStore(store.Address(), log.New(io.Discard)).Load(t.Context(), true, propagationLimit)
+	_, err := platform.NewStore(store.Address(), log.New(io.Discard)).Load(t.Context(), propagationLimit)
 	var size *platform.SizeError
 	assert.Assert(t, errors.As(err, &size), "%v", err)
 	assert.Assert(t, time.Since(start) < 2*time.Second, time.Since(start))
--- a/internal/cluster/follower/outage_test.go
+++ b/internal/cluster/follower/outage_test.go
@@ -41,7 +41,7 @@
 	return registrar.Change{Revision: s.revision(), Table: table}
 }
 
-func (s *silentSource) Load(ctx context.Context, _ bool, timeout time.Duration) (registrar.Change, error) {
+func (s *silentSource) Load(ctx context.Context, timeout time.Duration) (registrar.Change, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	if err := s.await(ctx, responseTime); err != nil {
