Keep the newest configuration of a response of the store

What callers saw: nothing; found while the class of the late configuration was sought elsewhere. If a response held two configurations, the last one counted, whatever its version, and the newer one would have been missed until the next change. The store's page does not say in which order changes come.

TestNewestConfigurationOfResponseWins got version 42 instead of 43 before.

--- a/internal/cluster/registrar/registrar.go
+++ b/internal/cluster/registrar/registrar.go
@@ -122,6 +122,11 @@
 	Complete bool
 }
 
+// SetTable sets the routing table, unless the change has one with the same or a higher version.
+func (c *Change) SetTable(t *mapper.Table) {
+	c.Table = newerTable(c.Table, t)
+}
+
 // PutTarget adds a new or changed target and discards an earlier change of it.
 func (c *Change) PutTarget(t Target) {
 	c.discardTarget(t.ID)
