Notice a platform that lost a watch in time for the next manifest

Cause: a watch had 5 s + 3 s, and every watch after a failure again, though a change has to be in force within 5 s. If the platform answers again just after both watchers of a failure domain have sent a watch into the silence, a manifest can be 8 s late there.

Change: 3 s + 1.5 s, and after a failure a read that returns at once.

--- a/internal/cluster/watcher/client.go
+++ b/internal/cluster/watcher/client.go
@@ -15,7 +15,7 @@
 	// maxHeadBytes is the maximum size of the status line and the headers of a response.
 	maxHeadBytes = 64 << 10
 	// responseTimeout limits the time for a response in addition to the time that the platform may wait for a change.
-	responseTimeout = 3 * time.Second
+	responseTimeout = 1500 * time.Millisecond
 	// dialTimeout limits the time to connect to the platform.
 	dialTimeout = time.Second
 )
--- a/internal/cluster/watcher/watcher.go
+++ b/internal/cluster/watcher/watcher.go
@@ -31,8 +31,8 @@
 	// watchersPerDomain is the number of instances that watch in each failure domain.
 	watchersPerDomain = 2
 	// defaultWatchWait is the time that the platform may hold a watch; a silent connection is detected responseTimeout
-	// later.
-	defaultWatchWait = 5 * time.Second
+	// later. Both together are below the 5 s in which a change has to be in force.
+	defaultWatchWait = 3 * time.Second
 	// watchCheckInterval is the time after which an instance that does not watch checks again whether it should.
 	watchCheckInterval = 500 * time.Millisecond
 	// minBackoff and maxBackoff limit the delay after a failed read.
@@ -184,6 +184,9 @@
 func (w *Watcher) watch(ctx context.Context, key string) {
 	etag := ""
 	backoff := minBackoff
+	// verified reports whether the last read succeeded. After a failure the next one returns at once, because a response
+	// that is lost as well would be missed for another wait.
+	verified := false
 	for ctx.Err() == nil {
 		if !w.ShouldWatch() {
 			timekeeper.Sleep(ctx, jitter(watchCheckInterval))
@@ -191,11 +194,12 @@
 		}
 		started := w.bootTime()
 		wait := w.wait
-		if etag == "" {
+		if !verified {
 			wait = 0
 		}
 		next, err := w.read(ctx, key, etag, wait)
-		if err != nil {
+		verified = err == nil
+		if !verified {
 			timekeeper.Sleep(ctx, jitter(backoff))
 			backoff = min(2*backoff, maxBackoff)
 			continue
--- a/internal/cluster/watcher/watcher_test.go
+++ b/internal/cluster/watcher/watcher_test.go
@@ -121,8 +121,14 @@
 	watcher       *watcher.Watcher
 }
 
-// start runs a watcher against a platform until the test ends.
+// start runs a watcher with short waits against a platform until the test ends.
 func start(t *testing.T, value string) *fixture {
+	t.Helper()
+	return startWith(t, value, watcher.WithWait(time.Second))
+}
+
+// startWith runs a watcher against a platform until the test ends.
+func startWith(t *testing.T, value string, options ...watcher.Option) *fixture {
 	t.Helper()
 	f := &fixture{
 		platform: &platform{changed: make(chan struct{}), value: []byte(value), version: 1}, configuration: &configuration{members: members()},
@@ -130,7 +136,7 @@
 	}
 	server := httptest.NewServer(f.platform)
 	f.watcher = watcher.New(server.Listener.Addr().String(), "n1", "a", f.configuration, reachable{}, timekeeper.BootTime, f.events,
-		watcher.WithWait(time.Second), watcher.WithLogger(&f.logs))
+		append(options, watcher.WithLogger(&f.logs))...)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -200,6 +206,21 @@
 	eventually(t, 8*time.Second, func() bool { return f.configuration.current() == "2" })
 }
 
+// propagationLimit is the maximum time until a change is in force.
+const propagationLimit = 5 * time.Second
+
+// Guards against an instance that still waits for the response to a watch from a silence of the platform when a change
+// after the silence has to be in force.
+func TestChangeAfterSilenceIsInForceInTime(t *testing.T) {
+	f := startWith(t, "1")
+	eventually(t, propagationLimit, func() bool { return f.configuration.current() == "1" })
+	time.Sleep(300 * time.Millisecond)
+	f.platform.set(func() { f.platform.silent = true })
+	time.Sleep(100 * time.Millisecond)
+	f.platform.set(func() { f.platform.silent, f.platform.value = false, []byte("2") })
+	eventually(t, propagationLimit, func() bool { return f.configuration.current() == "2" })
+}
+
 // Guards against reading a value into memory that is larger than the platform supports.
 func TestFetchFailsWhenValueIsTooLarge(t *testing.T) {
 	f := start(t, string(bytes.Repeat([]byte("x"), 2<<20)))
