Read the request limit that a target states, and log it

A target in need states how many requests a second it takes from all instances together. Nothing read that, so a log showed neither the limit nor who knew of it. No decision uses it yet.

--- a/internal/target/concentrator/collector.go
+++ b/internal/target/concentrator/collector.go
@@ -15,6 +15,7 @@
 type resultCollector struct {
 	mergeable strings.Builder
 	other     strings.Builder
+	limits    strings.Builder
 	combiner  *combiner.Combiner
 }
 
@@ -24,6 +25,9 @@
 
 func (rc *resultCollector) add(r indexedResult) {
 	latency := r.result.Latency.Microseconds()
+	if r.result.RequestLimit != nil {
+		fmt.Fprintf(&rc.limits, "%d %g\n", r.index, *r.result.RequestLimit)
+	}
 	if r.result.CanBeMerged() {
 		fmt.Fprintf(&rc.mergeable, "%d %d %s\n", r.index, latency, r.result.Reply.Signature)
 		rc.combiner.Add(r.result.Reply.Body)
@@ -55,7 +59,11 @@
 }
 
 func (rc *resultCollector) encode() encoder.MergedParts {
-	return encoder.MergedParts{
+	merged := encoder.MergedParts{
 		Answered: rc.mergeable.String(), Failed: rc.other.String(), Records: base64.StdEncoding.EncodeToString(rc.combiner.Bytes()),
 	}
+	if limits := rc.limits.String(); limits != "" {
+		merged.Limits = &limits
+	}
+	return merged
 }
--- a/internal/target/concentrator/concentrator_test.go
+++ b/internal/target/concentrator/concentrator_test.go
@@ -34,12 +34,18 @@
 	delays map[string]time.Duration
 	// failures holds the outcomes of failing requests by target. Unsent stands for no failure.
 	failures map[string]transporter.Outcome
+	// limits holds the request limits that targets state.
+	limits   map[string]float64
 	canceled int
 }
 
 func (f *fakeSender) SendForPeer(ctx context.Context, target registrar.Target, _ string, r *transporter.Request, _ time.Time) transporter.Result {
 	f.mu.Lock()
 	delay, outcome := f.delays[target.ID], f.failures[target.ID]
+	var limit *float64
+	if perSecond, found := f.limits[target.ID]; found {
+		limit = &perSecond
+	}
 	f.mu.Unlock()
 	select {
 	case <-time.After(delay):
@@ -50,11 +56,11 @@
 		return transporter.Result{Outcome: transporter.Lost, Err: ctx.Err()}
 	}
 	if outcome != transporter.Unsent {
-		return transporter.Result{Outcome: outcome}
+		return transporter.Result{Outcome: outcome, RequestLimit: limit}
 	}
 	body := binary.BigEndian.AppendUint64(nil, uint64(target.Slots))
 	reply := &transporter.Reply{Status: http.StatusOK, Body: append(body, r.Body()...), Signature: target.ID + "." + r.ID}
-	return transporter.Result{Outcome: transporter.Answered, Reply: reply, Latency: delay}
+	return transporter.Result{Outcome: transporter.Answered, Reply: reply, Latency: delay, RequestLimit: limit}
 }
 
 // pair is an instance that sends batches and one that serves them.
@@ -127,6 +133,17 @@
 	return delivered
 }
 
+// Guards against an instance that sends through another one and never learns what the targets take.
+func TestRequestLimitsArriveThroughPeer(t *testing.T) {
+	p := startPair(t, 4)
+	p.fakeSender.limits = map[string]float64{"i-00000001": 24.5, "i-00000002": 0}
+	p.fakeSender.failures["i-00000002"] = transporter.Refused
+	delivered := p.send(t.Context(), p.batch(time.Second))
+	assert.Equal(t, *delivered.results[1].RequestLimit, 24.5)
+	assert.Equal(t, *delivered.results[2].RequestLimit, 0.0)
+	assert.Assert(t, delivered.results[0].RequestLimit == nil && delivered.results[3].RequestLimit == nil)
+}
+
 // Guards against separate deliveries or lost signatures: results that arrive in time must come as one merged reply
 // with the signature of each target.
 func TestRepliesAreMergedAtPeer(t *testing.T) {
--- a/internal/target/concentrator/pending.go
+++ b/internal/target/concentrator/pending.go
@@ -48,13 +48,16 @@
 		return p.failRemaining(transporter.Lost, fmt.Errorf("concentrator: decode records: %w", err), 0)
 	}
 	partial.Records = records
+	limits := decodeLimits(merged.Limits)
 	for line := range strings.Lines(merged.Answered) {
 		if i, result, ok := decodeMergeable(line); ok && p.markDelivered(i) {
+			result.RequestLimit = limits[i]
 			partial.Results[i] = result
 		}
 	}
 	for line := range strings.Lines(merged.Failed) {
 		if i, result, ok := decodeOther(line); ok && p.markDelivered(i) {
+			result.RequestLimit = limits[i]
 			partial.Results[i] = result
 		}
 	}
@@ -73,6 +76,23 @@
 	return partial
 }
 
+// decodeLimits returns the request limits by the index of the target in the batch. It skips malformed lines.
+func decodeLimits(encoded *string) map[int]*float64 {
+	if encoded == nil {
+		return nil
+	}
+	limits := make(map[int]*float64)
+	for line := range strings.Lines(*encoded) {
+		index, limit, _ := strings.Cut(strings.TrimSuffix(line, "\n"), " ")
+		i, errIndex := strconv.Atoi(index)
+		perSecond, errLimit := strconv.ParseFloat(limit, 64)
+		if errIndex == nil && errLimit == nil {
+			limits[i] = &perSecond
+		}
+	}
+	return limits
+}
+
 func decodeMergeable(line string) (int, transporter.Result, bool) {
 	fields := strings.SplitN(strings.TrimSuffix(line, "\n"), " ", mergeableFields)
 	if len(fields) != mergeableFields {
--- a/internal/target/sender/sender.go
+++ b/internal/target/sender/sender.go
@@ -41,6 +41,8 @@
 	defaultHedgeDelay = 40 * time.Millisecond
 	// hedgeBudgetFraction is the fraction of the budget for extra requests that is available to hedges.
 	hedgeBudgetFraction = 0.9
+	// limitLogInterval is the minimum time between two log lines about the request limit of a target.
+	limitLogInterval = 10 * time.Second
 	// excessLogInterval is the minimum time between two log lines about excessive replies of a target.
 	excessLogInterval = 10 * time.Second
 	// minHedgeDelay is the minimum hedge delay.
@@ -66,6 +68,8 @@
 	windows sync.Map
 	// excessLog limits the log lines about replies that exceed a limit.
 	excessLog intervalLog
+	// limitLog limits the log lines about request limits of targets.
+	limitLog intervalLog
 }
 
 // OwnDomain is the name of the failure domain of this instance. It is a type of its own for dependency injection.
@@ -246,6 +250,7 @@
 				"service", target.Service, "id", requestID)
 		}
 		s.recordExcess(target, result.Err, requestID)
+		s.recordLimit(target, result, requestID)
 		if result.Outcome == transporter.Answered && result.Reply.Success() {
 			s.window(route).Record(result.Latency)
 		}
@@ -267,6 +272,18 @@
 	}
 }
 
+// recordLimit counts a reply that states a request limit, and logs the first one of a target in each limitLogInterval.
+func (s *Sender) recordLimit(target registrar.Target, result transporter.Result, requestID string) {
+	if result.RequestLimit == nil {
+		return
+	}
+	s.scope.Counter("sender-limited-replies").Inc(1)
+	if s.limitLog.due(target.ID, time.Now(), limitLogInterval) {
+		s.logger.Info("target states a request limit", "target", target.ID, "address", target.Address, "service", target.Service,
+			"id", requestID, "per-second", *result.RequestLimit)
+	}
+}
+
 // givenUpHere reports whether this instance has not tried to send the request, because all connections were in use or the
 // target was no longer serving.
 func givenUpHere(result transporter.Result) bool {
--- a/internal/target/transporter/request.go
+++ b/internal/target/transporter/request.go
@@ -112,6 +112,9 @@
 	Load *Load
 	// ColdFor is how long the target remains cold, or 0 if the reply does not state it.
 	ColdFor time.Duration
+	// RequestLimit is the number of requests per second that the target takes from all instances together; nil if the
+	// reply does not state it.
+	RequestLimit *float64
 	// Err is the reason why a request was not sent or was lost; nil for other outcomes.
 	Err error
 	// Latency is the time from the start of the request to its outcome.
@@ -137,6 +140,9 @@
 	Load *Load
 	// ColdFor is how long the target remains cold, or 0 if the reply does not state it.
 	ColdFor time.Duration
+	// RequestLimit is the number of requests per second that the target takes from all instances together; nil if the
+	// reply does not state it.
+	RequestLimit *float64
 	// IdleLimit is how long the target keeps an idle connection open, or 0 if the reply does not state it.
 	IdleLimit time.Duration
 }
--- a/internal/wire/encoder/types.go
+++ b/internal/wire/encoder/types.go
@@ -564,6 +564,10 @@
 	// or 0, reason.
 	Failed string `json:"failed"`
 
+	// Targets that state a request limit, one per line: position, requests per second
+	// of all instances together.
+	Limits *string `json:"limits,omitempty,omitzero"`
+
 	// Greatest records of the answered parts, in base64.
 	Records string `json:"records"`
 }
