Keep the request limits that targets state, over all instances together

What callers and targets saw: a target that stated how many requests a second it takes from all instances together got two and a half times that.

Cause: the limit was not read. Nothing else limited the rate to a warm target.

Change: internal/target/throttler divides a limit by the number of instances and allows requests within this instance's share; a request counts where its target is chosen. It is apart from input and output and decides by values. The picker avoids a target the more of its share is used up, hedges need a request to spare, a query starts only when the limits leave the parts that it needs and is refused before anything is sent otherwise, parts without a request to spare are left out as far as the answer allows, and less urgent queries yield to urgent ones that were refused.

--- a/internal/caller/assembler/relay.go
+++ b/internal/caller/assembler/relay.go
@@ -29,6 +29,7 @@
 	"apricotflow/internal/target/picker"
 	"apricotflow/internal/target/prober"
 	"apricotflow/internal/target/sender"
+	"apricotflow/internal/target/throttler"
 	"apricotflow/internal/target/transporter"
 )
 
@@ -70,7 +71,7 @@
 		fx.Supply(settings, Version(version), platform, logWriter),
 		fx.Provide(newIncarnation, newClock, newRecorder, reporter.New, newScope, newRelayLogger),
 		fx.Provide(registrar.New, newDiscoverer, newFeeder, newRelayMessenger, newFollower),
-		fx.Provide(newPicker, newBudgeter, newTransporter, newProber, newOwnFailureDomain, sender.New, newConcentrator, newStandstillDetector, newRelayer, newReceiver, newObserver, newRelayAdminServer),
+		fx.Provide(newPicker, newBudgeter, newThrottler, newTransporter, newProber, newOwnFailureDomain, sender.New, newConcentrator, newStandstillDetector, newRelayer, newReceiver, newObserver, newRelayAdminServer),
 		fx.Invoke(registerRelayInstance),
 	)
 	return runApp(ctx, app)
@@ -144,15 +145,20 @@
 	return relayer.New(s, c, scope, relayer.WithStandstills(standstills.JustResumed))
 }
 
-func newPicker(settings loader.Settings, d *discoverer.Discoverer) *picker.Picker {
+func newPicker(settings loader.Settings, d *discoverer.Discoverer, limits *throttler.Throttler) *picker.Picker {
 	relaySettings := settings.Relay()
-	return picker.New(picker.ColdLimits{Factor: relaySettings.ColdFactor, Slack: relaySettings.ColdSlack}, d, settings.FailureDomain())
+	return picker.New(picker.ColdLimits{Factor: relaySettings.ColdFactor, Slack: relaySettings.ColdSlack}, d, settings.FailureDomain(),
+		picker.WithLimits(limits))
 }
 
 func newBudgeter(settings loader.Settings, d *discoverer.Discoverer) *budgeter.Budgeter {
 	return budgeter.New(extraLoadLimits(settings), d.InstanceEstimate)
 }
 
+func newThrottler(d *discoverer.Discoverer) *throttler.Throttler {
+	return throttler.New(d.InstanceEstimate)
+}
+
 func extraLoadLimits(settings loader.Settings) budgeter.Limits {
 	relaySettings := settings.Relay()
 	return budgeter.Limits{Ratio: relaySettings.ExtraLoadRatio, Slack: relaySettings.ExtraLoadSlack, Window: relaySettings.ExtraLoadWindow}
--- a/internal/caller/assembler/relay_lifecycle.go
+++ b/internal/caller/assembler/relay_lifecycle.go
@@ -29,6 +29,7 @@
 	"apricotflow/internal/target/budgeter"
 	"apricotflow/internal/target/picker"
 	"apricotflow/internal/target/prober"
+	"apricotflow/internal/target/throttler"
 	"apricotflow/internal/target/transporter"
 )
 
@@ -66,6 +67,7 @@
 	Follower    *follower.Follower
 	Picker      *picker.Picker
 	Budgeter    *budgeter.Budgeter
+	Throttler   *throttler.Throttler
 	Transporter *transporter.Transporter
 	Prober      *prober.Prober
 	Receiver    *receiver.Receiver
@@ -185,6 +187,7 @@
 		isKnown := func(id string) bool { return known[id] }
 		n.Transporter.Retain(isKnown)
 		n.Picker.Retain(isKnown)
+		n.Throttler.Retain(isKnown)
 		if ready := n.Receiver.Ready(); ready != wasReady {
 			wasReady = ready
 			n.Logger.Info("readiness changed", "ready", ready, "revision", view.Revision())
--- a/internal/query/relayer/answers.go
+++ b/internal/query/relayer/answers.go
@@ -96,6 +96,14 @@
 	return answer
 }
 
+// answerLimited refuses a request because the targets take no more for now. The wait is the time until this instance may
+// send the next one. Other instances have shares of their own, so the caller need not wait for long.
+func (f *forwarder) answerLimited(wait time.Duration) Answer {
+	answer := f.answerNotRun("request limits of targets used up")
+	answer.RetryAfter = min(max(wait, defaultRetryAfter), retryAfterTargetsDown)
+	return answer
+}
+
 func (f *forwarder) answerNotRun(reason string) Answer {
 	f.addDecision(f.parts[0], "", reason)
 	return Answer{Outcome: NotRun, RetryAfter: defaultRetryAfter}
--- a/internal/query/relayer/fixture_test.go
+++ b/internal/query/relayer/fixture_test.go
@@ -25,6 +25,7 @@
 	"apricotflow/internal/target/picker"
 	"apricotflow/internal/target/prober"
 	"apricotflow/internal/target/sender"
+	"apricotflow/internal/target/throttler"
 	"apricotflow/internal/target/transporter"
 	"apricotflow/internal/wire/encoder"
 	"apricotflow/platform"
@@ -125,8 +126,9 @@
 	f.prober = prober.New(f.registrar, log.New(io.Discard), prober.WithDial(f.probe))
 	connections := transporter.New(platform.TargetHeaders{}, transporter.WithDial(f.network.Dial))
 	f.t.Cleanup(func() { connections.Retain(func(string) bool { return false }) })
-	s := sender.New(domain, f.registrar, picker.New(picker.ColdLimits{Factor: 1}, singleInstance{}, domain), budgeter.New(f.limits, singleInstance{}.InstanceEstimate),
-		connections, f.prober, log.New(io.Discard), tally.NoopScope)
+	limits := throttler.New(singleInstance{}.InstanceEstimate)
+	s := sender.New(domain, f.registrar, picker.New(picker.ColdLimits{Factor: 1}, singleInstance{}, domain, picker.WithLimits(limits)), budgeter.New(f.limits, singleInstance{}.InstanceEstimate),
+		limits, connections, f.prober, log.New(io.Discard), tally.NoopScope)
 	f.relayer = relayer.New(s, f.peers, tally.NoopScope, relayer.WithStandstills(func() bool { return f.justResumed }))
 }
 
--- a/internal/query/relayer/forwarder.go
+++ b/internal/query/relayer/forwarder.go
@@ -82,6 +82,7 @@
 // forwarder serves one request: it sends the parts to targets, hedges and retries. It is used by one goroutine.
 type forwarder struct {
 	request      Request
+	gate         *limitGate
 	sender       *sender.Sender
 	concentrator Concentrator
 	latency      sender.LatencyEstimate
@@ -106,14 +107,14 @@
 	decisions []Decision
 }
 
-func newForwarder(s *sender.Sender, c Concentrator, request Request) *forwarder {
+func newForwarder(s *sender.Sender, c Concentrator, gate *limitGate, request Request) *forwarder {
 	route := request.Route
 	services := route.Shards
 	if !route.IsSharded() {
 		services = []string{route.SelectService(request.Outbound.ID)}
 	}
 	f := &forwarder{
-		request: request, sender: s, concentrator: c, latency: s.LatencyEstimate(route.Name), preferredDomain: s.PreferredDomain(services[0]),
+		request: request, gate: gate, sender: s, concentrator: c, latency: s.LatencyEstimate(route.Name), preferredDomain: s.PreferredDomain(services[0]),
 		parts: make([]*part, len(services)), pendingParts: len(services),
 	}
 	for i, name := range services {
@@ -148,10 +149,13 @@
 		return f.answerCannotServe()
 	}
 	f.sendCtx, f.cancel = context.WithDeadline(context.WithoutCancel(ctx), f.request.Deadline)
+	if answer, ended := f.start(ctx); ended {
+		f.cancel()
+		return answer
+	}
 	cancelDelay := cancelDelayAfterAnswer
 	defer func() { f.cancelAfter(cancelDelay) }()
 	defer f.leaveQueues()
-	f.sendFirst()
 	timer := time.NewTimer(f.timeUntilNextCheck())
 	defer timer.Stop()
 	for {
--- a/internal/query/relayer/relayer.go
+++ b/internal/query/relayer/relayer.go
@@ -141,6 +141,7 @@
 	concentrator Concentrator
 	scope        tally.Scope
 	recent       *recentRoutes
+	gate         *limitGate
 	// justResumed reports whether a standstill of the process has ended within the last moments.
 	justResumed func() bool
 }
@@ -155,7 +156,7 @@
 
 // New creates a relayer.
 func New(s *sender.Sender, c Concentrator, scope tally.Scope, opts ...Option) *Relayer {
-	r := &Relayer{sender: s, concentrator: c, scope: scope, recent: newRecentRoutes(), justResumed: func() bool { return false }}
+	r := &Relayer{sender: s, concentrator: c, scope: scope, recent: newRecentRoutes(), gate: newLimitGate(), justResumed: func() bool { return false }}
 	for _, opt := range opts {
 		opt(r)
 	}
@@ -173,7 +174,7 @@
 		}
 	}
 	r.recent.add(request.Route)
-	f := newForwarder(r.sender, r.concentrator, request)
+	f := newForwarder(r.sender, r.concentrator, r.gate, request)
 	answer := f.run(ctx)
 	answer.Decisions = f.decisions
 	r.scope.Counter("relayer-" + string(answer.Outcome)).Inc(1)
--- a/internal/query/relayer/start.go
+++ b/internal/query/relayer/start.go
@@ -20,6 +20,9 @@
 	chosen := make(map[string][]choice)
 	for i, p := range f.parts {
 		f.sender.RecordNeeded(p.service.Name)
+		if !p.isPending() {
+			continue
+		}
 		if !f.sender.MayTake(p.service.Name, f.rank(), nil) {
 			f.waitForCapacity(i)
 			continue
@@ -83,6 +86,7 @@
 	for n, c := range choices {
 		p := f.parts[c.part]
 		p.recordRequest(c.target)
+		f.sender.CountRequest(c.target)
 		// A reply through a peer takes longer, so the hedge delay starts later.
 		p.hedgeDelayStart = p.hedgeDelayStart.Add(peerHopTime)
 		batch.Targets = append(batch.Targets, c.target)
--- a/internal/query/relayer/steps.go
+++ b/internal/query/relayer/steps.go
@@ -20,7 +20,7 @@
 	}
 }
 
-// send sends a request for the part to the best target. A hedge is sent only to a healthy target.
+// send sends a request for the part to the best target. A hedge is sent only to a healthy target with capacity to spare.
 func (f *forwarder) send(i int, hedge bool) {
 	p := f.parts[i]
 	switch {
@@ -49,7 +49,7 @@
 		target, found = f.pickTried(p)
 	}
 	switch {
-	case hedge && (!found || !f.sender.Healthy(target)):
+	case hedge && (!found || !f.sender.MayHedge(target)):
 		f.postponeHedge(p)
 		return
 	case !found:
@@ -85,6 +85,7 @@
 func (f *forwarder) sendTo(i int, target registrar.Target) {
 	p := f.parts[i]
 	p.recordRequest(target)
+	f.sender.CountRequest(target)
 	service := p.service
 	go func() {
 		result := f.sender.Send(f.sendCtx, target, service, f.request.Route.Name, f.latency, f.request.Outbound, f.request.Deadline)
@@ -126,7 +127,8 @@
 // waitOrGiveUp delays the next request for the part, or gives the part up if no target is serving or the wait has become
 // too long. It reports whether the part waits.
 func (f *forwarder) waitOrGiveUp(p *part, delay time.Duration) bool {
-	if !f.sender.HasAvailableTarget(p.service.Name) || time.Now().After(f.targetWaitDeadline()) {
+	available := f.sender.HasAvailableTarget(p.service.Name)
+	if !available || time.Now().Add(f.sender.Allowance(p.service.Name).Wait()).After(f.targetWaitDeadline()) {
 		f.giveUp(p)
 		return false
 	}
--- a/internal/standin/httpresponder/httpresponder.go
+++ b/internal/standin/httpresponder/httpresponder.go
@@ -88,6 +88,8 @@
 	listener net.Listener
 	// endlessBytes is the number of bytes written in responses without end.
 	endlessBytes atomic.Int64
+	// requestLimit is the limit that the responses state, in requests per second; nil for none.
+	requestLimit atomic.Pointer[float64]
 
 	mu            sync.Mutex
 	behaviour     func(r *http.Request) (Behaviour, time.Duration)
@@ -142,6 +144,10 @@
 	t.SetBehaviour(func(*http.Request) (Behaviour, time.Duration) { return behaviour, delay })
 }
 
+// SetRequestLimit makes all responses state a limit in requests per second, or none if it is nil. The target itself does
+// not enforce it.
+func (t *Target) SetRequestLimit(perSecond *float64) { t.requestLimit.Store(perSecond) }
+
 // Received returns copies of the requests received so far.
 func (t *Target) Received() []ReceivedRequest {
 	t.mu.Lock()
@@ -353,6 +359,9 @@
 	case status != http.StatusMisdirectedRequest:
 		fmt.Fprintf(&raw, "%s: %s\r\n", platform.HeaderSignature, t.Signature(requestID))
 	}
+	if limit := t.requestLimit.Load(); limit != nil {
+		fmt.Fprintf(&raw, "%s: %g\r\n", platform.HeaderRequestLimit, *limit)
+	}
 	if framed {
 		raw.WriteString("Content-Length: " + strconv.Itoa(len(body)) + "\r\n")
 	} else {
--- a/internal/target/picker/picker.go
+++ b/internal/target/picker/picker.go
@@ -16,6 +16,7 @@
 
 	"apricotflow/internal/cluster/registrar"
 	"apricotflow/internal/manifest/mapper"
+	"apricotflow/internal/target/throttler"
 	"apricotflow/internal/target/transporter"
 )
 
@@ -28,6 +29,9 @@
 	// overduePenalty is added for a target with an overdue reply. It is the expected remaining time of a pause, in
 	// which a target sends no replies. Targets pause for 150 to 200 ms.
 	overduePenalty = 120 * time.Millisecond
+	// limitPenalty is added for a target whose request limit is used up, and proportionally before. What is saved up
+	// then serves requests for which the other targets are overdue, down or full.
+	limitPenalty = 20 * time.Millisecond
 	// failurePenalty is added for a target that fails all requests, and proportionally for lower failure shares.
 	failurePenalty = 400 * time.Millisecond
 	// minDownTime and maxDownTime limit how long a target is considered down after a failed connection attempt.
@@ -92,10 +96,29 @@
 	CountPreceding(key string) int
 }
 
+// Limits provides what this instance may send to a target that has stated a request limit.
+type Limits interface {
+	Allowance(target string) throttler.Allowance
+}
+
+// noLimits implements Limits for targets that never state one.
+type noLimits struct{}
+
+func (noLimits) Allowance(string) throttler.Allowance { return throttler.Allowance{} }
+
+// Option configures a Picker.
+type Option func(*Picker)
+
+// WithLimits sets the request limits that targets state.
+func WithLimits(limits Limits) Option {
+	return func(p *Picker) { p.limits = limits }
+}
+
 // Picker holds the observations of each target and selects targets by them.
 type Picker struct {
 	coldLimits ColdLimits
 	fleet      Fleet
+	limits     Limits
 	// domain is the failure domain of this instance.
 	domain string
 	// byTarget holds an *observations for each target ID.
@@ -103,8 +126,12 @@
 }
 
 // New returns a Picker for an instance in the given failure domain.
-func New(coldLimits ColdLimits, fleet Fleet, domain string) *Picker {
-	return &Picker{coldLimits: coldLimits, fleet: fleet, domain: domain}
+func New(coldLimits ColdLimits, fleet Fleet, domain string, opts ...Option) *Picker {
+	p := &Picker{coldLimits: coldLimits, fleet: fleet, domain: domain, limits: noLimits{}}
+	for _, opt := range opts {
+		opt(p)
+	}
+	return p
 }
 
 // observations holds the observations of one target.
@@ -204,6 +231,10 @@
 		if excluded(targets[i].ID) {
 			continue
 		}
+		allowance := p.limits.Allowance(targets[i].ID)
+		if allowance.Wait() > 0 {
+			continue
+		}
 		o := p.observationsOf(targets[i].ID)
 		score, hasCapacity := o.score(now, targets[i], median, p.RequestLimit(targets[i], service), p.coldAllowance(targets[i], service, now))
 		if !hasCapacity {
@@ -212,6 +243,7 @@
 		if targets[i].FailureDomain != preferredDomain {
 			score += float64(crossDomainPenalty)
 		}
+		score += allowance.Scarcity() * float64(limitPenalty)
 		if score < bestScore {
 			best, bestScore = i, score
 		}
--- a/internal/target/sender/sender.go
+++ b/internal/target/sender/sender.go
@@ -23,6 +23,7 @@
 	"apricotflow/internal/target/picker"
 	"apricotflow/internal/target/prober"
 	"apricotflow/internal/target/queuer"
+	"apricotflow/internal/target/throttler"
 	"apricotflow/internal/target/transporter"
 )
 
@@ -59,6 +60,7 @@
 	registrar   *registrar.Registrar
 	picker      *picker.Picker
 	budget      *budgeter.Budgeter
+	throttler   *throttler.Throttler
 	transporter *transporter.Transporter
 	prober      *prober.Prober
 	queue       *queuer.Queue
@@ -76,8 +78,8 @@
 type OwnDomain string
 
 // New returns a Sender for an instance in the given failure domain.
-func New(domain OwnDomain, r *registrar.Registrar, p *picker.Picker, b *budgeter.Budgeter, t *transporter.Transporter, probes *prober.Prober, logger *log.Logger, scope tally.Scope) *Sender {
-	return &Sender{domain: string(domain), registrar: r, picker: p, budget: b, transporter: t, prober: probes, queue: queuer.New(), logger: logger, scope: scope}
+func New(domain OwnDomain, r *registrar.Registrar, p *picker.Picker, b *budgeter.Budgeter, limits *throttler.Throttler, t *transporter.Transporter, probes *prober.Prober, logger *log.Logger, scope tally.Scope) *Sender {
+	return &Sender{domain: string(domain), registrar: r, picker: p, budget: b, throttler: limits, transporter: t, prober: probes, queue: queuer.New(), logger: logger, scope: scope}
 }
 
 // LatencyEstimate holds the latency estimates for the requests of a route.
@@ -117,9 +119,12 @@
 // HasAvailableTarget reports whether at least one target of the service is serving, can be connected to and is in a
 // reachable failure domain.
 func (s *Sender) HasAvailableTarget(service string) bool {
-	return slices.ContainsFunc(s.registrar.View().Serving(service), func(t registrar.Target) bool {
-		return s.prober.Reachable(t.FailureDomain) && !s.picker.IsDown(t.ID)
-	})
+	return slices.ContainsFunc(s.registrar.View().Serving(service), s.isAvailable)
+}
+
+// isAvailable reports whether a serving target can be connected to and is in a reachable failure domain.
+func (s *Sender) isAvailable(t registrar.Target) bool {
+	return s.prober.Reachable(t.FailureDomain) && !s.picker.IsDown(t.ID)
 }
 
 // CanServe reports whether HasAvailableTarget holds for the service of the route, or for enough of its shards for a
@@ -160,6 +165,27 @@
 	return targets[rand.IntN(len(targets))].FailureDomain
 }
 
+// Allowance returns what this instance may send to the service now: the best allowance of its available targets, and no
+// limit if there are none.
+func (s *Sender) Allowance(service string) throttler.Allowance {
+	if !s.throttler.AnyLimited() {
+		return throttler.Allowance{}
+	}
+	best, found := throttler.Allowance{}, false
+	for _, t := range s.registrar.View().Serving(service) {
+		if !s.isAvailable(t) {
+			continue
+		}
+		if a := s.throttler.Allowance(t.ID); !found || a.Exceeds(best) {
+			best, found = a, true
+		}
+	}
+	return best
+}
+
+// AnyLimited reports whether any target has stated a request limit.
+func (s *Sender) AnyLimited() bool { return s.throttler.AnyLimited() }
+
 // Pick returns the best target of the service that is not excluded. Targets in the preferred failure domain are
 // favored.
 func (s *Sender) Pick(service mapper.Service, latency LatencyEstimate, preferredDomain string, excluded func(id string) bool) (registrar.Target, bool) {
@@ -182,11 +208,16 @@
 	return s.queue.MayTake(service, rank, waiter, time.Now())
 }
 
-// Healthy reports whether the target has no overdue reply and is not considered down.
-func (s *Sender) Healthy(target registrar.Target) bool {
-	return s.picker.Healthy(target.ID)
+// MayHedge reports whether a hedge may be sent to the target: it has no overdue reply, is not considered down, and its
+// request limit leaves a request to spare.
+func (s *Sender) MayHedge(target registrar.Target) bool {
+	return s.picker.Healthy(target.ID) && s.throttler.Allowance(target.ID).HasSpare()
 }
 
+// CountRequest counts a request to the target that is about to be sent, here or through a peer, against its request
+// limit. The requests of peers, which SendForPeer sends, are counted there.
+func (s *Sender) CountRequest(target registrar.Target) { s.throttler.Take(target.ID) }
+
 // RecordNeeded counts a needed request to the service, one that is neither a hedge nor a retry. It adds to the budget
 // for extra requests.
 func (s *Sender) RecordNeeded(service string) {
@@ -272,8 +303,12 @@
 	}
 }
 
-// recordLimit counts a reply that states a request limit, and logs the first one of a target in each limitLogInterval.
+// recordLimit records the request limit in a reply. It logs the first one of a target in each limitLogInterval. Only a
+// success ends a limit by stating none: failures may come from something in front of the target.
 func (s *Sender) recordLimit(target registrar.Target, result transporter.Result, requestID string) {
+	if result.RequestLimit != nil || result.Outcome == transporter.Answered && result.Reply.Success() {
+		s.throttler.Observe(target.ID, result.RequestLimit)
+	}
 	if result.RequestLimit == nil {
 		return
 	}
--- a/internal/target/sender/sender_test.go
+++ b/internal/target/sender/sender_test.go
@@ -14,6 +14,7 @@
 	"apricotflow/internal/target/picker"
 	"apricotflow/internal/target/prober"
 	"apricotflow/internal/target/sender"
+	"apricotflow/internal/target/throttler"
 	"apricotflow/internal/target/transporter"
 	"apricotflow/platform"
 )
@@ -30,6 +31,7 @@
 func newSender() *sender.Sender {
 	state, logger := registrar.New(), log.New(io.Discard)
 	return sender.New("east", state, picker.New(picker.ColdLimits{}, singleInstance{}, "east"), budgeter.New(budgeter.Limits{Window: time.Second}, singleInstance{}.InstanceEstimate),
+		throttler.New(singleInstance{}.InstanceEstimate),
 		transporter.New(platform.TargetHeaders{}), prober.New(state, logger), logger, tally.NoopScope)
 }
 
