--- a/internal/cluster/follower/outage_test.go
+++ b/internal/cluster/follower/outage_test.go
@@ -142,7 +142,7 @@
 
 func (u *lostUpstream) Upstream() (string, bool) { return "first", !u.lost }
 
-func (u *lostUpstream) Follow(ctx context.Context, _ string) (follower.Update, error) {
+func (u *lostUpstream) Follow(context.Context, string) (follower.Update, error) {
 	if time.Now().Before(u.lostAt) {
 		time.Sleep(time.Until(u.lostAt))
 		return follower.Update{Change: registrar.Change{Revision: 1, Complete: true}, ConfirmedAt: time.Now()}, nil
