--- a/internal/standin/rehearser/deployment.go
+++ b/internal/standin/rehearser/deployment.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -186,6 +187,20 @@
 	d.targets[id].SetBehaviour(d.healthy[id])
 }
 
+// SetRequestLimit makes a target state a request limit, in requests per second, until EndRequestLimit.
+func (d *Deployment) SetRequestLimit(id string, perSecond float64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.targets[id].SetRequestLimit(&perSecond)
+}
+
+// EndRequestLimit ends the request limit of a target.
+func (d *Deployment) EndRequestLimit(id string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.targets[id].SetRequestLimit(nil)
+}
+
 // DrainTarget registers a target as draining.
 func (d *Deployment) DrainTarget(id, service, domain string) {
 	d.mu.Lock()
@@ -386,6 +401,28 @@
 	return n
 }
 
+// MostReceived returns the largest number of requests that a target received in a window of the given length that begins
+// after the given time.
+func (d *Deployment) MostReceived(id string, after time.Time, window time.Duration) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var times []time.Time
+	for _, r := range d.targets[id].Received() {
+		if r.ReadAt.After(after) {
+			times = append(times, r.ReadAt)
+		}
+	}
+	slices.SortFunc(times, time.Time.Compare)
+	most, first := 0, 0
+	for i, at := range times {
+		for at.Sub(times[first]) >= window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
 // Close ends the processes, the targets, the links and the store.
 func (d *Deployment) Close() {
 	for _, n := range d.instances {
--- a/internal/standin/rehearser/soak.go
+++ b/internal/standin/rehearser/soak.go
@@ -25,6 +25,16 @@
 	recoveryPeriod = 5 * time.Second
 	// recoveryLoadDuration is the duration of the load that checks the recovery.
 	recoveryLoadDuration = 1500 * time.Millisecond
+	// limitedShards is the number of shards of which one target states a request limit, requestLimit, during the load of
+	// every second soak. That is about a third of what the target gets without it.
+	limitedShards = 4
+	requestLimit  = 10.0
+	// limitNoticeTime is the time until a request limit has to be kept. From then on a target may get limitTolerance times
+	// the limit plus limitSlack requests in any limitWindow.
+	limitNoticeTime = 4 * time.Second
+	limitWindow     = 4 * time.Second
+	limitTolerance  = 1.5
+	limitSlack      = 5
 	// minRecoveredCoverage is the minimum coverage after the recovery, with targets that pause 4% of the time.
 	minRecoveredCoverage = 0.97
 )
@@ -76,10 +86,12 @@
 	defer d.Close()
 	s := &soak{deployment: d, random: rand.New(rand.NewPCG(seed, seed)), unavailable: make(map[int]bool)}
 	reports := make(chan Report, 1)
+	limited, limitedAt := s.limitTargets(), time.Now()
 	go func() { reports <- d.RunLoad(ctx, soakRate, duration) }()
 	s.injectFaults(ctx, time.Now().Add(duration-maxFaultDuration))
 	report := <-reports
 	violations = append(s.failures, report.Violations...)
+	violations = append(violations, s.endLimits(limited, limitedAt.Add(limitNoticeTime))...)
 	time.Sleep(recoveryPeriod)
 	after := d.RunLoad(ctx, soakRate, recoveryLoadDuration)
 	violations = append(violations, after.Violations...)
@@ -121,6 +133,33 @@
 	}
 }
 
+// limitTargets makes one target of some shards state a request limit in every second soak. It returns their ids.
+func (s *soak) limitTargets() []string {
+	var ids []string
+	if s.random.IntN(2) == 0 {
+		return nil
+	}
+	for _, i := range s.random.Perm(shardCount)[:limitedShards] {
+		id := s.deployment.services[shardName(i)][s.random.IntN(2)]
+		s.deployment.SetRequestLimit(id, requestLimit)
+		ids = append(ids, id)
+	}
+	s.faultLog = append(s.faultLog, fmt.Sprintf("request limit of %v during the load", ids))
+	return ids
+}
+
+// endLimits ends the request limits of the targets and reports those that got too many requests after the given time.
+func (s *soak) endLimits(ids []string, after time.Time) (violations []string) {
+	allowed := int(limitTolerance*requestLimit*limitWindow.Seconds()) + limitSlack
+	for _, id := range ids {
+		if n := s.deployment.MostReceived(id, after, limitWindow); n > allowed {
+			violations = append(violations, fmt.Sprintf("target %s with a request limit of %g/s got %d requests in %s, %d are allowed", id, requestLimit, n, limitWindow, allowed))
+		}
+		s.deployment.EndRequestLimit(id)
+	}
+	return violations
+}
+
 // takeInstance selects an instance and marks it as unavailable. It returns false if another one is stopped or paused
 // already, because at most one may be at a time.
 func (s *soak) takeInstance() (int, bool) {
