--- a/internal/target/concentrator/pending.go
+++ b/internal/target/concentrator/pending.go
@@ -4,6 +4,7 @@
 	"encoding/base64"
 	"errors"
 	"fmt"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -86,7 +87,7 @@
 		index, limit, _ := strings.Cut(strings.TrimSuffix(line, "\n"), " ")
 		i, errIndex := strconv.Atoi(index)
 		perSecond, errLimit := strconv.ParseFloat(limit, 64)
-		if errIndex == nil && errLimit == nil {
+		if errIndex == nil && errLimit == nil && perSecond >= 0 && !math.IsInf(perSecond, 0) {
 			limits[i] = &perSecond
 		}
 	}
--- a/internal/target/throttler/throttler.go
+++ b/internal/target/throttler/throttler.go
@@ -22,15 +22,15 @@
 	// minLimit replaces a lower limit, in requests per second over all instances: without any request, the end of a limit
 	// of 0 would not be noticed.
 	minLimit = 0.25
-	// spareRequests is the number of saved-up requests above which an instance need not economize.
+	// spareRequests is the number of saved-up requests from which an instance need not economize.
 	spareRequests = 2
 )
 
 // Allowance is what this instance may send to one target now. The zero value is that of a target without a limit.
 type Allowance struct {
 	limited bool
-	// saved is the number of requests that may be sent at once; a fraction counts for a later one. It is negative after requests that were decided on at the
-	// same time have exceeded it.
+	// saved is the number of requests that may be sent at once; a fraction counts towards a later one. It is negative
+	// after requests that were chosen at the same time have exceeded it.
 	saved float64
 	// capacity is the number of requests that can be saved up, at least 1.
 	capacity float64
