--- a/internal/query/relayer/relayer.go
+++ b/internal/query/relayer/relayer.go
@@ -1,8 +1,9 @@
 // Package relayer serves a caller's request according to its route: it sends the request to one target of a service, or
 // to one target of each shard, hedges and retries within the limits of the route, and merges the replies of a sharded
 // query. It caps the hedge delay of a sharded query so that a hedge still has time, and repeats a non-idempotent
-// request only if it cannot have run. The receiver uses it in relay mode; picking targets and sending to them is left
-// to package sender, and sending through other instances to package concentrator.
+// request only if it cannot have run. It refuses a request before anything is sent if the request limits of targets leave
+// too few parts for an answer. The receiver uses it in relay mode; picking targets and sending to them is left to package
+// sender, and sending through other instances to package concentrator.
 package relayer
 
 import (
