--- a/internal/query/relayer/forwarder.go
+++ b/internal/query/relayer/forwarder.go
@@ -149,7 +149,7 @@
 		return f.answerCannotServe()
 	}
 	f.sendCtx, f.cancel = context.WithDeadline(context.WithoutCancel(ctx), f.request.Deadline)
-	if answer, ended := f.start(ctx); ended {
+	if answer, ended := f.sendFirstOrRefuse(ctx); ended {
 		f.cancel()
 		return answer
 	}
--- a/internal/query/relayer/limits.go
+++ b/internal/query/relayer/limits.go
@@ -9,11 +9,11 @@
 	"apricotflow/internal/target/throttler"
 )
 
-// start sends the first requests of all parts as soon as the request limits of the targets allow as many parts as an
+// sendFirstOrRefuse sends the first requests of all parts as soon as the request limits of the targets allow as many parts as an
 // answer needs. It returns an answer if the request ends before: it is refused if that takes longer than it may wait.
 // Nothing has been sent by then, because a query that uses up the limits of some shards and cannot get the others would
 // take them from other queries and fail.
-func (f *forwarder) start(ctx context.Context) (Answer, bool) {
+func (f *forwarder) sendFirstOrRefuse(ctx context.Context) (Answer, bool) {
 	for {
 		wait := f.sendFirstWithinLimits()
 		switch {
