--- a/internal/caller/assembler/relay_lifecycle.go
+++ b/internal/caller/assembler/relay_lifecycle.go
@@ -190,7 +190,7 @@
 		n.Throttler.Retain(isKnown)
 		if ready := n.Receiver.Ready(); ready != wasReady {
 			wasReady = ready
-			n.Logger.Info("readiness changed", "ready", ready, "revision", view.Revision())
+			n.Logger.Info("readiness changed", "ready", ready, "position", view.Position())
 			if ready {
 				n.Events.Record(recorder.KindInstanceReady, n.Settings.Instance(), "", "")
 			}
--- a/internal/caller/receiver/receiver_test.go
+++ b/internal/caller/receiver/receiver_test.go
@@ -66,7 +66,7 @@
 	t.Helper()
 	state := registrar.New()
 	if configured {
-		state.Apply(registrar.Change{Revision: 1, Table: newTable(t)}, true)
+		state.Apply(registrar.Change{Position: registrar.Position{Revision: 1}, Table: newTable(t)}, true)
 	}
 	s := receiver.New(platform.CallerHeaders{}, state, r, 2, log.New(io.Discard), tally.NoopScope)
 	server := httptest.NewServer(s.Handler())
@@ -256,7 +256,7 @@
 func TestObjectiveIncludesNetworkLatency(t *testing.T) {
 	r := &fakeRelay{answer: relayedAnswer}
 	state := registrar.New()
-	state.Apply(registrar.Change{Revision: 1, Table: newTable(t)}, true)
+	state.Apply(registrar.Change{Position: registrar.Position{Revision: 1}, Table: newTable(t)}, true)
 	s := receiver.New(platform.CallerHeaders{}, state, r, 2, log.New(io.Discard), tally.NoopScope)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
--- a/internal/cluster/discoverer/discoverer.go
+++ b/internal/cluster/discoverer/discoverer.go
@@ -39,8 +39,8 @@
 	seedInterval = 6 * time.Second
 	// callTimeout limits one call to another instance.
 	callTimeout = time.Second
-	// maxInstancesAboveRevision is the maximum number of instances that InstancesAboveRevision returns.
-	maxInstancesAboveRevision = 3
+	// maxNewerInstances is the maximum number of instances that InstancesAfter and InstancesAboveVersion return.
+	maxNewerInstances = 3
 )
 
 // Discoverer maintains the list of instances.
@@ -293,8 +293,9 @@
 
 // newMessage returns a message with the given entries; the lock is held.
 func (d *Discoverer) newMessage(members []encoder.DiscoveryMember) encoder.DiscoveryMessage {
+	view := d.registrar.View()
 	return encoder.DiscoveryMessage{
-		Revision: d.registrar.View().Revision(), Sender: d.roster.Own(), Known: d.roster.Len() + 1, Members: members,
+		Epoch: view.Position().Epoch, Revision: view.Position().Revision, Version: view.TableVersion(), Sender: d.roster.Own(), Known: d.roster.Len() + 1, Members: members,
 	}
 }
 
@@ -312,7 +313,7 @@
 // applyMessage applies a message of another instance; the lock is held.
 func (d *Discoverer) applyMessage(message encoder.DiscoveryMessage) {
 	d.learnDirect(message.Sender)
-	d.roster.SetRevision(message.Sender.Instance, message.Revision)
+	d.roster.SetState(message.Sender.Instance, registrar.Position{Epoch: message.Epoch, Revision: message.Revision}, message.Version)
 	for _, m := range message.Members {
 		d.logChange(m.Instance, d.roster.Learn(m, time.Now()), "from", message.Sender.Instance)
 	}
@@ -354,16 +355,29 @@
 	return names
 }
 
-// InstancesAboveRevision returns a few other instances that are known to have a revision above the given one, the
-// highest first.
-func (d *Discoverer) InstancesAboveRevision(above int) []string {
+// InstancesAfter returns a few other instances that are known to have a later position of the store than the given one,
+// the latest first.
+func (d *Discoverer) InstancesAfter(position registrar.Position) []string {
+	return d.newerInstances(func(m enroller.Member) bool { return position.Precedes(m.Position) },
+		func(a, b enroller.Member) int { return b.Position.Compare(a.Position) })
+}
+
+// InstancesAboveVersion returns a few other instances that are known to have a routing table with a higher version than
+// the given one in force, the highest first.
+func (d *Discoverer) InstancesAboveVersion(version int) []string {
+	return d.newerInstances(func(m enroller.Member) bool { return m.Version > version },
+		func(a, b enroller.Member) int { return cmp.Compare(b.Version, a.Version) })
+}
+
+// newerInstances returns the first few of the selected instances in the given order.
+func (d *Discoverer) newerInstances(selected func(enroller.Member) bool, order func(a, b enroller.Member) int) []string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	revision := func(name string) int {
+	member := func(name string) enroller.Member {
 		m, _ := d.roster.Member(name)
-		return m.Revision
+		return m
 	}
-	names := slices.DeleteFunc(d.roster.Names(), func(name string) bool { return revision(name) <= above })
-	slices.SortStableFunc(names, func(a, b string) int { return cmp.Compare(revision(b), revision(a)) })
-	return names[:min(len(names), maxInstancesAboveRevision)]
+	names := slices.DeleteFunc(d.roster.Names(), func(name string) bool { return !selected(member(name)) })
+	slices.SortStableFunc(names, func(a, b string) int { return order(member(a), member(b)) })
+	return names[:min(len(names), maxNewerInstances)]
 }
--- a/internal/cluster/discoverer/discoverer_test.go
+++ b/internal/cluster/discoverer/discoverer_test.go
@@ -14,8 +14,10 @@
 	"apricotflow/internal/cluster/discoverer"
 	"apricotflow/internal/cluster/messenger"
 	"apricotflow/internal/cluster/registrar"
+	"apricotflow/internal/manifest/mapper"
 	"apricotflow/internal/operator/recorder"
 	"apricotflow/internal/operator/timekeeper"
+	"apricotflow/internal/wire/encoder"
 )
 
 // instance is a running discoverer with its messenger.
@@ -96,14 +98,21 @@
 	assert.Equal(t, n.InstanceEstimate(), 4)
 }
 
-// Guards against instances with a higher revision, or in the same failure domain, that are not found.
-func TestInstancesAreFoundByRevisionAndFailureDomain(t *testing.T) {
+// Guards against instances with a later position or version, or in the same failure domain, that are not found. A higher
+// revision of an earlier epoch is no later position.
+func TestInstancesAreFoundByPositionVersionAndFailureDomain(t *testing.T) {
 	seed := freeAddress(t)
 	a, b := startInstance(t, "a", seed, seed), startInstance(t, "b", freeAddress(t), seed)
-	a.registrar.Apply(registrar.Change{Revision: 7, Closed: []string{"west"}}, true)
-	eventually(t, 10*time.Second, "no instance with a higher revision", func() bool { return len(b.InstancesAboveRevision(6)) == 1 })
-	assert.DeepEqual(t, b.InstancesAboveRevision(6), []string{"a"})
-	assert.Equal(t, len(b.InstancesAboveRevision(7)), 0)
+	table, problems := mapper.New(encoder.RoutingTable{Version: 4})
+	assert.Equal(t, len(problems), 0)
+	a.registrar.Apply(registrar.Change{Position: registrar.Position{Epoch: 2, Revision: 7}, Table: table, Closed: []string{"west"}}, true)
+	earlierEpoch, sameEpoch := registrar.Position{Epoch: 1, Revision: 90}, registrar.Position{Epoch: 2, Revision: 6}
+	eventually(t, 10*time.Second, "no instance with a later position", func() bool { return len(b.InstancesAfter(sameEpoch)) == 1 })
+	assert.DeepEqual(t, b.InstancesAfter(earlierEpoch), []string{"a"})
+	assert.Equal(t, len(b.InstancesAfter(registrar.Position{Epoch: 2, Revision: 7})), 0)
+	assert.Equal(t, len(b.InstancesAfter(registrar.Position{Epoch: 3, Revision: 1})), 0)
+	assert.DeepEqual(t, b.InstancesAboveVersion(3), []string{"a"})
+	assert.Equal(t, len(b.InstancesAboveVersion(4)), 0)
 	assert.DeepEqual(t, b.OwnDomainInstances(), []string{"a", "b"})
 	assert.Equal(t, b.CountInstancesIn("east"), 2)
 	assert.Equal(t, b.CountInstancesIn("west"), 0)
--- a/internal/cluster/enroller/roster.go
+++ b/internal/cluster/enroller/roster.go
@@ -11,6 +11,7 @@
 	"slices"
 	"time"
 
+	"apricotflow/internal/cluster/registrar"
 	"apricotflow/internal/wire/encoder"
 )
 
@@ -36,8 +37,10 @@
 	Counter int
 	// SuspectedAt is the time at which the instance was first suspected with this counter; zero if it is not suspected.
 	SuspectedAt time.Time
-	// Revision is the revision of the platform's store that the instance reported in its latest direct message.
-	Revision int
+	// Position and Version are the position of the platform's store and the version of the routing table that the instance
+	// reported in its latest direct message.
+	Position registrar.Position
+	Version  int
 }
 
 // Suspected reports whether the instance is suspected because it did not reply to some other instance.
@@ -123,7 +126,7 @@
 	case next.Counter < known.Counter, next.Counter == known.Counter && (known.Suspected() || !next.Suspected()):
 		return Unchanged
 	}
-	next.Revision = known.Revision
+	next.Position, next.Version = known.Position, known.Version
 	r.set(m.Instance, next)
 	return changeBetween(known, next)
 }
@@ -155,10 +158,10 @@
 	return Restarted
 }
 
-// SetRevision sets the revision of the platform's store that an instance has reported.
-func (r *Roster) SetRevision(name string, revision int) {
+// SetState sets the position of the platform's store and the version of the routing table that an instance has reported.
+func (r *Roster) SetState(name string, position registrar.Position, version int) {
 	if m, found := r.members[name]; found {
-		m.Revision = revision
+		m.Position, m.Version = position, version
 		r.members[name] = m
 	}
 }
--- a/internal/cluster/feeder/codec.go
+++ b/internal/cluster/feeder/codec.go
@@ -21,10 +21,20 @@
 	return fmt.Sprintf("feeder: invalid routing table from another instance: %s", resolver.Summarize(e.Problems))
 }
 
+// positionOf returns the position of the store that the state of a reply corresponds to.
+func positionOf(reply encoder.FollowReply) registrar.Position {
+	return registrar.Position{Epoch: reply.Epoch, Revision: reply.Revision}
+}
+
+// positionOfRequest returns the position of the store that the sender of a request has.
+func positionOfRequest(request encoder.FollowRequest) registrar.Position {
+	return registrar.Position{Epoch: request.Epoch, Revision: request.Revision}
+}
+
 // encodeChange adds a change to a reply. The change must name all closed failure domains, as ChangeSince returns them.
 // Times are sent as durations, because the clocks of instances differ.
 func encodeChange(reply *encoder.FollowReply, change registrar.Change, now time.Time) {
-	reply.Revision, reply.Complete = change.Revision, change.Complete
+	reply.Epoch, reply.Revision, reply.Complete = change.Position.Epoch, change.Position.Revision, change.Complete
 	reply.Removed, reply.ClosedDomains = change.Removed, change.Closed
 	if change.Table != nil {
 		table := change.Table.Encoded()
@@ -41,7 +51,7 @@
 // decodeChange returns the change that leads from a state with the given closed failure domains to that of the reply. A
 // reply names all closed domains; a partial change only those that were closed or opened.
 func decodeChange(reply encoder.FollowReply, closed []string, now time.Time) (registrar.Change, error) {
-	change := registrar.Change{Revision: reply.Revision, Removed: reply.Removed, Closed: reply.ClosedDomains, Complete: reply.Complete}
+	change := registrar.Change{Position: positionOf(reply), Removed: reply.Removed, Closed: reply.ClosedDomains, Complete: reply.Complete}
 	if !reply.Complete {
 		change.Closed = difference(reply.ClosedDomains, closed)
 		change.Opened = difference(closed, reply.ClosedDomains)
--- a/internal/cluster/feeder/feeder.go
+++ b/internal/cluster/feeder/feeder.go
@@ -19,6 +19,7 @@
 	"apricotflow/internal/cluster/follower"
 	"apricotflow/internal/cluster/messenger"
 	"apricotflow/internal/cluster/registrar"
+	"apricotflow/internal/manifest/mapper"
 	"apricotflow/internal/wire/encoder"
 )
 
@@ -54,9 +55,12 @@
 	// OwnDomainInstances returns the sorted names of the known instances in this instance's failure domain, including this
 	// one.
 	OwnDomainInstances() []string
-	// InstancesAboveRevision returns a few other instances that are known to have a revision above the given one, the
-	// highest first.
-	InstancesAboveRevision(above int) []string
+	// InstancesAfter returns a few other instances that are known to have a later position of the store than the given
+	// one, the latest first.
+	InstancesAfter(position registrar.Position) []string
+	// InstancesAboveVersion returns a few other instances that are known to have a routing table with a higher version
+	// than the given one in force, the highest first.
+	InstancesAboveVersion(version int) []string
 }
 
 // stateID identifies a state of another instance: the serial of its view and the number of its confirmations, which
@@ -190,12 +194,12 @@
 // requestUpdate requests one update and checks that it is neither older than the state of this instance nor too old.
 func (f *Feeder) requestUpdate(ctx context.Context, upstream string, receivedState stateID) (follower.Update, stateID, error) {
 	view := f.registrar.View()
-	request := encoder.FollowRequest{Incarnation: receivedState.incarnation, Serial: receivedState.serial, Confirmation: receivedState.confirmation, Revision: view.Revision()}
+	request := encoder.FollowRequest{Incarnation: receivedState.incarnation, Serial: receivedState.serial, Confirmation: receivedState.confirmation, Epoch: view.Position().Epoch, Revision: view.Position().Revision}
 	reply, err := messenger.Call[encoder.FollowRequest, encoder.FollowReply](ctx, f.messenger, upstream, methodFollow, request)
 	switch {
 	case err != nil:
 		return follower.Update{}, receivedState, err
-	case reply.Revision < view.Revision():
+	case positionOf(reply).Precedes(view.Position()):
 		return follower.Update{}, receivedState, errOlderState
 	case time.Duration(reply.AgeMs)*time.Millisecond >= f.maxAge:
 		return follower.Update{}, receivedState, errTooOld
@@ -205,34 +209,51 @@
 	if err != nil {
 		return follower.Update{}, receivedState, err
 	}
-	update := follower.Update{Change: change, ConfirmedAt: now.Add(-time.Duration(reply.AgeMs) * time.Millisecond), HasMissingTargets: reply.Unsettled}
+	update := follower.Update{Change: change, ConfirmedAt: now.Add(-time.Duration(reply.AgeMs) * time.Millisecond), Settled: !reply.Unsettled}
 	return update, stateID{incarnation: reply.Incarnation, serial: reply.Serial, confirmation: reply.Confirmation}, nil
 }
 
-// NewerState returns the complete state of a peer with a revision above the given one, preferably the highest,
+// NewerState returns the complete state of a peer with a later position than the given one, preferably the latest,
 // regardless of its age. It returns false if no such peer replies.
-func (f *Feeder) NewerState(ctx context.Context, above int) (registrar.Change, bool) {
-	for _, name := range f.instances.InstancesAboveRevision(above) {
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		reply, err := messenger.Call[encoder.FollowRequest, encoder.FollowReply](callCtx, f.messenger, name, methodFollow, encoder.FollowRequest{Revision: above})
-		cancel()
-		if err != nil {
-			f.logger.Warn("state of another instance not read", "peer", name, "error", err)
-			continue
+func (f *Feeder) NewerState(ctx context.Context, after registrar.Position) (registrar.Change, bool) {
+	for _, name := range f.instances.InstancesAfter(after) {
+		change, found := f.requestState(ctx, name)
+		if found && after.Precedes(change.Position) && change.Complete {
+			return change, true
 		}
-		if reply.Revision <= above || !reply.Complete {
-			continue
-		}
-		change, err := decodeChange(reply, f.registrar.View().ClosedDomains(), time.Now())
-		if err != nil {
-			f.logger.Warn("state of another instance refused", "peer", name, "error", err)
-			continue
-		}
-		return change, true
 	}
 	return registrar.Change{}, false
 }
 
+// NewerTable returns the routing table of a peer with a higher version than the given one; false if none is known or
+// replies.
+func (f *Feeder) NewerTable(ctx context.Context, after int) (*mapper.Table, bool) {
+	for _, name := range f.instances.InstancesAboveVersion(after) {
+		change, found := f.requestState(ctx, name)
+		if found && change.Table != nil && change.Table.Version() > after {
+			return change.Table, true
+		}
+	}
+	return nil, false
+}
+
+// requestState requests the complete state of a peer; it returns false if that fails.
+func (f *Feeder) requestState(ctx context.Context, name string) (registrar.Change, bool) {
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	reply, err := messenger.Call[encoder.FollowRequest, encoder.FollowReply](callCtx, f.messenger, name, methodFollow, encoder.FollowRequest{})
+	if err != nil {
+		f.logger.Warn("state of another instance not read", "peer", name, "error", err)
+		return registrar.Change{}, false
+	}
+	change, err := decodeChange(reply, f.registrar.View().ClosedDomains(), time.Now())
+	if err != nil {
+		f.logger.Warn("state of another instance refused", "peer", name, "error", err)
+		return registrar.Change{}, false
+	}
+	return change, true
+}
+
 // handleFollow replies to a downstream instance as soon as the state here differs from the one that it has, was
 // confirmed again, or is too old.
 func (f *Feeder) handleFollow(ctx context.Context, _ messenger.Peer, request encoder.FollowRequest) (encoder.FollowReply, error) {
@@ -244,7 +265,7 @@
 		f.mu.Unlock()
 		view, age := f.registrar.View(), time.Since(confirmedAt)
 		known := request.Incarnation == f.identity.Incarnation && request.Serial == view.Serial() && request.Confirmation == confirmationCount
-		if !known || age >= f.maxAge || view.Revision() < request.Revision {
+		if !known || age >= f.maxAge || view.Position().Precedes(positionOfRequest(request)) {
 			return f.newReply(request, view, confirmationCount, age), nil
 		}
 		timer := time.NewTimer(f.maxAge - age)
@@ -260,13 +281,13 @@
 	}
 }
 
-// newReply builds the reply to a request. It holds no state if the downstream instance has a higher revision.
+// newReply builds the reply to a request. It holds no state if the downstream instance has a later position.
 func (f *Feeder) newReply(request encoder.FollowRequest, view *registrar.View, confirmationCount int, age time.Duration) encoder.FollowReply {
 	reply := encoder.FollowReply{
 		Incarnation: f.identity.Incarnation, Serial: view.Serial(), Confirmation: confirmationCount, AgeMs: int(age.Milliseconds()),
-		Revision: view.Revision(), Unsettled: view.MissingCount() > 0,
+		Epoch: view.Position().Epoch, Revision: view.Position().Revision, Unsettled: !view.IsSettled(),
 	}
-	if view.Revision() < request.Revision {
+	if view.Position().Precedes(positionOfRequest(request)) {
 		return reply
 	}
 	serial := 0
--- a/internal/cluster/feeder/feeder_test.go
+++ b/internal/cluster/feeder/feeder_test.go
@@ -78,11 +78,20 @@
 	return names
 }
 
-// InstancesAboveRevision returns the other instances with a revision above the given one.
-func (n *instance) InstancesAboveRevision(above int) []string {
+// InstancesAfter returns the other instances with a later position than the given one.
+func (n *instance) InstancesAfter(position registrar.Position) []string {
+	return n.newerInstances(func(v *registrar.View) bool { return position.Precedes(v.Position()) })
+}
+
+// InstancesAboveVersion returns the other instances with a higher version of the routing table than the given one.
+func (n *instance) InstancesAboveVersion(version int) []string {
+	return n.newerInstances(func(v *registrar.View) bool { return v.TableVersion() > version })
+}
+
+func (n *instance) newerInstances(selected func(*registrar.View) bool) []string {
 	var names []string
 	for _, other := range n.domain.instances {
-		if other != n && other.registrar.View().Revision() > above {
+		if other != n && selected(other.registrar.View()) {
 			names = append(names, other.name)
 		}
 	}
@@ -250,16 +259,21 @@
 	d.waitFor(propagationLimit, "version 2", func(n *instance) bool { return n.version() == 2 }, d.instances[0])
 }
 
-// Guards against a return to an older state: an upstream with a lower revision must not be followed.
+// Guards against a return to an older state: an upstream with a lower revision must not be followed, and neither must one
+// that has not read the store since it came back from a copy, whatever its revision.
 func TestFollowFailsWhenUpstreamHasOlderState(t *testing.T) {
-	d := newDomain(t, 3)
-	time.Sleep(settleTime)
-	last := d.instances[2]
-	last.registrar.Apply(registrar.Change{Revision: 1000, Put: []registrar.Target{{ID: "i9", Service: "s"}}}, true)
-	_, err := last.feeder.Follow(t.Context(), "n00")
-	assert.ErrorContains(t, err, "older state")
-	upstream, found := last.feeder.Upstream()
-	assert.Assert(t, !found, upstream)
+	for name, position := range map[string]registrar.Position{"revision": {Epoch: 1, Revision: 1000}, "epoch": {Epoch: 2, Revision: 1}} {
+		t.Run(name, func(t *testing.T) {
+			d := newDomain(t, 3)
+			time.Sleep(settleTime)
+			last := d.instances[2]
+			last.registrar.Apply(registrar.Change{Position: position, Put: []registrar.Target{{ID: "i9", Service: "s"}}}, true)
+			_, err := last.feeder.Follow(t.Context(), "n00")
+			assert.ErrorContains(t, err, "older state")
+			upstream, found := last.feeder.Upstream()
+			assert.Assert(t, !found, upstream)
+		})
+	}
 }
 
 // Missing targets stay serving until they are removed. Guards against ones that stay so for good: the upstream stops
@@ -287,14 +301,14 @@
 	a, b := d.instances[0], d.instances[1]
 	d.waitFor(propagationLimit, "version 1", func(n *instance) bool { return n.version() == 1 })
 	target := registrar.Target{ID: "i1", Service: "s", Address: "127.0.0.1:9", FailureDomain: "east", Slots: 2, ColdUntil: time.Now().Add(time.Minute)}
-	a.registrar.Apply(registrar.Change{Revision: 70, Put: []registrar.Target{target}, Closed: []string{"west"}}, true)
-	change, found := b.feeder.NewerState(t.Context(), 60)
+	a.registrar.Apply(registrar.Change{Position: registrar.Position{Epoch: 1, Revision: 70}, Put: []registrar.Target{target}, Closed: []string{"west"}}, true)
+	change, found := b.feeder.NewerState(t.Context(), registrar.Position{Epoch: 1, Revision: 60})
 	assert.Assert(t, found)
 	view := b.registrar.Apply(change, true)
-	assert.Equal(t, view.Revision(), 70)
+	assert.Equal(t, view.Position().Revision, 70)
 	assert.Equal(t, len(view.Serving("s")), 1)
 	assert.Assert(t, time.Until(view.Serving("s")[0].ColdUntil) > 50*time.Second)
 	assert.DeepEqual(t, view.ClosedDomains(), []string{"west"})
-	_, found = b.feeder.NewerState(t.Context(), 70)
+	_, found = b.feeder.NewerState(t.Context(), registrar.Position{Epoch: 1, Revision: 70})
 	assert.Assert(t, !found)
 }
--- a/internal/cluster/follower/follower.go
+++ b/internal/cluster/follower/follower.go
@@ -16,6 +16,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"apricotflow/internal/cluster/registrar"
+	"apricotflow/internal/manifest/mapper"
 	"apricotflow/internal/operator/timekeeper"
 )
 
@@ -64,12 +65,25 @@
 	return fmt.Sprintf("follower: changes after revision %d are no longer available", e.After)
 }
 
+// EarlierEpochError reports an answer that the store gave before it came back from a copy.
+type EarlierEpochError struct {
+	// Known is the position that is known already.
+	Known registrar.Position
+	// Got is the position of the answer.
+	Got registrar.Position
+}
+
+func (e *EarlierEpochError) Error() string {
+	return fmt.Sprintf("follower: answer at position %s of an earlier epoch than %s", e.Got, e.Known)
+}
+
 // Source reads the platform's store.
 type Source interface {
 	// Load reads the whole store. Each page must arrive within the page timeout.
 	Load(ctx context.Context, pageTimeout time.Duration) (registrar.Change, error)
-	// Watch returns the changes after the revision as soon as there are any, or an empty change after the wait. The error
-	// may be a *CompactedError.
+	// Watch returns the changes after the revision as soon as there are any, or an empty change after the wait. The
+	// revision counts in the epoch that the store is in, which the position of the change tells. The error may be a
+	// *CompactedError.
 	Watch(ctx context.Context, after int, wait time.Duration) (registrar.Change, error)
 }
 
@@ -78,16 +92,19 @@
 	Change registrar.Change
 	// ConfirmedAt is the latest time at which the state was known to be current.
 	ConfirmedAt time.Time
-	// HasMissingTargets reports whether the instance keeps targets that the store no longer lists, because it does not
-	// trust their removal yet.
-	HasMissingTargets bool
+	// Settled reports whether the instance keeps nothing that the store no longer lists. Otherwise it does not trust some
+	// removals yet.
+	Settled bool
 }
 
 // Peers reads the state of other instances and serves that of this one.
 type Peers interface {
-	// NewerState returns the complete state of a peer with a revision above the given one, preferably the highest; false
-	// if no such peer replies.
-	NewerState(ctx context.Context, above int) (registrar.Change, bool)
+	// NewerState returns the complete state of a peer with a later position than the given one, preferably the latest;
+	// false if no such peer replies.
+	NewerState(ctx context.Context, after registrar.Position) (registrar.Change, bool)
+	// NewerTable returns the routing table of a peer with a higher version than the given one; false if none is known or
+	// replies.
+	NewerTable(ctx context.Context, after int) (*mapper.Table, bool)
 	// Upstream returns the instance to follow instead of the store, if there is one.
 	Upstream() (string, bool)
 	// Follow waits for an update of the upstream.
@@ -101,10 +118,12 @@
 // noPeers implements Peers without any peers.
 type noPeers struct{}
 
-func (noPeers) NewerState(context.Context, int) (registrar.Change, bool) {
+func (noPeers) NewerState(context.Context, registrar.Position) (registrar.Change, bool) {
 	return registrar.Change{}, false
 }
 
+func (noPeers) NewerTable(context.Context, int) (*mapper.Table, bool) { return nil, false }
+
 func (noPeers) Upstream() (string, bool) { return "", false }
 
 func (noPeers) Follow(context.Context, string) (Update, error) { return Update{}, nil }
@@ -148,10 +167,12 @@
 
 	// upstream is the instance that is followed; empty while this one follows the store.
 	upstream string
-	// upstreamHasMissingTargets reports whether the upstream had missing targets at its latest update.
-	upstreamHasMissingTargets bool
-	// revision is the revision after which the next watch continues; 0 if a load is due.
-	revision int
+	// upstreamSettled reports whether the upstream kept nothing that the store no longer lists at its latest update.
+	upstreamSettled bool
+	// position is the position after which the next watch continues.
+	position registrar.Position
+	// loadDue reports whether to read the whole store, because the changes after the position are not enough.
+	loadDue bool
 	// failingSince is the time of the first failed call since the last successful one; zero if none failed.
 	failingSince time.Time
 	// trustRemovalsAt is the time at which removals are trusted again; zero while they are trusted.
@@ -167,7 +188,7 @@
 
 // New creates a follower that applies the changes of the source to the registrar.
 func New(source Source, r *registrar.Registrar, logger *log.Logger, opts ...Option) *Follower {
-	f := &Follower{source: source, registrar: r, logger: logger, peers: noPeers{}, scope: tally.NoopScope, watchPause: defaultWatchPause, propagationLimit: defaultPropagationLimit, backoff: minBackoff}
+	f := &Follower{source: source, registrar: r, logger: logger, peers: noPeers{}, scope: tally.NoopScope, watchPause: defaultWatchPause, propagationLimit: defaultPropagationLimit, backoff: minBackoff, loadDue: true}
 	for _, opt := range opts {
 		opt(f)
 	}
@@ -185,7 +206,7 @@
 			return
 		case errors.As(err, &compacted):
 			f.logger.Warn("store compacted its history, loading the whole state", "after", compacted.After)
-			f.revision = 0
+			f.loadDue = true
 		case err != nil:
 			f.handleFailure(ctx, start, err)
 		}
@@ -201,7 +222,7 @@
 	if f.upstream != "" {
 		f.returnToStore()
 	}
-	if f.revision == 0 {
+	if f.loadDue {
 		return f.load(ctx)
 	}
 	return f.watch(ctx)
@@ -213,29 +234,42 @@
 	if err != nil {
 		f.scope.Counter("follower-upstream-failures").Inc(1)
 		if ctx.Err() == nil && f.upstream == upstream {
-			f.logger.Warn("upstream lost", "upstream", upstream, "revision", f.revision, "error", err)
+			f.logger.Warn("upstream lost", "upstream", upstream, "position", f.position, "error", err)
 		}
 		return false
 	}
 	if f.upstream != upstream {
-		f.logger.Info("following an instance", "upstream", upstream, "revision", update.Change.Revision)
+		f.logger.Info("following an instance", "upstream", upstream, "position", update.Change.Position)
+	}
+	if f.upstream != upstream {
+		// The upstream keeps the targets whose removal it does not trust, so all removals that it reports are trusted here.
+		f.trustRemovalsAt = time.Time{}
 	}
-	f.upstream, f.upstreamHasMissingTargets = upstream, update.HasMissingTargets
-	// The upstream keeps the targets whose removal it does not trust, so all removals that it reports are trusted here.
-	f.failingSince, f.trustRemovalsAt, f.backoff = time.Time{}, time.Time{}, minBackoff
-	f.revision = max(f.revision, update.Change.Revision)
+	f.upstream, f.upstreamSettled = upstream, update.Settled
+	f.failingSince, f.backoff = time.Time{}, minBackoff
+	f.checkRestored(update.Change, upstream)
+	f.continueAfter(update.Change.Position)
 	f.apply(update.Change, upstream)
+	f.trustRemovalsWhenDue()
 	f.confirmCurrent(update.ConfirmedAt, upstream)
 	return true
 }
 
-// returnToStore switches from the upstream to the store. A watch does not report again which targets were missing on
-// the upstream, so if any were, the whole state is loaded.
+// continueAfter lets the next watch continue after the position of a state that another instance has read, unless this
+// one knows a later one.
+func (f *Follower) continueAfter(position registrar.Position) {
+	if f.position.Precedes(position) {
+		f.position, f.loadDue = position, false
+	}
+}
+
+// returnToStore switches from the upstream to the store. A watch does not report again what the upstream kept
+// although the store did not list it, so the whole state is loaded if there was any.
 func (f *Follower) returnToStore() {
-	f.logger.Info("following the store", "revision", f.revision, "unsettled", f.upstreamHasMissingTargets)
+	f.logger.Info("following the store", "position", f.position, "unsettled", !f.upstreamSettled)
 	f.upstream, f.unverified = "", true
-	if f.upstreamHasMissingTargets {
-		f.revision = 0
+	if !f.upstreamSettled {
+		f.loadDue = true
 	}
 }
 
@@ -248,16 +282,18 @@
 	callCtx, cancel := context.WithTimeout(ctx, wait+responseTime)
 	defer cancel()
 	f.scope.Counter("follower-watches").Inc(1)
-	change, err := f.source.Watch(callCtx, f.revision, wait)
+	change, err := f.source.Watch(callCtx, f.position.Revision, wait)
 	if err != nil {
 		return err
 	}
-	f.recordSuccess()
-	if change.Revision > f.revision {
-		f.revision = change.Revision
+	if change.Position.Epoch != f.position.Epoch {
+		return f.handleOtherEpoch(change.Position)
 	}
+	f.recordSuccess()
+	f.position = registrar.Later(f.position, change.Position)
 	f.apply(change, "watch")
 	f.trustRemovalsWhenDue()
+	f.applyNewerTable(ctx)
 	f.confirmCurrent(time.Now(), "watch")
 	if !isEmpty(change) {
 		timekeeper.Sleep(ctx, f.watchPause)
@@ -265,6 +301,16 @@
 	return nil
 }
 
+// handleOtherEpoch handles the answer to a watch in another epoch than that of the revision after which it watched. The
+// changes of such an answer are not those after the known state.
+func (f *Follower) handleOtherEpoch(got registrar.Position) error {
+	if got.Precedes(f.position) {
+		return &EarlierEpochError{Known: f.position, Got: got}
+	}
+	f.loadDue = true
+	return nil
+}
+
 // watchWait returns how long a watch waits for a change.
 func (f *Follower) watchWait() time.Duration {
 	share := watchShare
@@ -291,19 +337,49 @@
 	if err != nil {
 		return err
 	}
+	if change.Position.Epoch < f.position.Epoch {
+		return &EarlierEpochError{Known: f.position, Got: change.Position}
+	}
 	f.recordSuccess()
-	f.revision = change.Revision
+	f.checkRestored(change, "load")
+	f.position, f.loadDue = change.Position, false
 	f.apply(change, "load")
+	f.applyNewerTable(ctx)
 	f.confirmCurrent(start, "load")
 	return nil
 }
 
+// checkRestored checks whether a state is the first one since the store came back from a copy, which lacks what was
+// written after it and lists what was removed after it.
+func (f *Follower) checkRestored(change registrar.Change, origin string) {
+	if f.position.IsZero() || change.Position.Epoch <= f.position.Epoch {
+		return
+	}
+	f.scope.Counter("follower-restored-stores").Inc(1)
+	version := 0
+	if change.Table != nil {
+		version = change.Table.Version()
+	}
+	f.logger.Warn("store came back from a copy", "from", origin, "known", f.position, "position", change.Position,
+		"version-in-force", f.registrar.View().TableVersion(), "version-listed", version)
+}
+
+// applyNewerTable applies the routing table of a peer that has a newer one in force than the store lists, such as after
+// the store has come back from a copy.
+func (f *Follower) applyNewerTable(ctx context.Context) {
+	queryCtx, cancel := context.WithTimeout(ctx, f.shareOfLimit(peerQueryShare))
+	defer cancel()
+	if table, found := f.peers.NewerTable(queryCtx, f.registrar.View().TableVersion()); found {
+		f.apply(registrar.Change{Position: f.position, Table: table}, "peer")
+	}
+}
+
 // confirmCurrent records a time at which the state was known to be current. It logs if the state was older than the
 // propagation limit before, so that a change may have come into force late.
 func (f *Follower) confirmCurrent(at time.Time, origin string) {
 	if age := at.Sub(f.confirmedAt); !f.confirmedAt.IsZero() && age > f.propagationLimit {
 		f.scope.Counter("follower-late-confirmations").Inc(1)
-		f.logger.Warn("state confirmed late", "from", origin, "after", age, "limit", f.propagationLimit, "revision", f.revision)
+		f.logger.Warn("state confirmed late", "from", origin, "after", age, "limit", f.propagationLimit, "position", f.position)
 	}
 	if at.After(f.confirmedAt) {
 		f.confirmedAt = at
@@ -324,7 +400,7 @@
 	trusted := f.trustRemovalsAt.IsZero()
 	before := f.registrar.View()
 	after := f.registrar.Apply(change, trusted)
-	f.logger.Info("state of the platform changed", "from", origin, "revision", after.Revision(), "version", tableVersion(after),
+	f.logger.Info("state of the platform changed", "from", origin, "position", after.Position(), "version", after.TableVersion(),
 		"put", len(change.Put), "removed", firstIDs(change.Removed), "missing", after.MissingCount(), "trusted", trusted,
 		"closed-domains", after.ClosedDomains(), "targets-before", len(before.Targets()), "targets", len(after.Targets()))
 }
@@ -337,14 +413,6 @@
 	return all[:min(len(all), maxLoggedIDs)]
 }
 
-// tableVersion returns the version of the routing table; 0 if there is none.
-func tableVersion(v *registrar.View) int {
-	if v.Table() == nil {
-		return 0
-	}
-	return v.Table().Version()
-}
-
 // recordSuccess records a successful call to the store. After an outage, removals are not trusted until live targets
 // have had the time to renew their entries.
 func (f *Follower) recordSuccess() {
@@ -353,7 +421,7 @@
 		return
 	}
 	f.trustRemovalsAt = time.Now().Add(entryRenewalTime)
-	f.logger.Info("store regained", "after", time.Since(f.failingSince), "revision", f.revision)
+	f.logger.Info("store regained", "after", time.Since(f.failingSince), "position", f.position)
 	f.failingSince = time.Time{}
 }
 
@@ -375,14 +443,14 @@
 	f.scope.Counter("follower-failures").Inc(1)
 	if f.failingSince.IsZero() {
 		f.failingSince = time.Now()
-		f.logger.Warn("store lost", "revision", f.revision, "error", err)
+		f.logger.Warn("store lost", "position", f.position, "error", err)
 	}
 	f.applyPeerState(ctx)
 	timekeeper.Sleep(ctx, time.Until(start.Add(f.backoff)))
 	f.backoff = min(2*f.backoff, max(f.shareOfLimit(maxBackoffShare), minBackoff))
 }
 
-// applyPeerState applies the state of a peer with a higher revision, at most once per peerQueryInterval. The peer's
+// applyPeerState applies the state of a peer with a later position, at most once per peerQueryInterval. The peer's
 // state includes the targets whose removal it does not trust, so all others are removed.
 func (f *Follower) applyPeerState(ctx context.Context) {
 	if time.Since(f.peersQueriedAt) < peerQueryInterval {
@@ -392,11 +460,12 @@
 	known := f.registrar.View()
 	queryCtx, cancel := context.WithTimeout(ctx, f.shareOfLimit(peerQueryShare))
 	defer cancel()
-	change, found := f.peers.NewerState(queryCtx, known.Revision())
+	change, found := f.peers.NewerState(queryCtx, known.Position())
 	if !found {
 		return
 	}
-	f.logger.Info("state of the platform changed", "from", "peer", "revision", change.Revision, "before", known.Revision(), "targets", len(change.Put))
+	f.logger.Info("state of the platform changed", "from", "peer", "position", change.Position, "before", known.Position(), "targets", len(change.Put))
+	f.checkRestored(change, "peer")
 	f.registrar.Apply(change, true)
-	f.revision = max(f.revision, change.Revision)
+	f.continueAfter(change.Position)
 }
--- a/internal/cluster/follower/follower_test.go
+++ b/internal/cluster/follower/follower_test.go
@@ -12,6 +12,7 @@
 
 	"apricotflow/internal/cluster/follower"
 	"apricotflow/internal/cluster/registrar"
+	"apricotflow/internal/manifest/mapper"
 	"apricotflow/internal/standin/keeper"
 	"apricotflow/platform"
 )
@@ -207,14 +208,18 @@
 
 func (staticPeers) ConfirmCurrent(time.Time) {}
 
-func (p staticPeers) NewerState(_ context.Context, above int) (registrar.Change, bool) {
-	return p.change, p.change.Revision > above
+func (p staticPeers) NewerState(_ context.Context, after registrar.Position) (registrar.Change, bool) {
+	return p.change, after.Precedes(p.change.Position)
+}
+
+func (p staticPeers) NewerTable(_ context.Context, after int) (*mapper.Table, bool) {
+	return p.change.Table, p.change.Table != nil && p.change.Table.Version() > after
 }
 
 // Guards against a new instance that has no state to serve from while the store is unavailable.
 func TestPeerStateIsAppliedWhenStoreIsUnavailable(t *testing.T) {
 	target := registrar.Target{ID: "i1", Service: "s", Address: "127.0.0.1:9"}
-	store, r := startFollower(t, follower.WithPeers(staticPeers{registrar.Change{Revision: 9, Put: []registrar.Target{target}, Complete: true}}))
+	store, r := startFollower(t, follower.WithPeers(staticPeers{registrar.Change{Position: registrar.Position{Revision: 9}, Put: []registrar.Target{target}, Complete: true}}))
 	store.SetFault(keeper.Busy)
-	eventually(t, "nothing from the peer", func() bool { return r.View().Revision() == 9 && r.View().IsServing("i1") })
+	eventually(t, "nothing from the peer", func() bool { return r.View().Position().Revision == 9 && r.View().IsServing("i1") })
 }
--- a/internal/cluster/follower/outage_test.go
+++ b/internal/cluster/follower/outage_test.go
@@ -38,7 +38,7 @@
 
 func (s *silentSource) change() registrar.Change {
 	table, _ := mapper.New(encoder.RoutingTable{Version: s.revision()})
-	return registrar.Change{Revision: s.revision(), Table: table}
+	return registrar.Change{Position: registrar.Position{Revision: s.revision()}, Table: table}
 }
 
 func (s *silentSource) Load(ctx context.Context, timeout time.Duration) (registrar.Change, error) {
@@ -64,7 +64,7 @@
 	if after < s.revision() {
 		return s.change(), nil
 	}
-	return registrar.Change{Revision: after}, nil
+	return registrar.Change{Position: registrar.Position{Revision: after}}, nil
 }
 
 // await waits for the response, without end if the store is silent at the time of the call or of the response.
@@ -96,7 +96,7 @@
 // silentPeers are instances that are known to have a newer state, but do not reply.
 type silentPeers struct{ staticPeers }
 
-func (silentPeers) NewerState(ctx context.Context, _ int) (registrar.Change, bool) {
+func (silentPeers) NewerState(ctx context.Context, _ registrar.Position) (registrar.Change, bool) {
 	select {
 	case <-ctx.Done():
 	case <-time.After(propagationLimit):
@@ -145,7 +145,7 @@
 func (u *lostUpstream) Follow(context.Context, string) (follower.Update, error) {
 	if time.Now().Before(u.lostAt) {
 		time.Sleep(time.Until(u.lostAt))
-		return follower.Update{Change: registrar.Change{Revision: 1, Complete: true}, ConfirmedAt: time.Now()}, nil
+		return follower.Update{Change: registrar.Change{Position: registrar.Position{Revision: 1}, Complete: true}, ConfirmedAt: time.Now()}, nil
 	}
 	time.Sleep(followTimeout)
 	u.lost = true
--- a/internal/cluster/registrar/history.go
+++ b/internal/cluster/registrar/history.go
@@ -24,7 +24,7 @@
 	if serial <= 0 || serial > v.serial || serial < v.serial && (len(v.history) == 0 || v.history[0].serial > serial+1) {
 		return v.completeChange()
 	}
-	change := Change{Revision: v.revision, Closed: v.ClosedDomains()}
+	change := Change{Position: v.position, Closed: v.ClosedDomains()}
 	changed := make(map[string]bool)
 	for _, e := range v.history {
 		if e.serial <= serial {
@@ -49,7 +49,7 @@
 
 // completeChange returns a change that describes the whole view.
 func (v *View) completeChange() Change {
-	return Change{Revision: v.revision, Table: v.table, Put: v.Targets(), Closed: v.ClosedDomains(), Complete: true}
+	return Change{Position: v.position, Table: v.table, Put: v.Targets(), Closed: v.ClosedDomains(), Complete: true}
 }
 
 // recordChange sets the view's serial and the history after a change of the old view. A complete change restarts the
--- a/internal/cluster/registrar/history_test.go
+++ b/internal/cluster/registrar/history_test.go
@@ -21,7 +21,7 @@
 
 // drawChange returns a random change; one in twenty is complete.
 func drawChange(t *rapid.T, revision int) registrar.Change {
-	change := registrar.Change{Revision: revision, Complete: rapid.IntRange(0, 19).Draw(t, "complete") == 0}
+	change := registrar.Change{Position: registrar.Position{Revision: revision}, Complete: rapid.IntRange(0, 19).Draw(t, "complete") == 0}
 	for range rapid.IntRange(0, 3).Draw(t, "puts") {
 		id := fmt.Sprintf("t%d", rapid.IntRange(0, 9).Draw(t, "id"))
 		change.PutTarget(registrar.Target{ID: id, Service: "s", Slots: revision, Draining: rapid.Bool().Draw(t, "draining")})
@@ -64,7 +64,7 @@
 			assert.DeepEqual(t, copied.View().Targets(), view.Targets())
 			assert.DeepEqual(t, copied.View().ClosedDomains(), view.ClosedDomains())
 			assert.Equal(t, tableVersion(copied.View()), tableVersion(view))
-			assert.Equal(t, copied.View().Revision(), view.Revision())
+			assert.Equal(t, copied.View().Position().Revision, view.Position().Revision)
 		}
 	})
 }
@@ -72,7 +72,7 @@
 // Guards against partial changes for a serial that the view never had, such as one of a previous incarnation.
 func TestChangeSinceReturnsCompleteChangeWhenSerialIsUnknown(t *testing.T) {
 	r := registrar.New()
-	r.Apply(registrar.Change{Revision: 1, Put: []registrar.Target{{ID: "a"}}}, true)
+	r.Apply(registrar.Change{Position: registrar.Position{Revision: 1}, Put: []registrar.Target{{ID: "a"}}}, true)
 	assert.Assert(t, r.View().ChangeSince(0).Complete)
 	assert.Assert(t, r.View().ChangeSince(9).Complete)
 	assert.Assert(t, !r.View().ChangeSince(1).Complete)
@@ -88,6 +88,6 @@
 		t.Fatal("no change yet")
 	default:
 	}
-	r.Apply(registrar.Change{Revision: 1}, true)
+	r.Apply(registrar.Change{Position: registrar.Position{Revision: 1}}, true)
 	<-changed
 }
--- a/internal/cluster/registrar/registrar.go
+++ b/internal/cluster/registrar/registrar.go
@@ -34,9 +34,9 @@
 }
 
 // View is a consistent, immutable state of the routing table, the known targets and the closed failure domains. It has
-// two counters: the revision numbers the states of the platform's store, the serial those of this registrar.
+// two counters: the position orders the states of the platform's store, the serial those of this registrar.
 type View struct {
-	revision int
+	position Position
 	// serial is incremented by each change on this instance.
 	serial int
 	// history holds the latest changes that led to this view, oldest first.
@@ -52,8 +52,8 @@
 	serving map[string][]Target
 }
 
-// Revision returns the revision of the platform's store that the view reflects; 0 if none is known.
-func (v *View) Revision() int { return v.revision }
+// Position returns the position of the platform's store that the view reflects; zero if none is known.
+func (v *View) Position() Position { return v.position }
 
 // Serial returns the number of changes on this instance that led to the view.
 func (v *View) Serial() int { return v.serial }
@@ -61,6 +61,14 @@
 // Table returns the routing table; nil before the first one.
 func (v *View) Table() *mapper.Table { return v.table }
 
+// TableVersion returns the version of the routing table; 0 before the first one.
+func (v *View) TableVersion() int {
+	if v.table == nil {
+		return 0
+	}
+	return v.table.Version()
+}
+
 // Serving returns the targets of a service that may get new requests, sorted by id. The slice must not be modified.
 func (v *View) Serving(service string) []Target { return v.serving[service] }
 
@@ -94,6 +102,9 @@
 // MissingCount returns the number of targets that the store no longer lists, but whose removal was not trusted.
 func (v *View) MissingCount() int { return len(v.missing) }
 
+// IsSettled reports whether the view keeps nothing that the store no longer lists.
+func (v *View) IsSettled() bool { return len(v.missing) == 0 }
+
 // ClosedDomains returns the sorted names of the closed failure domains; their targets get no new requests.
 func (v *View) ClosedDomains() []string {
 	domains := make([]string, 0, len(v.closedDomains))
@@ -106,8 +117,8 @@
 
 // Change describes a change of a view. Unless it is complete, empty fields leave the state as it is.
 type Change struct {
-	// Revision is the revision after the change.
-	Revision int
+	// Position is the position of the store after the change.
+	Position Position
 	// Table is nil if it has not changed.
 	Table *mapper.Table
 	// Put holds the new and changed targets.
@@ -195,7 +206,7 @@
 // apply returns the view after the change.
 func (v *View) apply(change Change, removalsTrusted bool) *View {
 	next := &View{
-		revision: max(v.revision, change.Revision), table: newerTable(v.table, change.Table),
+		position: Later(v.position, change.Position), table: newerTable(v.table, change.Table),
 		targets: make(map[string]Target, len(v.targets)+len(change.Put)),
 		missing: make(map[string]bool), closedDomains: make(map[string]bool),
 	}
--- a/internal/cluster/registrar/registrar_test.go
+++ b/internal/cluster/registrar/registrar_test.go
@@ -27,10 +27,10 @@
 // Guards against an older configuration that replaces a newer one, such as one that arrives late from a peer.
 func TestApplyKeepsNewerTable(t *testing.T) {
 	r := registrar.New()
-	r.Apply(registrar.Change{Revision: 5, Table: table(t, 7)}, true)
-	r.Apply(registrar.Change{Revision: 3, Table: table(t, 6), Complete: true}, true)
+	r.Apply(registrar.Change{Position: registrar.Position{Revision: 5}, Table: table(t, 7)}, true)
+	r.Apply(registrar.Change{Position: registrar.Position{Revision: 3}, Table: table(t, 6), Complete: true}, true)
 	assert.Equal(t, r.View().Table().Version(), 7)
-	assert.Equal(t, r.View().Revision(), 5)
+	assert.Equal(t, r.View().Position().Revision, 5)
 }
 
 // Guards against the loss of live targets whose entries expired during an outage of the store. Targets that were
--- a/internal/operator/observer/observer.go
+++ b/internal/operator/observer/observer.go
@@ -160,7 +160,7 @@
 		case t.Withdrawn && (!known || !old.Withdrawn):
 			// Recorded as down, although the status shows a withdrawn target as leaving.
 			o.events.Record(recorder.KindTargetDown, t.ID, "", "another target has answered at "+t.Address)
-		case !known && before.Revision() > 0:
+		case !known && !before.Position().IsZero():
 			// The targets of the first view are not recorded.
 			o.events.Record(recorder.KindTargetUp, t.ID, "", t.Service)
 		}
--- a/internal/operator/observer/observer_test.go
+++ b/internal/operator/observer/observer_test.go
@@ -42,7 +42,7 @@
 	r := registrar.New()
 	draining, withdrawn := newTarget("b", "east"), newTarget("c", "east")
 	draining.Draining, withdrawn.Withdrawn = true, true
-	r.Apply(registrar.Change{Revision: 1, Closed: []string{"west"}, Put: []registrar.Target{
+	r.Apply(registrar.Change{Position: registrar.Position{Revision: 1}, Closed: []string{"west"}, Put: []registrar.Target{
 		newTarget("a", "west"), draining, withdrawn, newTarget("d", "east"), newTarget("e", "east"), newTarget("f", "east"),
 	}}, true)
 	reports := fakeTargets{"d": {Limit: 2, InFlight: 1, IsDown: true}, "e": {IsCold: true}}
@@ -80,13 +80,13 @@
 		}
 		return kinds
 	}
-	r.Apply(registrar.Change{Revision: 1, Table: table, Put: []registrar.Target{newTarget("a", "east")}}, true)
+	r.Apply(registrar.Change{Position: registrar.Position{Revision: 1}, Table: table, Put: []registrar.Target{newTarget("a", "east")}}, true)
 	waitForEvents(1)
 	leaving := newTarget("a", "east")
 	leaving.Draining = true
-	r.Apply(registrar.Change{Revision: 2, Put: []registrar.Target{leaving, newTarget("b", "east")}, Closed: []string{"west"}}, true)
+	r.Apply(registrar.Change{Position: registrar.Position{Revision: 2}, Put: []registrar.Target{leaving, newTarget("b", "east")}, Closed: []string{"west"}}, true)
 	waitForEvents(4)
-	r.Apply(registrar.Change{Revision: 3, Removed: []string{"a"}, Opened: []string{"west"}}, true)
+	r.Apply(registrar.Change{Position: registrar.Position{Revision: 3}, Removed: []string{"a"}, Opened: []string{"west"}}, true)
 	assert.DeepEqual(t, waitForEvents(6), []string{
 		"manifest-applied platform", "failure-domain-closed west", "target-draining a", "target-up b", "failure-domain-open west", "target-down a",
 	})
--- a/internal/query/relayer/fixture_test.go
+++ b/internal/query/relayer/fixture_test.go
@@ -86,7 +86,7 @@
 	t.Helper()
 	f := &fixture{t: t, network: switcher.New(), registrar: registrar.New(), peers: noPeers{}, targets: make(map[string][]*httpresponder.Target), limits: budgeter.Limits{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}}
 	wire := encoder.RoutingTable{Version: 1}
-	change := registrar.Change{Revision: 1}
+	change := registrar.Change{Position: registrar.Position{Revision: 1}}
 	for i, service := range services {
 		wire.Services = append(wire.Services, encoder.RouteService{Name: service, MaxConnections: 50})
 		for n := range replicas {
--- a/internal/query/relayer/scatter_test.go
+++ b/internal/query/relayer/scatter_test.go
@@ -77,7 +77,7 @@
 		request := f.request(shardedRoute(1, "s0", "s1"), "r1")
 		time.AfterFunc(20*time.Millisecond, func() {
 			table, _ := mapper.New(encoder.RoutingTable{Version: 2, Services: []encoder.RouteService{{Name: "s2"}, {Name: "s3"}}})
-			f.registrar.Apply(registrar.Change{Revision: 2, Table: table}, true)
+			f.registrar.Apply(registrar.Change{Position: registrar.Position{Revision: 2}, Table: table}, true)
 		})
 		answer := f.relayer.Relay(t.Context(), request)
 		assert.Equal(t, f.registrar.View().Table().Version(), 2)
--- a/internal/standin/keeper/keeper.go
+++ b/internal/standin/keeper/keeper.go
@@ -9,6 +9,7 @@
 	"cmp"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -52,15 +53,17 @@
 	revision int
 	// compactedRevision is the revision up to which the history has been dropped.
 	compactedRevision int
-	fault             Fault
-	callCount         int
+	// epoch counts how often the store came back from a copy, from 1.
+	epoch     int
+	fault     Fault
+	callCount int
 	// changed is closed and replaced whenever the watches have to check for changes.
 	changed chan struct{}
 }
 
 // New starts an empty store on a loopback address.
 func New() *Store {
-	s := &Store{items: make(map[string]platform.Item), revision: 1, changed: make(chan struct{})}
+	s := &Store{items: make(map[string]platform.Item), revision: 1, epoch: 1, changed: make(chan struct{})}
 	router := http.NewServeMux()
 	router.HandleFunc(platform.PathRange, s.withFault(s.serveRange))
 	router.HandleFunc(platform.PathWatch, s.withFault(s.serveWatch))
@@ -122,6 +125,45 @@
 	s.server.CloseClientConnections()
 }
 
+// Copy is the content of a store at one time.
+type Copy struct {
+	items             map[string]platform.Item
+	history           []platform.Item
+	revision          int
+	compactedRevision int
+}
+
+// Copy returns a copy of the content of the store.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{items: maps.Clone(s.items), history: slices.Clone(s.history), revision: s.revision, compactedRevision: s.compactedRevision}
+}
+
+// Restore replaces the content of the store by a copy, begins another epoch and closes the connections of pending
+// watches. It returns the items of the lost content that differ from the copy, which their authors would write again.
+func (s *Store) Restore(c Copy) []platform.Item {
+	s.mu.Lock()
+	var lost []platform.Item
+	for key, item := range s.items {
+		if item.Revision != c.items[key].Revision {
+			lost = append(lost, item)
+		}
+	}
+	for key := range c.items {
+		if _, found := s.items[key]; !found {
+			lost = append(lost, platform.Item{Key: key, Removed: true})
+		}
+	}
+	s.items, s.history = maps.Clone(c.items), slices.Clone(c.history)
+	s.revision, s.compactedRevision = c.revision, c.compactedRevision
+	s.epoch++
+	s.wakeWatches()
+	s.mu.Unlock()
+	s.server.CloseClientConnections()
+	return lost
+}
+
 // SetFault sets the fault of the store. All faults but NoFault and WatchesMissChanges also close the open connections.
 func (s *Store) SetFault(fault Fault) {
 	s.mu.Lock()
@@ -146,6 +188,7 @@
 		s.mu.Lock()
 		s.callCount++
 		fault := s.fault
+		w.Header().Set(platform.HeaderEpoch, strconv.Itoa(s.epoch))
 		s.mu.Unlock()
 		switch fault {
 		case Busy:
@@ -229,7 +272,7 @@
 	if s.fault == WatchesMissChanges {
 		return changes, false, s.changed
 	}
-	if afterRevision < s.compactedRevision {
+	if afterRevision < s.compactedRevision || afterRevision > s.revision {
 		return changes, true, s.changed
 	}
 	for _, item := range s.history {
--- a/internal/standin/rehearser/deployment.go
+++ b/internal/standin/rehearser/deployment.go
@@ -93,7 +93,10 @@
 	domains  map[string]string
 	services map[string][]string
 	// healthy holds the behaviour of each target while it does not misbehave.
-	healthy          map[string]func(*http.Request) (httpresponder.Behaviour, time.Duration)
+	healthy map[string]func(*http.Request) (httpresponder.Behaviour, time.Duration)
+	// started holds the start of each target in Unix milliseconds, entryWrites the number of writes of its entry.
+	started          map[string]int64
+	entryWrites      map[string]int
 	configVersion    int
 	lastTargetNumber int
 }
@@ -102,6 +105,7 @@
 func NewDeployment(program, directory string) (*Deployment, error) {
 	d := &Deployment{program: program, directory: directory, store: keeper.New(), targets: make(map[string]*httpresponder.Target), services: make(map[string][]string)}
 	d.healthy = make(map[string]func(*http.Request) (httpresponder.Behaviour, time.Duration))
+	d.started, d.entryWrites = make(map[string]int64), make(map[string]int)
 	d.links, d.domains = make(map[string]*forwarder.Forwarder), make(map[string]string)
 	for i := range shardCount {
 		for _, domain := range domains[:2] {
@@ -142,6 +146,7 @@
 	target.SetBehaviour(d.healthy[id])
 	d.targets[id] = target
 	d.domains[id] = domain
+	d.started[id] = time.Now().UnixMilli()
 	d.links[id] = startLink(target.Address())
 	d.services[service] = append(d.services[service], id)
 	d.register(id, service, domain, platform.StateReady)
@@ -159,9 +164,11 @@
 	}
 }
 
+// register writes the entry of a target.
 func (d *Deployment) register(id, service, domain, state string) {
+	d.entryWrites[id]++
 	d.store.Put(platform.PrefixTargets+id, map[string]any{
-		"service": service, "address": d.links[id].Address(), "zone": domain, "version": "v1", "slots": 4, "state": state, "warmup_left_ms": 0, "seq": 1,
+		"service": service, "address": d.links[id].Address(), "zone": domain, "version": "v1", "slots": 4, "state": state, "warmup_left_ms": 0, "seq": d.entryWrites[id], "born": d.started[id],
 	})
 }
 
--- a/internal/standin/rehearser/soak.go
+++ b/internal/standin/rehearser/soak.go
@@ -21,6 +21,8 @@
 	minFaultDuration = 300 * time.Millisecond
 	maxFaultDuration = 2500 * time.Millisecond
 	maxFaultGap      = 700 * time.Millisecond
+	// rewriteTime is the time in which the authors of what a restored store has lost write it again.
+	rewriteTime = time.Second
 	// recoveryPeriod is the time after the last fault until all requests must be served again.
 	recoveryPeriod = 5 * time.Second
 	// recoveryLoadDuration is the duration of the load that checks the recovery.
@@ -57,6 +59,7 @@
 	{"store reset", func(s *soak) func() { return s.failStore(keeper.Reset) }},
 	{"store endless", func(s *soak) func() { return s.failStore(keeper.Endless) }},
 	{"store watches silent", func(s *soak) func() { return s.failStore(keeper.WatchesMissChanges) }},
+	{"store restored", (*soak).restoreStore},
 	{"store link", (*soak).failStoreLink},
 	{"target links", (*soak).failTargetLinks},
 	{"targets", (*soak).misbehaveTargets},
@@ -224,6 +227,23 @@
 	}
 }
 
+// restoreStore copies the store, which returns to the copy at the end. What was written since is then written again.
+func (s *soak) restoreStore() func() {
+	store := s.deployment.store
+	copied := store.Copy()
+	return func() {
+		lost := store.Restore(copied)
+		for _, item := range lost {
+			time.Sleep(rewriteTime / time.Duration(len(lost)))
+			if item.Removed {
+				store.Remove(item.Key)
+			} else {
+				store.Put(item.Key, item.Value)
+			}
+		}
+	}
+}
+
 // linkFailureModes are the modes of a link that fails.
 var linkFailureModes = []forwarder.Mode{forwarder.ModeCut, forwarder.ModeSilent, forwarder.ModeSilentAll}
 
--- a/internal/wire/encoder/types.go
+++ b/internal/wire/encoder/types.go
@@ -74,6 +74,9 @@
 	// Hybrid logical clock of the sender.
 	Clock int `json:"clock"`
 
+	// Epoch of the platform's store that the revision belongs to.
+	Epoch int `json:"epoch"`
+
 	// Number of instances that the sender knows.
 	Known int `json:"known"`
 
@@ -86,6 +89,9 @@
 	// Sender corresponds to the JSON schema field "sender".
 	Sender DiscoveryMember `json:"sender"`
 
+	// Version of the routing table that the sender has in force; 0 if there is none.
+	Version int `json:"version"`
+
 	// Whether the sender requests all members that the receiver knows.
 	Whole bool `json:"whole"`
 }
@@ -269,6 +275,9 @@
 	// sender itself follows.
 	Confirmation int `json:"confirmation"`
 
+	// Epoch of the platform's store that the revision belongs to.
+	Epoch int `json:"epoch"`
+
 	// Incarnation, which differs for each start of the process.
 	Incarnation string `json:"incarnation"`
 
@@ -302,6 +311,9 @@
 	// Newest confirmation number of the receiver's state that the sender knows.
 	Confirmation int `json:"confirmation"`
 
+	// Epoch of the platform's store that the revision belongs to.
+	Epoch int `json:"epoch"`
+
 	// Incarnation of the receiver that the serial is from; empty to request the whole
 	// state.
 	Incarnation string `json:"incarnation"`
