Let a copy of the store take nothing back

After the store had come back from a copy, an instance that read it used targets again that had left or drained since, opened failure domains that had been closed since, and dropped targets that had started since, until each author had written its entry again.

Entries were taken in the order in which they arrive, which is the order in which they were written only within one history. What the copy lacks counts as removed without trust: targets stay in use and failure domains stay closed for the time in which live authors write again. The same holds for the state of a peer or of an upstream that is the first one of an epoch, since that peer may know only the copy.

--- a/internal/cluster/follower/follower.go
+++ b/internal/cluster/follower/follower.go
@@ -350,12 +350,13 @@
 }
 
 // checkRestored checks whether a state is the first one since the store came back from a copy, which lacks what was
-// written after it and lists what was removed after it.
+// written after it and lists what was removed after it. Removals are then not trusted until it has been written again.
 func (f *Follower) checkRestored(change registrar.Change, origin string) {
 	if f.position.IsZero() || change.Position.Epoch <= f.position.Epoch {
 		return
 	}
 	f.scope.Counter("follower-restored-stores").Inc(1)
+	f.trustRemovalsAt = time.Now().Add(entryRenewalTime)
 	version := 0
 	if change.Table != nil {
 		version = change.Table.Version()
@@ -451,7 +452,8 @@
 }
 
 // applyPeerState applies the state of a peer with a later position, at most once per peerQueryInterval. The peer's
-// state includes the targets whose removal it does not trust, so all others are removed.
+// state includes the targets whose removal it does not trust, so all others are removed, unless the peer may have known
+// no more than a copy of the store.
 func (f *Follower) applyPeerState(ctx context.Context) {
 	if time.Since(f.peersQueriedAt) < peerQueryInterval {
 		return
@@ -466,6 +468,6 @@
 	}
 	f.logger.Info("state of the platform changed", "from", "peer", "position", change.Position, "before", known.Position(), "targets", len(change.Put))
 	f.checkRestored(change, "peer")
-	f.registrar.Apply(change, true)
+	f.registrar.Apply(change, !time.Now().Before(f.trustRemovalsAt))
 	f.continueAfter(change.Position)
 }
--- a/internal/cluster/follower/restore_test.go
+++ b/internal/cluster/follower/restore_test.go
@@ -48,6 +48,38 @@
 	}
 }
 
+// Guards against what a copy of the store lists or lacks taking effect until its authors have written it again: targets
+// that have left since, that drain since or that started since, and failure domains that were closed since.
+func TestCopyOfStoreUndoesNothingThatIsInForce(t *testing.T) {
+	store, r := startFollower(t)
+	store.Put(platform.KeyRoutingConfig, routingConfig(1))
+	for _, id := range []string{"gone", "leaving", "staying"} {
+		store.Put(platform.PrefixTargets+id, writtenEntry(platform.StateReady, 1000, 1))
+	}
+	copied := store.Copy()
+	eventually(t, "no targets", func() bool { return len(r.View().Serving("s")) == 3 })
+	store.Put(platform.KeyRoutingConfig, routingConfig(2))
+	store.Remove(platform.PrefixTargets + "gone")
+	store.Put(platform.PrefixTargets+"leaving", writtenEntry(platform.StateDraining, 1000, 2))
+	store.Put(platform.PrefixTargets+"new", writtenEntry(platform.StateReady, 2000, 1))
+	store.Put(platform.PrefixClosedDomains+"west", map[string]any{})
+	inForce := func() bool {
+		_, listed := r.View().Target("gone")
+		return tableVersion(r) == 2 && !listed && !r.View().IsServing("leaving") && r.View().IsServing("new") &&
+			r.View().IsServing("staying") && len(r.View().ClosedDomains()) == 1
+	}
+	eventually(t, "changes not in force", inForce)
+
+	store.Restore(copied)
+	eventually(t, "copy not read", func() bool { return r.View().Position().Epoch == 2 })
+	assert.Assert(t, inForce())
+	store.Remove(platform.PrefixTargets + "gone")
+	store.Put(platform.PrefixTargets+"new", writtenEntry(platform.StateReady, 2000, 2))
+	store.Put(platform.PrefixClosedDomains+"west", map[string]any{})
+	time.Sleep(propagationLimit)
+	assert.Assert(t, inForce())
+}
+
 // Guards against an instance that serves the configuration of a copy because it has started after the store came back
 // from it, while its peers have a newer one in force.
 func TestNewerTableOfPeerIsAppliedWhenCopyIsOlder(t *testing.T) {
@@ -60,6 +92,19 @@
 	assert.Equal(t, r.View().Position().Epoch, 2)
 }
 
+// Guards against the loss of a live target that a copy lacks, in an instance that is cut off from the store and learns the
+// state of a peer which has started since and knows no more than the copy.
+func TestTargetsThatCopyLacksStayServingWhenPeerKnowsOnlyCopy(t *testing.T) {
+	copied := registrar.Change{Position: registrar.Position{Epoch: 2, Revision: 1}, Complete: true}
+	store, r := startFollower(t, follower.WithPeers(staticPeers{copied}))
+	store.Put(platform.KeyRoutingConfig, routingConfig(1))
+	store.Put(platform.PrefixTargets+"new", writtenEntry(platform.StateReady, 1000, 1))
+	eventually(t, "no target", func() bool { return r.View().IsServing("new") })
+	store.SetFault(keeper.Busy)
+	eventually(t, "state of the peer not applied", func() bool { return r.View().Position().Epoch == 2 })
+	assert.Assert(t, r.View().IsServing("new"))
+}
+
 // restoredSource is a store whose answers come from the given epochs in turn, the last one for good.
 type restoredSource struct{ epochs []int }
 
--- a/internal/cluster/registrar/registrar.go
+++ b/internal/cluster/registrar/registrar.go
@@ -25,6 +25,8 @@
 	Slots int
 	// Draining reports whether the store lists the target as draining; it gets no new requests.
 	Draining bool
+	// Seq orders the entries that the target has written since its start; 0 if unknown.
+	Seq int
 	// Started is the start time of the target in Unix milliseconds; 0 if unknown.
 	Started int
 	// Withdrawn reports whether another target was found at the address of this one; it gets no new requests.
@@ -46,6 +48,11 @@
 	// missing holds the ids of the targets that the store no longer lists, but that are kept in targets because their
 	// removal was not trusted.
 	missing map[string]bool
+	// departed holds the targets that were removed within departureMemory.
+	departed map[string]departure
+	// unconfirmedDomains holds the closed failure domains that the store no longer lists, but that are kept closed because
+	// their opening was not trusted.
+	unconfirmedDomains map[string]bool
 	// closedDomains holds the closed failure domains; their targets get no new requests.
 	closedDomains map[string]bool
 	// serving holds the targets that may get new requests, by service and sorted by id.
@@ -103,7 +110,7 @@
 func (v *View) MissingCount() int { return len(v.missing) }
 
 // IsSettled reports whether the view keeps nothing that the store no longer lists.
-func (v *View) IsSettled() bool { return len(v.missing) == 0 }
+func (v *View) IsSettled() bool { return len(v.missing)+len(v.unconfirmedDomains) == 0 }
 
 // ClosedDomains returns the sorted names of the closed failure domains; their targets get no new requests.
 func (v *View) ClosedDomains() []string {
@@ -187,8 +194,10 @@
 }
 
 // Apply applies a change and returns the new view. Removals are not trusted after an outage of the store, because
-// entries of live targets may have expired during it. Removed targets that were not draining are then kept as missing
-// until RemoveMissing. A table with an older version than the current one is ignored.
+// entries of live targets may have expired during it, or because a copy lacks what was written after it. Removed targets
+// that were not draining are then kept as missing, and failure domains that a complete change does not list are kept
+// closed, until RemoveMissing. A table with an older version than the current one is ignored, and so is an older entry of
+// a target.
 func (r *Registrar) Apply(change Change, removalsTrusted bool) *View {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -208,13 +217,14 @@
 	next := &View{
 		position: Later(v.position, change.Position), table: newerTable(v.table, change.Table),
 		targets: make(map[string]Target, len(v.targets)+len(change.Put)),
-		missing: make(map[string]bool), closedDomains: make(map[string]bool),
+		missing: make(map[string]bool), closedDomains: make(map[string]bool), unconfirmedDomains: make(map[string]bool),
 	}
+	next.keepDepartures(v)
 	removed := next.applyTargets(v, change)
 	for _, id := range removed {
 		next.remove(id, removalsTrusted)
 	}
-	next.applyDomains(v, change)
+	next.applyDomains(v, change, removalsTrusted)
 	next.indexServing()
 	next.recordChange(v, change)
 	return next
@@ -249,9 +259,10 @@
 		}
 	}
 	for _, t := range change.Put {
-		known := v.targets[t.ID]
-		if t.Started != 0 && t.Started < known.Started {
-			// The entry is a late one of an earlier start of the target.
+		known, found := v.targets[t.ID]
+		if found && t.precedes(known) || !found && v.isDeparted(t, change.Complete) {
+			// The entry is a late one, or one of a copy, but it shows that the target is listed.
+			delete(v.missing, t.ID)
 			continue
 		}
 		if change.Complete && known.Withdrawn && t.Address == known.Address && t.Started == known.Started {
@@ -271,6 +282,7 @@
 		return
 	}
 	if removalsTrusted || t.Draining {
+		v.recordDeparture(t)
 		delete(v.targets, id)
 		delete(v.missing, id)
 		return
@@ -279,17 +291,25 @@
 }
 
 // applyDomains sets the closed failure domains of the view after the change.
-func (v *View) applyDomains(old *View, change Change) {
-	if !change.Complete {
-		for d := range old.closedDomains {
+func (v *View) applyDomains(old *View, change Change, removalsTrusted bool) {
+	for d := range old.closedDomains {
+		switch {
+		case !change.Complete:
 			v.closedDomains[d] = true
+			if old.unconfirmedDomains[d] {
+				v.unconfirmedDomains[d] = true
+			}
+		case !removalsTrusted:
+			v.closedDomains[d], v.unconfirmedDomains[d] = true, true
 		}
 	}
 	for _, d := range change.Closed {
 		v.closedDomains[d] = true
+		delete(v.unconfirmedDomains, d)
 	}
 	for _, d := range change.Opened {
 		delete(v.closedDomains, d)
+		delete(v.unconfirmedDomains, d)
 	}
 }
 
@@ -327,15 +347,17 @@
 	return true
 }
 
-// RemoveMissing removes the targets that are still missing.
+// RemoveMissing removes the targets that are still missing, and opens the failure domains that are still not listed as
+// closed.
 func (r *Registrar) RemoveMissing() *View {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	old := r.view.Load()
-	if len(old.missing) == 0 {
+	if old.IsSettled() {
 		return old
 	}
-	return r.publish(old.apply(Change{Removed: slices.Collect(maps.Keys(old.missing))}, true))
+	change := Change{Removed: slices.Collect(maps.Keys(old.missing)), Opened: slices.Collect(maps.Keys(old.unconfirmedDomains))}
+	return r.publish(old.apply(change, true))
 }
 
 // newerTable returns the table with the higher version, or a if both have the same one.
--- a/internal/wire/encoder/types.go
+++ b/internal/wire/encoder/types.go
@@ -814,6 +814,9 @@
 	// Failure domain of the target.
 	FailureDomain string `json:"failure-domain"`
 
+	// Orders the entries that the target has written since its start; 0 if unknown.
+	Seq int `json:"seq"`
+
 	// Name of the service.
 	Service string `json:"service"`
 
