Test that a reply which breaks off is never taken for a whole one

Other operators reported a target that stopped in the middle of its head and closed, and callers that got a 200 with an empty or short body. It passes without a change of the code.

--- a/internal/wire/reader/reader_test.go
+++ b/internal/wire/reader/reader_test.go
@@ -122,3 +122,29 @@
 		}
 	})
 }
+
+// Guards against a reply whose sender has stopped in the middle of its head, or of a body with a stated end, and that is
+// taken for a whole one with an empty or short body.
+func TestReplyThatBreaksOffIsRefused(t *testing.T) {
+	for _, whole := range []string{
+		ok("X-Request-Id: r1\r\nContent-Length: 20\r\n", strings.Repeat("x", 20)),
+		ok("Content-Length: 0\r\nConnection: close\r\n", ""),
+		ok("Transfer-Encoding: chunked\r\n", "5\r\nabcde\r\n0\r\n\r\n"),
+		"HTTP/1.1 100 Continue\r\n\r\n" + ok("Content-Length: 3\r\n", "abc"),
+		"HTTP/1.1 204 No Content\r\nX-Request-Id: r1\r\n\r\n",
+		"HTTP/1.1 200 OK\nContent-Length: 3\n\nabc",
+	} {
+		_, err := read(t, reader.NewBudget(1<<20), whole)
+		assert.NilError(t, err)
+		for n := range len(whole) {
+			reply, err := read(t, reader.NewBudget(1<<20), whole[:n])
+			assert.Assert(t, err != nil, "%q is taken for a reply with status %d and body %q", whole[:n], reply.Status, reply.Body)
+		}
+	}
+	// A reply without a stated length ends with its connection, but its head does not.
+	head := ok("X-Request-Id: r1\r\n", "")
+	for n := range len(head) {
+		reply, err := read(t, reader.NewBudget(1<<20), head[:n])
+		assert.Assert(t, err != nil, "%q is taken for a reply with status %d and body %q", head[:n], reply.Status, reply.Body)
+	}
+}
