Answer late requests in a planned stop

In a planned stop, a request that came late in the grace period was passed on with the caller's whole time left. If its target was not done when the grace period ended, the connection ended without an answer, also for requests that may not be repeated. A connection that was opened just before the listener closed could still bring requests until the end.

Cause: neither the deadline of a request nor its acceptance depended on the end of the process. The deadline now ends 0.1 s before the service does, so that a request without a reply gets 504 in time, and targets are told the shorter time. What arrives after the listener has closed is refused with 503 and has not run; other instances serve it.

--- a/internal/caller/assembler/relay_lifecycle.go
+++ b/internal/caller/assembler/relay_lifecycle.go
@@ -255,11 +255,12 @@
 // until the load balancer has stopped sending, finishes the requests in flight, and closes connections in closeMargin.
 func (n *relayInstance) stop(ctx context.Context) error {
 	grace := n.Settings.Relay().GracePeriod
-	graceCtx, cancelGrace := context.WithTimeout(ctx, grace-min(closeMargin, grace/2))
+	graceEnd := time.Now().Add(grace - min(closeMargin, grace/2))
+	graceCtx, cancelGrace := context.WithDeadline(ctx, graceEnd)
 	defer cancelGrace()
 	n.Events.Record(recorder.KindInstanceStopping, n.Settings.Instance(), "", "")
 	n.Logger.Info("instance stopping", "running", n.Receiver.InFlight(), "grace", grace)
-	n.Receiver.Drain()
+	n.Receiver.Drain(graceEnd)
 	timekeeper.Sleep(graceCtx, min(balancerDelay, time.Duration(maxBalancerDelayFraction*float64(grace))))
 	err := n.Receiver.Stop(graceCtx)
 	n.cancel()
--- a/internal/caller/receiver/receiver.go
+++ b/internal/caller/receiver/receiver.go
@@ -43,6 +43,11 @@
 	unconfiguredRetryAfter = 200 * time.Millisecond
 	// overloadRetryAfter is the Retry-After of an instance that is at its limit of concurrent requests.
 	overloadRetryAfter = 100 * time.Millisecond
+	// stoppingRetryAfter is the Retry-After of an instance that takes no more requests because it stops. Another instance
+	// can serve them.
+	stoppingRetryAfter = 50 * time.Millisecond
+	// stopMargin is how long before the end of the service of a stopping instance its last answers must be written.
+	stopMargin = 100 * time.Millisecond
 )
 
 // Caller holds what the headers of a request state about its caller.
@@ -95,6 +100,10 @@
 	inFlight    atomic.Int64
 	maxInFlight int64
 	draining    atomic.Bool
+	// servesUntil is the time at which the answers of a draining instance must have been written; nil before Drain.
+	servesUntil atomic.Pointer[time.Time]
+	// stopping reports whether Stop was called, so that requests are refused.
+	stopping atomic.Bool
 }
 
 // New creates a receiver that serves at most maxInFlight requests at a time.
@@ -131,8 +140,12 @@
 	return !rc.draining.Load() && rc.registrar.View().Table() != nil && rc.relay.CanServe()
 }
 
-// Drain makes the instance not ready. It goes on serving callers, and closes each connection after the next response.
-func (rc *Receiver) Drain() {
+// Drain makes the instance not ready. It goes on serving callers until the given time at the latest, and closes each
+// connection after the next response. Requests that have no answer by then get one that says so, since their connection
+// would end without any.
+func (rc *Receiver) Drain(until time.Time) {
+	servesUntil := until.Add(-stopMargin)
+	rc.servesUntil.Store(&servesUntil)
 	rc.draining.Store(true)
 }
 
@@ -142,7 +155,9 @@
 }
 
 // Stop closes the listener and the idle connections, and waits for the requests in flight until the context ends.
+// Requests that arrive meanwhile, on connections that were opened just before, are refused as not run.
 func (rc *Receiver) Stop(ctx context.Context) error {
+	rc.stopping.Store(true)
 	if err := rc.http.Shutdown(ctx); err != nil {
 		return &StopError{Cause: err}
 	}
@@ -165,6 +180,12 @@
 		// The request is served, but the caller's next connection may lead to an instance that is ready.
 		w.Header().Set("Connection", "close")
 	}
+	if rc.stopping.Load() {
+		rc.scope.Counter("receiver-stopping").Inc(1)
+		rc.logger.Info("request", "id", rc.codec.ReadCaller(r.Header).RequestID, "outcome", relayer.NotRun, "reason", "instance stopping")
+		rc.writeUnavailable(w, stoppingRetryAfter)
+		return
+	}
 	if rc.inFlight.Add(1) > rc.maxInFlight {
 		rc.inFlight.Add(-1)
 		rc.scope.Counter("receiver-overload").Inc(1)
@@ -188,7 +209,7 @@
 		return
 	}
 	caller := rc.codec.ReadCaller(r.Header)
-	deadline := requestDeadline(arrived, caller.TimeLeft, route.Timeout)
+	deadline := rc.limitToService(requestDeadline(arrived, caller.TimeLeft, route.Timeout))
 	body, status := readBody(w, r, table.Limits().MaxBodyBytes, deadline)
 	if status != 0 {
 		rc.logger.Info("request", "id", caller.RequestID, "outcome", "body-refused", "status", status)
@@ -229,6 +250,14 @@
 	return arrived.Add(limit)
 }
 
+// limitToService returns the deadline of a request, which is not after the end of the service of a draining instance.
+func (rc *Receiver) limitToService(deadline time.Time) time.Time {
+	if end := rc.servesUntil.Load(); end != nil && end.Before(deadline) {
+		return *end
+	}
+	return deadline
+}
+
 // readBody reads the whole body until the deadline. It returns the status with which to refuse the request: 413 if the
 // body is too large, 408 if it is not complete by the deadline, 400 if it cannot be read, such as when the caller has
 // disconnected, or 0 if it has been read.
--- a/internal/caller/receiver/receiver_test.go
+++ b/internal/caller/receiver/receiver_test.go
@@ -32,6 +32,8 @@
 	cannotServe bool
 	// callerLeft, if set, makes Relay wait for the end of its context, and is then closed.
 	callerLeft chan struct{}
+	// untilDeadline makes Relay wait until the deadline and answer that the request has timed out.
+	untilDeadline bool
 	// release, if set, delays the answers until it is closed.
 	release chan struct{}
 }
@@ -44,6 +46,10 @@
 		return r.answer
 	}
 	r.lastRequest = request
+	if r.untilDeadline {
+		time.Sleep(time.Until(request.Deadline))
+		return relayer.Answer{Outcome: relayer.TimedOut}
+	}
 	if r.callerLeft != nil {
 		<-ctx.Done()
 		close(r.callerLeft)
@@ -181,13 +187,42 @@
 func TestDrainingInstanceServesAndClosesConnections(t *testing.T) {
 	s, server := startReceiver(t, &fakeRelay{answer: relayedAnswer}, true)
 	assert.Assert(t, s.Ready())
-	s.Drain()
+	s.Drain(time.Now().Add(time.Minute))
 	assert.Assert(t, !s.Ready())
 	response := post(t, server, "a.example", "/", "")
 	assert.Equal(t, response.StatusCode, http.StatusTeapot)
 	assert.Assert(t, response.Close)
 }
 
+// Guards against a planned stop that passes on late requests and ends their connections without an answer, when the targets
+// are not done by then: each one must get an answer, and what arrives after the stop must not run.
+func TestRequestsDuringStopGetAnswers(t *testing.T) {
+	r := &fakeRelay{untilDeadline: true}
+	s, server := startReceiver(t, r, true)
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, conn.Close()) }()
+	end := time.Now().Add(500 * time.Millisecond)
+	s.Drain(end)
+	response := post(t, server, "a.example", "/", "")
+	assert.Equal(t, response.StatusCode, http.StatusGatewayTimeout)
+	assert.Assert(t, time.Now().Before(end), "answered %s after the end of the service", time.Since(end))
+	stopCtx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	go func() { _ = s.Stop(stopCtx) }()
+	time.Sleep(50 * time.Millisecond)
+	r.lastRequest = relayer.Request{}
+	_, err = conn.Write([]byte("POST /in/ HTTP/1.1\r\nHost: a.example\r\nContent-Length: 0\r\n\r\n"))
+	assert.NilError(t, err)
+	late, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	assert.NilError(t, late.Body.Close())
+	assert.Equal(t, late.StatusCode, http.StatusServiceUnavailable)
+	assert.Assert(t, late.Header.Get("Retry-After") != "")
+	assert.Assert(t, late.Close)
+	assert.Assert(t, r.lastRequest.Route == nil, "the request was relayed")
+}
+
 // Guards against an instance that stays ready without reaching its targets, or not ready after it reaches them again.
 func TestNotReadyWhenTargetsUnreachable(t *testing.T) {
 	r := &fakeRelay{answer: relayedAnswer, cannotServe: true}
