Send nothing more to targets that state that they leave

A target that leaves says so in all its answers (Server-Leaving), and the store may list it as ready for seconds after that.

The header marks this start of the target as leaving in the registrar. Entries of the store do not take the mark away, only another start of the target does. It reaches instances that follow this one, and the instance that has sent through a peer as well as that peer. A 421 says nothing of the expected target and is not used.

--- a/internal/cluster/feeder/codec.go
+++ b/internal/cluster/feeder/codec.go
@@ -43,7 +43,7 @@
 	for _, t := range change.Put {
 		reply.Targets = append(reply.Targets, encoder.RegisteredTarget{
 			Target: t.ID, Service: t.Service, Address: t.Address, FailureDomain: t.FailureDomain, Slots: t.Slots,
-			Draining: t.Draining, Seq: t.Seq, Withdrawn: t.Withdrawn, Started: t.Started, WarmupMs: int(max(t.ColdUntil.Sub(now), 0).Milliseconds()),
+			Draining: t.Draining, Leaving: t.Leaving, Seq: t.Seq, Withdrawn: t.Withdrawn, Started: t.Started, WarmupMs: int(max(t.ColdUntil.Sub(now), 0).Milliseconds()),
 		})
 	}
 }
@@ -66,7 +66,7 @@
 	for _, t := range reply.Targets {
 		change.Put = append(change.Put, registrar.Target{
 			ID: t.Target, Service: t.Service, Address: t.Address, FailureDomain: t.FailureDomain, Slots: t.Slots,
-			Draining: t.Draining, Seq: t.Seq, Withdrawn: t.Withdrawn, Started: t.Started, ColdUntil: now.Add(time.Duration(t.WarmupMs) * time.Millisecond),
+			Draining: t.Draining, Leaving: t.Leaving, Seq: t.Seq, Withdrawn: t.Withdrawn, Started: t.Started, ColdUntil: now.Add(time.Duration(t.WarmupMs) * time.Millisecond),
 		})
 	}
 	return change, nil
--- a/internal/cluster/registrar/registrar.go
+++ b/internal/cluster/registrar/registrar.go
@@ -25,6 +25,9 @@
 	Slots int
 	// Draining reports whether the store lists the target as draining; it gets no new requests.
 	Draining bool
+	// Leaving reports whether the target itself has stated in a reply that it leaves; it gets no new requests until it has
+	// started again.
+	Leaving bool
 	// Seq orders the entries that the target has written since its start; 0 if unknown.
 	Seq int
 	// Started is the start time of the target in Unix milliseconds; 0 if unknown.
@@ -101,9 +104,9 @@
 	return found && v.isTargetServing(t)
 }
 
-// isTargetServing reports whether the target is neither draining, nor withdrawn, nor in a closed failure domain.
+// isTargetServing reports whether the target is neither draining, nor leaving, nor withdrawn, nor in a closed failure domain.
 func (v *View) isTargetServing(t Target) bool {
-	return !t.Draining && !t.Withdrawn && !v.closedDomains[t.FailureDomain]
+	return !t.Draining && !t.Leaving && !t.Withdrawn && !v.closedDomains[t.FailureDomain]
 }
 
 // MissingCount returns the number of targets that the store no longer lists, but whose removal was not trusted.
@@ -265,6 +268,9 @@
 			delete(v.missing, t.ID)
 			continue
 		}
+		if known.Leaving && t.Address == known.Address && t.Started == known.Started {
+			t.Leaving = true
+		}
 		if change.Complete && known.Withdrawn && t.Address == known.Address && t.Started == known.Started {
 			// A complete change repeats old entries; only a changed entry shows that the target is alive.
 			t.Withdrawn = true
@@ -275,13 +281,14 @@
 	return removed
 }
 
-// remove removes a target. It marks the target as missing instead if removals are not trusted and it is not draining.
+// remove removes a target. It marks the target as missing instead if removals are not trusted and it is neither draining
+// nor leaving.
 func (v *View) remove(id string, removalsTrusted bool) {
 	t, found := v.targets[id]
 	if !found {
 		return
 	}
-	if removalsTrusted || t.Draining {
+	if removalsTrusted || t.Draining || t.Leaving {
 		v.recordDeparture(t)
 		delete(v.targets, id)
 		delete(v.missing, id)
@@ -338,15 +345,34 @@
 		return false
 	}
 	t.Withdrawn = true
-	v := old.apply(Change{Put: []Target{t}}, true)
-	if old.missing[id] {
-		// The mark is no entry of the store.
-		v.missing[id] = true
+	r.publish(old.withMark(t))
+	return true
+}
+
+// MarkLeaving marks a start of a target as leaving. It reports whether that was not known before.
+func (r *Registrar) MarkLeaving(id string, started int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	old := r.view.Load()
+	t, found := old.targets[id]
+	if !found || t.Leaving || t.Started != started {
+		return false
 	}
-	r.publish(v)
+	t.Leaving = true
+	r.publish(old.withMark(t))
 	return true
 }
 
+// withMark returns the view with a mark of a target. The mark is no entry of the store, so the target stays missing if it
+// is.
+func (v *View) withMark(t Target) *View {
+	next := v.apply(Change{Put: []Target{t}}, true)
+	if v.missing[t.ID] {
+		next.missing[t.ID] = true
+	}
+	return next
+}
+
 // RemoveMissing removes the targets that are still missing, and opens the failure domains that are still not listed as
 // closed.
 func (r *Registrar) RemoveMissing() *View {
--- a/internal/cluster/registrar/registrar_test.go
+++ b/internal/cluster/registrar/registrar_test.go
@@ -72,6 +72,26 @@
 	assert.Equal(t, len(r.View().Serving("s")), 1)
 }
 
+// Guards against requests to a target that has said that it leaves, because its entry in the store does not say so yet or a
+// complete change repeats it, and against one that gets none after it has started again.
+func TestLeavingTargetIsNotServingUntilItStartsAgain(t *testing.T) {
+	r := registrar.New()
+	entry := target("a")
+	entry.Started, entry.Seq = 1000, 1
+	r.Apply(registrar.Change{Put: []registrar.Target{entry}}, true)
+	assert.Assert(t, !r.MarkLeaving("a", 900))
+	assert.Assert(t, r.MarkLeaving("a", 1000))
+	assert.Assert(t, !r.MarkLeaving("a", 1000))
+	for _, complete := range []bool{false, true} {
+		entry.Seq++
+		r.Apply(registrar.Change{Put: []registrar.Target{entry}, Complete: complete}, true)
+		assert.Equal(t, len(r.View().Serving("s")), 0)
+	}
+	entry.Started, entry.Seq = 2000, 1
+	r.Apply(registrar.Change{Put: []registrar.Target{entry}}, true)
+	assert.Equal(t, len(r.View().Serving("s")), 1)
+}
+
 // Guards against withdrawn targets that return with a complete change: the state of a peer, for instance, repeats
 // entries of removed targets.
 func TestCompleteChangeKeepsTargetWithdrawnWhenEntryIsUnchanged(t *testing.T) {
--- a/internal/operator/observer/observer.go
+++ b/internal/operator/observer/observer.go
@@ -105,7 +105,7 @@
 		return targetStateClosed
 	case t.Withdrawn:
 		return targetStateLeaving
-	case t.Draining:
+	case t.Draining, t.Leaving:
 		return targetStateDraining
 	case usage.IsDown:
 		return targetStateDown
--- a/internal/standin/httpresponder/httpresponder.go
+++ b/internal/standin/httpresponder/httpresponder.go
@@ -93,6 +93,8 @@
 	endlessBytes atomic.Int64
 	// requestLimit is the limit that the responses state, in requests per second; nil for none.
 	requestLimit atomic.Pointer[float64]
+	// leaving reports whether the responses state that the target leaves.
+	leaving atomic.Bool
 
 	mu            sync.Mutex
 	behaviour     func(r *http.Request) (Behaviour, time.Duration)
@@ -152,6 +154,9 @@
 // not enforce it.
 func (t *Target) SetRequestLimit(perSecond *float64) { t.requestLimit.Store(perSecond) }
 
+// Leave makes all further responses state that the target leaves. It goes on serving.
+func (t *Target) Leave() { t.leaving.Store(true) }
+
 // Received returns copies of the requests received so far.
 func (t *Target) Received() []ReceivedRequest {
 	t.mu.Lock()
@@ -377,6 +382,9 @@
 	if limit := t.requestLimit.Load(); limit != nil {
 		fmt.Fprintf(&raw, "%s: %g\r\n", platform.HeaderRequestLimit, *limit)
 	}
+	if t.leaving.Load() {
+		fmt.Fprintf(&raw, "%s: 1\r\n", platform.HeaderLeaving)
+	}
 	if framed {
 		raw.WriteString("Content-Length: " + strconv.Itoa(len(body)) + "\r\n")
 	} else {
--- a/internal/target/concentrator/collector.go
+++ b/internal/target/concentrator/collector.go
@@ -16,6 +16,7 @@
 	mergeable strings.Builder
 	other     strings.Builder
 	limits    strings.Builder
+	leaving   strings.Builder
 	combiner  *combiner.Combiner
 }
 
@@ -28,6 +29,9 @@
 	if r.result.RequestLimit != nil {
 		fmt.Fprintf(&rc.limits, "%d %g\n", r.index, *r.result.RequestLimit)
 	}
+	if r.result.Leaving {
+		fmt.Fprintf(&rc.leaving, "%d\n", r.index)
+	}
 	if r.result.CanBeMerged() {
 		fmt.Fprintf(&rc.mergeable, "%d %d %s\n", r.index, latency, r.result.Reply.Signature)
 		rc.combiner.Add(r.result.Reply.Body)
@@ -65,5 +69,8 @@
 	if limits := rc.limits.String(); limits != "" {
 		merged.Limits = &limits
 	}
+	if leaving := rc.leaving.String(); leaving != "" {
+		merged.Leaving = &leaving
+	}
 	return merged
 }
--- a/internal/target/concentrator/concentrator_test.go
+++ b/internal/target/concentrator/concentrator_test.go
@@ -35,7 +35,9 @@
 	// failures holds the outcomes of failing requests by target. Unsent stands for no failure.
 	failures map[string]transporter.Outcome
 	// limits holds the request limits that targets state.
-	limits   map[string]float64
+	limits map[string]float64
+	// leaving holds the targets that state that they leave.
+	leaving  map[string]bool
 	canceled int
 }
 
@@ -56,11 +58,11 @@
 		return transporter.Result{Outcome: transporter.Lost, Err: ctx.Err()}
 	}
 	if outcome != transporter.Unsent {
-		return transporter.Result{Outcome: outcome, RequestLimit: limit}
+		return transporter.Result{Outcome: outcome, RequestLimit: limit, Leaving: f.leaving[target.ID]}
 	}
 	body := binary.BigEndian.AppendUint64(nil, uint64(target.Slots))
 	reply := &transporter.Reply{Status: http.StatusOK, Body: append(body, r.Body()...), Signature: target.ID + "." + r.ID}
-	return transporter.Result{Outcome: transporter.Answered, Reply: reply, Latency: delay, RequestLimit: limit}
+	return transporter.Result{Outcome: transporter.Answered, Reply: reply, Latency: delay, RequestLimit: limit, Leaving: f.leaving[target.ID]}
 }
 
 // pair is an instance that sends batches and one that serves them.
@@ -144,6 +146,17 @@
 	assert.Assert(t, delivered.results[0].RequestLimit == nil && delivered.results[3].RequestLimit == nil)
 }
 
+// Guards against an instance that sends through another one and goes on sending to a target that leaves.
+func TestLeavingTargetsAreKnownThroughPeer(t *testing.T) {
+	p := startPair(t, 4)
+	p.fakeSender.leaving = map[string]bool{"i-00000001": true, "i-00000002": true}
+	p.fakeSender.failures["i-00000002"] = transporter.Refused
+	delivered := p.send(t.Context(), p.batch(time.Second))
+	for i := range 4 {
+		assert.Equal(t, delivered.results[i].Leaving, i == 1 || i == 2)
+	}
+}
+
 // Guards against separate deliveries or lost signatures: results that arrive in time must come as one merged reply
 // with the signature of each target.
 func TestRepliesAreMergedAtPeer(t *testing.T) {
--- a/internal/target/concentrator/pending.go
+++ b/internal/target/concentrator/pending.go
@@ -49,16 +49,16 @@
 		return p.failRemaining(transporter.Lost, fmt.Errorf("concentrator: decode records: %w", err), 0)
 	}
 	partial.Records = records
-	limits := decodeLimits(merged.Limits)
+	limits, leaving := decodeLimits(merged.Limits), decodeLeaving(merged.Leaving)
 	for line := range strings.Lines(merged.Answered) {
 		if i, result, ok := decodeMergeable(line); ok && p.markDelivered(i) {
-			result.RequestLimit = limits[i]
+			result.RequestLimit, result.Leaving = limits[i], leaving[i]
 			partial.Results[i] = result
 		}
 	}
 	for line := range strings.Lines(merged.Failed) {
 		if i, result, ok := decodeOther(line); ok && p.markDelivered(i) {
-			result.RequestLimit = limits[i]
+			result.RequestLimit, result.Leaving = limits[i], leaving[i]
 			partial.Results[i] = result
 		}
 	}
@@ -94,6 +94,20 @@
 	return limits
 }
 
+// decodeLeaving returns the indexes in the batch of the targets that leave. It skips malformed lines.
+func decodeLeaving(encoded *string) map[int]bool {
+	if encoded == nil {
+		return nil
+	}
+	leaving := make(map[int]bool)
+	for line := range strings.Lines(*encoded) {
+		if i, err := strconv.Atoi(strings.TrimSuffix(line, "\n")); err == nil {
+			leaving[i] = true
+		}
+	}
+	return leaving
+}
+
 func decodeMergeable(line string) (int, transporter.Result, bool) {
 	fields := strings.SplitN(strings.TrimSuffix(line, "\n"), " ", mergeableFields)
 	if len(fields) != mergeableFields {
--- a/internal/target/sender/sender.go
+++ b/internal/target/sender/sender.go
@@ -280,6 +280,10 @@
 			s.logger.Info("target withdrawn, another one has its address", "target", target.ID, "address", target.Address,
 				"service", target.Service, "id", requestID)
 		}
+		if result.Leaving && s.registrar.MarkLeaving(target.ID, target.Started) {
+			s.scope.Counter("sender-leaving-targets").Inc(1)
+			s.logger.Info("target states that it leaves", "target", target.ID, "address", target.Address, "service", target.Service, "id", requestID)
+		}
 		s.recordExcess(target, result.Err, requestID)
 		s.recordLimit(target, result, requestID)
 		if result.Outcome == transporter.Answered && result.Reply.Success() {
--- a/internal/target/transporter/request.go
+++ b/internal/target/transporter/request.go
@@ -125,6 +125,8 @@
 	// RequestLimit is the number of requests per second that the target takes from all instances together; nil if the
 	// reply does not state it.
 	RequestLimit *float64
+	// Leaving reports whether the target states that it leaves, so that it gets no more requests.
+	Leaving bool
 	// Err is the reason why a request was not sent or was lost; nil for other outcomes.
 	Err error
 	// Latency is the time from the start of the request to its outcome.
@@ -153,6 +155,8 @@
 	// RequestLimit is the number of requests per second that the target takes from all instances together; nil if the
 	// reply does not state it.
 	RequestLimit *float64
+	// Leaving reports whether the target states that it leaves.
+	Leaving bool
 	// IdleLimit is how long the target keeps an idle connection open, or 0 if the reply does not state it.
 	IdleLimit time.Duration
 }
--- a/internal/wire/encoder/types.go
+++ b/internal/wire/encoder/types.go
@@ -579,6 +579,9 @@
 	// or 0, reason.
 	Failed string `json:"failed"`
 
+	// Targets that state that they leave, one position per line.
+	Leaving *string `json:"leaving,omitempty,omitzero"`
+
 	// Targets that state a request limit, one per line: position, requests per second
 	// of all instances together.
 	Limits *string `json:"limits,omitempty,omitzero"`
@@ -848,6 +851,9 @@
 	// Failure domain of the target.
 	FailureDomain string `json:"failure-domain"`
 
+	// Whether the target has stated in a reply that it leaves.
+	Leaving bool `json:"leaving"`
+
 	// Orders the entries that the target has written since its start; 0 if unknown.
 	Seq int `json:"seq"`
 
