Spare targets that turn a request away for as long as they ask

Nothing read the header: the target counted as full for at most 0.2 s and then got the next requests.

The time is kept with what the instance observes of this start of the target, and binds its choice of targets as well as what it sends for peers; an instance that has sent through a peer learns it from that peer. If no target of a service is left, requests are refused at once instead of waiting, with Retry-After of the time left, at most 0.3 s, since other instances may be served. A start of a target is not bound by what the one before it asked for.

--- a/internal/query/relayer/answers.go
+++ b/internal/query/relayer/answers.go
@@ -87,8 +87,17 @@
 // answerCannotServe refuses a request for which too few targets are serving and reachable. If this instance does not
 // even reach its own failure domain, the next one probably does, so the caller may retry soon. Otherwise the others of
 // its failure domain are in the same situation, or targets are not serving or down for every instance, so the retry
-// delay is longer.
+// delay is longer. Targets that want no requests from this instance may take those of others.
 func (f *forwarder) answerCannotServe() Answer {
+	services := make([]string, len(f.parts))
+	for i, p := range f.parts {
+		services[i] = p.service.Name
+	}
+	if pause, found := f.sender.ShortestPause(services); found {
+		answer := f.answerNotRun("too few targets that take requests now")
+		answer.RetryAfter = limitRetryAfter(pause)
+		return answer
+	}
 	answer := f.answerNotRun("too few serving and reachable targets")
 	switch {
 	case f.sender.AllReachable():
@@ -103,10 +112,15 @@
 // send the next one. Other instances have shares of their own, so the caller need not wait for long.
 func (f *forwarder) answerLimited(wait time.Duration) Answer {
 	answer := f.answerNotRun("request limits of targets used up")
-	answer.RetryAfter = min(max(wait, defaultRetryAfter), retryAfterTargetsDown)
+	answer.RetryAfter = limitRetryAfter(wait)
 	return answer
 }
 
+// limitRetryAfter returns how long a caller should wait that this instance cannot serve for a time, while others may.
+func limitRetryAfter(wait time.Duration) time.Duration {
+	return min(max(wait, defaultRetryAfter), retryAfterTargetsDown)
+}
+
 func (f *forwarder) answerNotRun(reason string) Answer {
 	f.addDecision(f.parts[0], "", reason)
 	return Answer{Outcome: NotRun, RetryAfter: defaultRetryAfter}
--- a/internal/standin/httpresponder/httpresponder.go
+++ b/internal/standin/httpresponder/httpresponder.go
@@ -95,6 +95,8 @@
 	requestLimit atomic.Pointer[float64]
 	// leaving reports whether the responses state that the target leaves.
 	leaving atomic.Bool
+	// pause is the time in nanoseconds for which responses with status 503 ask to be spared; 0 for none.
+	pause atomic.Int64
 
 	mu            sync.Mutex
 	behaviour     func(r *http.Request) (Behaviour, time.Duration)
@@ -157,6 +159,9 @@
 // Leave makes all further responses state that the target leaves. It goes on serving.
 func (t *Target) Leave() { t.leaving.Store(true) }
 
+// Pause makes responses with status 503 ask for no requests for a time. The target itself does not enforce it.
+func (t *Target) Pause(d time.Duration) { t.pause.Store(int64(d)) }
+
 // Received returns copies of the requests received so far.
 func (t *Target) Received() []ReceivedRequest {
 	t.mu.Lock()
@@ -382,6 +387,9 @@
 	if limit := t.requestLimit.Load(); limit != nil {
 		fmt.Fprintf(&raw, "%s: %g\r\n", platform.HeaderRequestLimit, *limit)
 	}
+	if pause := time.Duration(t.pause.Load()); pause > 0 && status == http.StatusServiceUnavailable {
+		fmt.Fprintf(&raw, "Retry-After: %g\r\n", pause.Seconds())
+	}
 	if t.leaving.Load() {
 		fmt.Fprintf(&raw, "%s: 1\r\n", platform.HeaderLeaving)
 	}
--- a/internal/target/concentrator/collector.go
+++ b/internal/target/concentrator/collector.go
@@ -17,6 +17,7 @@
 	other     strings.Builder
 	limits    strings.Builder
 	leaving   strings.Builder
+	pauses    strings.Builder
 	combiner  *combiner.Combiner
 }
 
@@ -32,6 +33,9 @@
 	if r.result.Leaving {
 		fmt.Fprintf(&rc.leaving, "%d\n", r.index)
 	}
+	if r.result.PausedFor > 0 {
+		fmt.Fprintf(&rc.pauses, "%d %d\n", r.index, r.result.PausedFor.Milliseconds())
+	}
 	if r.result.CanBeMerged() {
 		fmt.Fprintf(&rc.mergeable, "%d %d %s\n", r.index, latency, r.result.Reply.Signature)
 		rc.combiner.Add(r.result.Reply.Body)
@@ -72,5 +76,8 @@
 	if leaving := rc.leaving.String(); leaving != "" {
 		merged.Leaving = &leaving
 	}
+	if pauses := rc.pauses.String(); pauses != "" {
+		merged.Pauses = &pauses
+	}
 	return merged
 }
--- a/internal/target/concentrator/concentrator_test.go
+++ b/internal/target/concentrator/concentrator_test.go
@@ -38,6 +38,7 @@
 	limits map[string]float64
 	// leaving holds the targets that state that they leave.
 	leaving  map[string]bool
+	pauses   map[string]time.Duration
 	canceled int
 }
 
@@ -58,7 +59,7 @@
 		return transporter.Result{Outcome: transporter.Lost, Err: ctx.Err()}
 	}
 	if outcome != transporter.Unsent {
-		return transporter.Result{Outcome: outcome, RequestLimit: limit, Leaving: f.leaving[target.ID]}
+		return transporter.Result{Outcome: outcome, RequestLimit: limit, Leaving: f.leaving[target.ID], PausedFor: f.pauses[target.ID]}
 	}
 	body := binary.BigEndian.AppendUint64(nil, uint64(target.Slots))
 	reply := &transporter.Reply{Status: http.StatusOK, Body: append(body, r.Body()...), Signature: target.ID + "." + r.ID}
@@ -146,15 +147,19 @@
 	assert.Assert(t, delivered.results[0].RequestLimit == nil && delivered.results[3].RequestLimit == nil)
 }
 
-// Guards against an instance that sends through another one and goes on sending to a target that leaves.
-func TestLeavingTargetsAreKnownThroughPeer(t *testing.T) {
+// Guards against an instance that sends through another one and goes on sending to a target that leaves or wants to be
+// spared.
+func TestNoticesOfTargetsAreKnownThroughPeer(t *testing.T) {
 	p := startPair(t, 4)
+	p.fakeSender.pauses = map[string]time.Duration{"i-00000002": 1500 * time.Millisecond}
 	p.fakeSender.leaving = map[string]bool{"i-00000001": true, "i-00000002": true}
 	p.fakeSender.failures["i-00000002"] = transporter.Refused
 	delivered := p.send(t.Context(), p.batch(time.Second))
 	for i := range 4 {
 		assert.Equal(t, delivered.results[i].Leaving, i == 1 || i == 2)
 	}
+	assert.Equal(t, delivered.results[2].PausedFor, 1500*time.Millisecond)
+	assert.Equal(t, delivered.results[1].PausedFor, time.Duration(0))
 }
 
 // Guards against separate deliveries or lost signatures: results that arrive in time must come as one merged reply
--- a/internal/target/concentrator/pending.go
+++ b/internal/target/concentrator/pending.go
@@ -49,16 +49,16 @@
 		return p.failRemaining(transporter.Lost, fmt.Errorf("concentrator: decode records: %w", err), 0)
 	}
 	partial.Records = records
-	limits, leaving := decodeLimits(merged.Limits), decodeLeaving(merged.Leaving)
+	limits, leaving, pauses := decodeLimits(merged.Limits), decodeLeaving(merged.Leaving), decodePauses(merged.Pauses)
 	for line := range strings.Lines(merged.Answered) {
 		if i, result, ok := decodeMergeable(line); ok && p.markDelivered(i) {
-			result.RequestLimit, result.Leaving = limits[i], leaving[i]
+			result.RequestLimit, result.Leaving, result.PausedFor = limits[i], leaving[i], pauses[i]
 			partial.Results[i] = result
 		}
 	}
 	for line := range strings.Lines(merged.Failed) {
 		if i, result, ok := decodeOther(line); ok && p.markDelivered(i) {
-			result.RequestLimit, result.Leaving = limits[i], leaving[i]
+			result.RequestLimit, result.Leaving, result.PausedFor = limits[i], leaving[i], pauses[i]
 			partial.Results[i] = result
 		}
 	}
@@ -108,6 +108,23 @@
 	return leaving
 }
 
+// decodePauses returns for how long targets want no requests, by their index in the batch. It skips malformed lines.
+func decodePauses(encoded *string) map[int]time.Duration {
+	if encoded == nil {
+		return nil
+	}
+	pauses := make(map[int]time.Duration)
+	for line := range strings.Lines(*encoded) {
+		index, pause, _ := strings.Cut(strings.TrimSuffix(line, "\n"), " ")
+		i, errIndex := strconv.Atoi(index)
+		ms, errPause := strconv.Atoi(pause)
+		if errIndex == nil && errPause == nil && ms > 0 {
+			pauses[i] = time.Duration(ms) * time.Millisecond
+		}
+	}
+	return pauses
+}
+
 func decodeMergeable(line string) (int, transporter.Result, bool) {
 	fields := strings.SplitN(strings.TrimSuffix(line, "\n"), " ", mergeableFields)
 	if len(fields) != mergeableFields {
--- a/internal/target/picker/picker.go
+++ b/internal/target/picker/picker.go
@@ -152,9 +152,13 @@
 	downTime  time.Duration
 	// fullUntil is the time until which the target counts as full after it has refused a request.
 	fullUntil time.Time
-	load      transporter.Load
-	loadAt    time.Time
-	coldUntil time.Time
+	// pausedUntil is the time until which the target wants no requests from this instance, if it has not started again
+	// since pausedStart.
+	pausedUntil time.Time
+	pausedStart int
+	load        transporter.Load
+	loadAt      time.Time
+	coldUntil   time.Time
 	// coldRequests holds the start times of requests within the last second while the target was cold.
 	coldRequests []time.Time
 }
@@ -162,6 +166,8 @@
 // InFlightRequest is a request to a target that has not ended.
 type InFlightRequest struct {
 	observations *observations
+	// start is the start time of the target, as in registrar.Target.
+	start int
 	// median is the median latency of the route.
 	median time.Duration
 	// due is the time from which the reply is overdue.
@@ -275,6 +281,14 @@
 	return time.Now().Before(o.downUntil)
 }
 
+// PausedFor returns how long the target still wants no requests from this instance; 0 if it takes them.
+func (p *Picker) PausedFor(t registrar.Target) time.Duration {
+	o := p.observationsOf(t.ID)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.pausedFor(time.Now(), t)
+}
+
 // TargetUsage describes the requests of this instance to a target.
 type TargetUsage struct {
 	// Limit is the maximum number of requests in flight.
@@ -323,7 +337,7 @@
 func (o *observations) score(now time.Time, t registrar.Target, median time.Duration, limit, coldAllowance int) (float64, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if len(o.inFlight) >= limit || now.Before(o.downUntil) || now.Before(o.fullUntil) {
+	if len(o.inFlight) >= limit || now.Before(o.downUntil) || now.Before(o.fullUntil) || o.pausedFor(now, t) > 0 {
 		return 0, false
 	}
 	expected := o.currentRelativeLatency(now) * float64(median)
@@ -340,6 +354,15 @@
 	return score + o.currentFailureShare(now)*float64(failurePenalty), true
 }
 
+// pausedFor returns how long the target still wants no requests from this instance. A start of a target knows nothing of
+// what the one before it has asked for.
+func (o *observations) pausedFor(now time.Time, t registrar.Target) time.Duration {
+	if t.Started != o.pausedStart {
+		return 0
+	}
+	return max(o.pausedUntil.Sub(now), 0)
+}
+
 // isCold reports whether the target is expected to be cold, by its directory entry or its own reports.
 func (o *observations) isCold(now time.Time, t registrar.Target) bool {
 	return now.Before(t.ColdUntil) || now.Before(o.coldUntil)
@@ -391,7 +414,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	overdueAfter := time.Duration(overdueFactor*o.currentRelativeLatency(now)*float64(median)) + overdueOffset
-	r := &InFlightRequest{observations: o, median: median, due: now.Add(overdueAfter)}
+	r := &InFlightRequest{observations: o, start: t.Started, median: median, due: now.Add(overdueAfter)}
 	o.inFlight[r] = struct{}{}
 	if o.isCold(now, t) {
 		o.coldRequests = append(o.coldRequests, now)
@@ -412,6 +435,9 @@
 	if result.ColdFor > 0 {
 		o.coldUntil = now.Add(result.ColdFor)
 	}
+	if until := now.Add(result.PausedFor); result.PausedFor > 0 && (r.start != o.pausedStart || until.After(o.pausedUntil)) {
+		o.pausedUntil, o.pausedStart = until, r.start
+	}
 	switch result.Outcome {
 	case transporter.Unsent:
 		o.recordUnsent(now, result.Err)
--- a/internal/target/picker/picker_test.go
+++ b/internal/target/picker/picker_test.go
@@ -170,3 +170,16 @@
 	}
 	assert.Equal(t, sent, 20)
 }
+
+// Guards against a target that gets no requests after a restart, because it asked for none before.
+func TestPauseEndsWithRestartOfTarget(t *testing.T) {
+	p := newPicker(picker.ColdLimits{}, instances(1))
+	target := targets("east")[0]
+	target.Started = 1000
+	p.Begin(target, medianLatency).End(transporter.Result{Outcome: transporter.Refused, PausedFor: time.Hour})
+	assert.Assert(t, p.PausedFor(target) > 0)
+	_, found := p.Pick([]registrar.Target{target}, mapper.Service{}, medianLatency, "east", excludeNone)
+	assert.Assert(t, !found)
+	target.Started = 2000
+	assert.Equal(t, p.PausedFor(target), time.Duration(0))
+}
--- a/internal/target/sender/sender.go
+++ b/internal/target/sender/sender.go
@@ -44,6 +44,8 @@
 	hedgeBudgetFraction = 0.9
 	// limitLogInterval is the minimum time between two log lines about the request limit of a target.
 	limitLogInterval = 10 * time.Second
+	// pauseLogInterval is the minimum time between two log lines about a target that wants no requests for a while.
+	pauseLogInterval = 10 * time.Second
 	// excessLogInterval is the minimum time between two log lines about excessive replies of a target.
 	excessLogInterval = 10 * time.Second
 	// minHedgeDelay is the minimum hedge delay.
@@ -54,6 +56,10 @@
 // failure domain is closed.
 var errNotServing = errors.New("sender: target does not accept new requests")
 
+// errPaused is returned for a target that wants no requests from this instance for a while, which the instance that has
+// chosen it for a request through this one may not know.
+var errPaused = errors.New("sender: target wants no requests from this instance now")
+
 // Sender selects targets and sends requests to them.
 type Sender struct {
 	domain      string
@@ -70,6 +76,8 @@
 	windows sync.Map
 	// excessLog limits the log lines about replies that exceed a limit.
 	excessLog intervalLog
+	// pauseLog limits the log lines about targets that want no requests for a while.
+	pauseLog intervalLog
 	// limitLog limits the log lines about request limits of targets.
 	limitLog intervalLog
 }
@@ -116,15 +124,29 @@
 	return w.(*estimator.Window)
 }
 
-// HasAvailableTarget reports whether at least one target of the service is serving, can be connected to and is in a
-// reachable failure domain.
+// HasAvailableTarget reports whether at least one target of the service is serving, can be connected to, takes requests and
+// is in a reachable failure domain.
 func (s *Sender) HasAvailableTarget(service string) bool {
 	return slices.ContainsFunc(s.registrar.View().Serving(service), s.isAvailable)
 }
 
-// isAvailable reports whether a serving target can be connected to and is in a reachable failure domain.
+// isAvailable reports whether a serving target can be connected to, takes requests and is in a reachable failure domain.
 func (s *Sender) isAvailable(t registrar.Target) bool {
-	return s.prober.Reachable(t.FailureDomain) && !s.picker.IsDown(t.ID)
+	return s.prober.Reachable(t.FailureDomain) && !s.picker.IsDown(t.ID) && s.picker.PausedFor(t) == 0
+}
+
+// ShortestPause returns the time until the first of the targets of the services that want no requests from this instance
+// takes them again, and whether there are such targets.
+func (s *Sender) ShortestPause(services []string) (time.Duration, bool) {
+	shortest, found := time.Duration(0), false
+	for _, service := range services {
+		for _, t := range s.registrar.View().Serving(service) {
+			if pause := s.picker.PausedFor(t); pause > 0 && (!found || pause < shortest) {
+				shortest, found = pause, true
+			}
+		}
+	}
+	return shortest, found
 }
 
 // CanServe reports whether HasAvailableTarget holds for the service of the route, or for enough of its shards for a
@@ -284,6 +306,9 @@
 			s.scope.Counter("sender-leaving-targets").Inc(1)
 			s.logger.Info("target states that it leaves", "target", target.ID, "address", target.Address, "service", target.Service, "id", requestID)
 		}
+		if result.PausedFor > 0 {
+			s.recordPause(target, result, requestID)
+		}
 		s.recordExcess(target, result.Err, requestID)
 		s.recordLimit(target, result, requestID)
 		if result.Outcome == transporter.Answered && result.Reply.Success() {
@@ -328,16 +353,29 @@
 	}
 }
 
-// givenUpHere reports whether this instance has not tried to send the request, because all connections were in use or the
-// target was no longer serving.
+// recordPause counts a reply of a target that wants no requests for a while, and logs the first one of a target in each
+// pauseLogInterval.
+func (s *Sender) recordPause(target registrar.Target, result transporter.Result, requestID string) {
+	s.scope.Counter("sender-pausing-replies").Inc(1)
+	if s.pauseLog.due(target.ID, time.Now(), pauseLogInterval) {
+		s.logger.Info("target wants no requests for a while", "target", target.ID, "address", target.Address, "service", target.Service,
+			"id", requestID, "for", result.PausedFor)
+	}
+}
+
+// givenUpHere reports whether this instance has not tried to send the request, because all connections were in use, or the
+// target was no longer serving or took no requests.
 func givenUpHere(result transporter.Result) bool {
 	var busy *transporter.BusyError
-	return errors.As(result.Err, &busy) || errors.Is(result.Err, errNotServing)
+	return errors.As(result.Err, &busy) || errors.Is(result.Err, errNotServing) || errors.Is(result.Err, errPaused)
 }
 
 func (s *Sender) send(ctx context.Context, target registrar.Target, limit int, r *transporter.Request, deadline time.Time) transporter.Result {
 	if !s.registrar.View().IsServing(target.ID) {
 		return transporter.Result{Outcome: transporter.Unsent, Err: errNotServing}
 	}
+	if pause := s.picker.PausedFor(target); pause > 0 {
+		return transporter.Result{Outcome: transporter.Unsent, Err: errPaused, PausedFor: pause}
+	}
 	return s.transporter.Send(ctx, target.ID, target.Address, limit, r, time.Until(deadline))
 }
--- a/internal/target/transporter/connection.go
+++ b/internal/target/transporter/connection.go
@@ -184,6 +184,9 @@
 
 func newResult(reply reader.Reply, info ReplyInfo) Result {
 	result := Result{Load: info.Load, ColdFor: info.ColdFor, RequestLimit: info.RequestLimit, Leaving: info.Leaving && !info.Misdirected}
+	if !info.Misdirected {
+		result.PausedFor = info.PausedFor
+	}
 	switch {
 	case info.Misdirected:
 		result.Outcome = Misdirected
--- a/internal/target/transporter/request.go
+++ b/internal/target/transporter/request.go
@@ -127,6 +127,9 @@
 	RequestLimit *float64
 	// Leaving reports whether the target states that it leaves, so that it gets no more requests.
 	Leaving bool
+	// PausedFor is how long the target wants no more requests from the instance that sent this one, or 0 if the reply does
+	// not state it.
+	PausedFor time.Duration
 	// Err is the reason why a request was not sent or was lost; nil for other outcomes.
 	Err error
 	// Latency is the time from the start of the request to its outcome.
@@ -157,6 +160,8 @@
 	RequestLimit *float64
 	// Leaving reports whether the target states that it leaves.
 	Leaving bool
+	// PausedFor is how long the target wants no more requests from this instance, or 0 if the reply does not state it.
+	PausedFor time.Duration
 	// IdleLimit is how long the target keeps an idle connection open, or 0 if the reply does not state it.
 	IdleLimit time.Duration
 }
--- a/internal/wire/encoder/types.go
+++ b/internal/wire/encoder/types.go
@@ -586,6 +586,10 @@
 	// of all instances together.
 	Limits *string `json:"limits,omitempty,omitzero"`
 
+	// Targets that want no requests for a while, one per line: position,
+	// milliseconds.
+	Pauses *string `json:"pauses,omitempty,omitzero"`
+
 	// Greatest records of the answered parts, in base64.
 	Records string `json:"records"`
 }
