--- a/internal/query/sharer/sharer.go
+++ b/internal/query/sharer/sharer.go
@@ -94,13 +94,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	records := make([]quarantiner.Record, 0, len(s.unsent))
-	for f, r := range s.unsent {
+	for _, r := range s.unsent {
 		if len(records) == maxSharedRecords {
 			// The rest goes along with the periodic exchanges.
 			break
 		}
 		records = append(records, r)
-		delete(s.unsent, f)
 	}
 	clear(s.unsent)
 	return records
