Let the soak end targets under a request, and check targets that leave or ask to be spared

The soak of relaying instances knew none of these faults, so nothing checked from outside, with real processes, restarts and lost links beside them, that they are kept. In every second soak a caller now sends the same request, under which each target ends, to random instances; targets may state in their replies that they leave, or turn requests away and ask to be spared. Checked are the requests that reach targets later than 2 s after the third end, the requests to a target since it said that it leaves or 0.5 s after it asked to be spared, and that no fatal request ran that was answered as not run.

--- a/internal/standin/rehearser/deployment.go
+++ b/internal/standin/rehearser/deployment.go
@@ -99,6 +99,10 @@
 	entryWrites      map[string]int
 	configVersion    int
 	lastTargetNumber int
+	// ends holds the times at which targets ended under requests.
+	ends []time.Time
+	// closed reports whether Close was called, so that nothing starts any more.
+	closed bool
 }
 
 // NewDeployment starts the store, the targets and the instances.
@@ -142,7 +146,14 @@
 	id := fmt.Sprintf("i-%s-%d", service, d.lastTargetNumber)
 	pauseOffset := time.Duration(d.lastTargetNumber) * pauseInterval / 7
 	target := httpresponder.New(id, partRecordsOf(service))
-	d.healthy[id] = normalBehaviour(service, serviceTime, pauseOffset)
+	normal := normalBehaviour(service, serviceTime, pauseOffset)
+	d.healthy[id] = func(r *http.Request) (httpresponder.Behaviour, time.Duration) {
+		if r.URL.Path == fatalPath {
+			time.AfterFunc(fatalTime, func() { d.endTarget(id, service, domain) })
+			return httpresponder.Hang, 0
+		}
+		return normal(r)
+	}
 	target.SetBehaviour(d.healthy[id])
 	d.targets[id] = target
 	d.domains[id] = domain
@@ -187,6 +198,13 @@
 	})
 }
 
+// target returns a target by its id.
+func (d *Deployment) target(id string) *httpresponder.Target {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.targets[id]
+}
+
 // Recover ends the misbehaviour of a target.
 func (d *Deployment) Recover(id string) {
 	d.mu.Lock()
@@ -432,6 +450,9 @@
 
 // Close ends the processes, the targets, the links and the store.
 func (d *Deployment) Close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.closed = true
 	for _, n := range d.instances {
 		if n.program != nil {
 			// Errors are ignored, because the process may have exited already.
--- a/internal/standin/rehearser/soak.go
+++ b/internal/standin/rehearser/soak.go
@@ -64,6 +64,8 @@
 	{"target links", (*soak).failTargetLinks},
 	{"targets", (*soak).misbehaveTargets},
 	{"replace", (*soak).replaceTarget},
+	{"leave", (*soak).leaveTarget},
+	{"pause", (*soak).pauseTarget},
 	{"evacuate", (*soak).evacuateDomain},
 	{"configure", func(s *soak) func() { s.deployment.PublishConfig(); return func() { s.deployment.PublishConfig() } }},
 }
@@ -75,7 +77,11 @@
 	// unavailable reports which instances are stopped or paused.
 	unavailable map[int]bool
 	faultLog    []string
-	// failures describes the instances that did not exit or restart as expected.
+	// leaving holds since when targets state that they leave.
+	leaving map[string]time.Time
+	// impaired holds the targets whose replies were spoiled or lost at some time, so that instances may not have read them.
+	impaired map[string]bool
+	// failures describes what did not go as expected while faults were injected.
 	failures []string
 }
 
@@ -87,14 +93,18 @@
 		return nil, nil, err
 	}
 	defer d.Close()
-	s := &soak{deployment: d, random: rand.New(rand.NewPCG(seed, seed)), unavailable: make(map[int]bool)}
+	s := &soak{deployment: d, random: rand.New(rand.NewPCG(seed, seed)), unavailable: make(map[int]bool), leaving: make(map[string]time.Time), impaired: make(map[string]bool)}
 	reports := make(chan Report, 1)
 	limited, limitedAt := s.limitTargets(), time.Now()
 	go func() { reports <- d.RunLoad(ctx, soakRate, duration) }()
-	s.injectFaults(ctx, time.Now().Add(duration-maxFaultDuration))
+	until := time.Now().Add(duration - maxFaultDuration)
+	endFatalRequests := s.sendFatalRequests(ctx, until)
+	s.injectFaults(ctx, until)
 	report := <-reports
 	violations = append(s.failures, report.Violations...)
 	violations = append(violations, s.endLimits(limited, limitedAt.Add(limitNoticeTime))...)
+	violations = append(violations, endFatalRequests()...)
+	violations = append(violations, s.endDepartures()...)
 	time.Sleep(recoveryPeriod)
 	after := d.RunLoad(ctx, soakRate, recoveryLoadDuration)
 	violations = append(violations, after.Violations...)
@@ -287,6 +297,7 @@
 func (s *soak) failTargetLinks() func() {
 	var links []*forwarder.Forwarder
 	for _, id := range s.randomTargets() {
+		s.impaired[id] = true
 		s.deployment.mu.Lock()
 		links = append(links, s.deployment.links[id])
 		s.deployment.mu.Unlock()
@@ -300,6 +311,7 @@
 	behaviour := httpresponder.Shed + httpresponder.Behaviour(s.random.IntN(int(httpresponder.LastBehaviour-httpresponder.Shed)+1))
 	ids := s.randomTargets()
 	for _, id := range ids {
+		s.impaired[id] = true
 		s.deployment.Misbehave(id, behaviour)
 	}
 	return func() {
@@ -311,15 +323,7 @@
 
 // replaceTarget starts a new target and drains another one of the same service and failure domain.
 func (s *soak) replaceTarget() func() {
-	service, domain := shardName(s.random.IntN(shardCount)), domains[s.random.IntN(2)]
-	s.deployment.mu.Lock()
-	var old string
-	for _, id := range s.deployment.services[service] {
-		if s.deployment.domains[id] == domain {
-			old = id
-		}
-	}
-	s.deployment.mu.Unlock()
+	old, service, domain := s.drawTarget()
 	s.deployment.AddTarget(service, domain, searchServiceTime)
 	s.deployment.DrainTarget(old, service, domain)
 	return nil
