Quarantine a request only after a trial of it has ended a target

A frequent request that runs on one target each was refused for 15 minutes when three of the targets that ran it were killed at the same time, for example by a loss of power, and each further one prolonged that.

Cause: an end counted as explained by nothing else if no other target ran that one request. Other requests of the same kind, on other targets, were not considered. Now only the end of a target in a trial counts: the request was sent to it alone, after others had ended under it. That is the same number of targets for a request that does end them (TestRequestThatEndsTargetsIsRefusedAfterThird and the replays keep their bounds). A trial that goes through a peer counts as well; the mark was set only for those that are sent directly.

--- a/internal/query/quarantiner/quarantiner.go
+++ b/internal/query/quarantiner/quarantiner.go
@@ -79,9 +79,9 @@
 	Cleared bool
 	// Ended holds the ids of up to maxRecordedEnds targets that ended while they ran the request.
 	Ended []string
-	// Alone reports whether one of them was the only target that ran the request at the time, so that no other cause of
-	// many ends at the same time explains it.
-	Alone bool
+	// Tried reports whether one of them ended in a trial: as the only target that ran the request, after others had ended
+	// under it. What ended those at one time, such as a loss of power, does not explain that.
+	Tried bool
 	// At is the time of the latest observation.
 	At time.Time
 }
@@ -91,23 +91,23 @@
 	switch {
 	case r.Cleared || len(r.Ended) == 0:
 		return Unsuspected
-	case len(r.Ended) >= minEnds && r.Alone && now.Sub(r.At) < quarantineTime:
+	case len(r.Ended) >= minEnds && r.Tried && now.Sub(r.At) < quarantineTime:
 		return Quarantined
-	case len(r.Ended) >= minEnds && !r.Alone && now.Sub(r.At) < holdTime:
+	case len(r.Ended) >= minEnds && !r.Tried && now.Sub(r.At) < holdTime:
 		return Held
 	}
 	return Suspected
 }
 
 // WithEnd returns the record after another target has ended under the request.
-func (r Record) WithEnd(target string, alone bool, now time.Time) Record {
+func (r Record) WithEnd(target string, tried bool, now time.Time) Record {
 	if r.Cleared {
 		r = Record{Fingerprint: r.Fingerprint, Generation: r.Generation + 1}
 	}
 	if !slices.Contains(r.Ended, target) && len(r.Ended) < maxRecordedEnds {
 		r.Ended = append(slices.Clone(r.Ended), target)
 	}
-	r.Alone = r.Alone || alone
+	r.Tried = r.Tried || tried
 	r.At = now
 	return r
 }
@@ -125,7 +125,7 @@
 			r.Ended = append(slices.Clone(r.Ended), target)
 		}
 	}
-	r.Alone, r.Cleared = r.Alone || other.Alone, r.Cleared || other.Cleared
+	r.Tried, r.Cleared = r.Tried || other.Tried, r.Cleared || other.Cleared
 	if other.At.After(r.At) {
 		r.At = other.At
 	}
@@ -221,15 +221,15 @@
 	delete(q.trials, f)
 }
 
-// RecordEnd records that a target ended while it ran the request, and returns the verdict. The parameter alone tells
-// whether no other target ran it at the time.
-func (q *Quarantiner) RecordEnd(f Fingerprint, target string, alone bool) Verdict {
+// RecordEnd records that a target ended while it ran the request, and returns the verdict. The parameter tried tells
+// whether that was a trial.
+func (q *Quarantiner) RecordEnd(f Fingerprint, target string, tried bool) Verdict {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.now()
 	before := q.records[f]
 	before.Fingerprint = f
-	return q.observe(before, before.WithEnd(target, alone, now), now)
+	return q.observe(before, before.WithEnd(target, tried, now), now)
 }
 
 // RecordSuccess records that a target answered the request with a success. It has no effect on a request that nothing
--- a/internal/query/quarantiner/quarantiner_test.go
+++ b/internal/query/quarantiner/quarantiner_test.go
@@ -115,7 +115,7 @@
 	default:
 		r.after(endTime, func() {
 			for range r.shards {
-				r.end(q, f, r.shards == 1)
+				r.end(q, f, false)
 			}
 			if r.shards > 1 {
 				r.after(endTime, func() { r.end(q, f, true) })
@@ -124,10 +124,10 @@
 	}
 }
 
-func (r *replay) end(q *quarantiner.Quarantiner, f quarantiner.Fingerprint, alone bool) {
+func (r *replay) end(q *quarantiner.Quarantiner, f quarantiner.Fingerprint, tried bool) {
 	r.seen++
 	r.ends = append(r.ends, r.now)
-	q.RecordEnd(f, fmt.Sprintf("target-%d", r.seen), alone)
+	q.RecordEnd(f, fmt.Sprintf("target-%d", r.seen), tried)
 }
 
 // lateRuns returns how many runs ended targets after noticeTime from the third end on.
--- a/internal/query/relayer/caution.go
+++ b/internal/query/relayer/caution.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// maxEndChecks is the maximum number of lost targets of one request that are checked for their end, besides those that
-	// ran it alone. Each check opens a connection.
+	// maxEndChecks is the maximum number of lost targets of one request that are checked for their end, besides those of
+	// trials. Each check opens a connection.
 	maxEndChecks = 4
 	// minEndsToReport is the number of targets that must have ended under a request for other instances to be told while
 	// further targets still run it.
@@ -26,8 +26,8 @@
 	part   int
 	target registrar.Target
 	ended  bool
-	// alone reports whether no other target ran the request when the target was lost.
-	alone bool
+	// tried reports whether the target was lost in a trial.
+	tried bool
 }
 
 // caution keeps a request under which targets may end away from further targets. It begins when the connection to a
@@ -127,21 +127,21 @@
 			c.quarantine.RecordSuccess(f.fingerprintOf())
 		}
 	case r.result.Outcome == transporter.Lost && !errors.Is(r.result.Err, context.Canceled) && !errors.Is(r.result.Err, context.DeadlineExceeded):
-		alone := f.inFlight() == 0 && (len(f.parts) == 1 || c.trial)
+		tried := c.trial && f.inFlight() == 0
 		c.lost++
-		if alone || c.lost <= maxEndChecks {
+		if tried || c.lost <= maxEndChecks {
 			c.active = true
-			f.checkEnd(r, alone)
+			f.checkEnd(r, tried)
 		}
 	}
 }
 
 // checkEnd checks whether the lost target has ended. A target that still accepts connections has not.
-func (f *forwarder) checkEnd(r partResult, alone bool) {
+func (f *forwarder) checkEnd(r partResult, tried bool) {
 	f.caution.checks++
 	ctx := context.WithoutCancel(f.sendCtx)
 	go func() {
-		f.caution.results <- endCheck{part: r.part, target: r.target, ended: f.sender.HasEnded(ctx, r.target), alone: alone}
+		f.caution.results <- endCheck{part: r.part, target: r.target, ended: f.sender.HasEnded(ctx, r.target), tried: tried}
 	}()
 }
 
@@ -173,7 +173,7 @@
 	c := &f.caution
 	verdict := quarantiner.Suspected
 	for _, check := range c.unreported {
-		verdict = c.quarantine.RecordEnd(f.fingerprintOf(), check.target.ID, check.alone)
+		verdict = c.quarantine.RecordEnd(f.fingerprintOf(), check.target.ID, check.tried)
 	}
 	c.unreported, c.reported = nil, true
 	if verdict != quarantiner.Quarantined {
--- a/internal/query/relayer/caution_test.go
+++ b/internal/query/relayer/caution_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -151,6 +152,37 @@
 	})
 }
 
+// Guards against a frequent request to single targets that is refused for long, because the targets that run it were killed
+// at the same time for another reason.
+func TestFrequentRequestIsServedAfterItsTargetsAreKilledTogether(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		t.Run("idempotent="+strconv.FormatBool(idempotent), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t, 12, "s0")
+				frequent := singleRoute(idempotent)
+				f.endUnder(fatalRoute(frequent))
+				var running sync.WaitGroup
+				for i := range 5 {
+					running.Go(func() { f.relay(frequent, "r"+strconv.Itoa(i)) })
+				}
+				time.AfterFunc(timeToEnd/2, func() {
+					for _, target := range f.targets["s0"] {
+						if target.RunCount() > 0 {
+							target.Close()
+						}
+					}
+				})
+				running.Wait()
+				assert.Assert(t, f.endedTargets() >= 3, "%d targets were killed", f.endedTargets())
+				time.Sleep(2 * time.Second)
+				answer, _ := f.relay(frequent, "later")
+				assert.Equal(t, answer.Outcome, relayer.Relayed)
+				assert.Equal(t, f.verdict(frequent), quarantiner.Unsuspected)
+			})
+		})
+	}
+}
+
 // Guards against a suspected request that is not served although it ends no targets, such as one that another instance
 // has suspected by mistake.
 func TestSuspectedRequestIsServedAndCleared(t *testing.T) {
--- a/internal/query/relayer/start.go
+++ b/internal/query/relayer/start.go
@@ -18,6 +18,7 @@
 // sendFirst sends the first request of every part. Requests to another failure domain go through an instance there if
 // that saves bytes; many requests to targets in the own failure domain are divided among its instances.
 func (f *forwarder) sendFirst() {
+	f.caution.trial = f.caution.active
 	chosen := make(map[string][]choice)
 	first := rand.IntN(len(f.parts))
 	for n := range f.parts {
--- a/internal/query/sharer/sharer.go
+++ b/internal/query/sharer/sharer.go
@@ -122,7 +122,7 @@
 
 // logChange logs a change of the verdict on a request.
 func (s *Sharer) logChange(c quarantiner.Change) {
-	pairs := []any{"fingerprint", c.Record.Fingerprint, "generation", c.Record.Generation, "ended", c.Record.Ended, "alone", c.Record.Alone}
+	pairs := []any{"fingerprint", c.Record.Fingerprint, "generation", c.Record.Generation, "ended", c.Record.Ended, "tried", c.Record.Tried}
 	switch {
 	case c.After == quarantiner.Quarantined:
 		s.scope.Counter("quarantine-begun").Inc(1)
@@ -147,7 +147,7 @@
 	decoded := make([]quarantiner.Record, 0, len(records))
 	for _, r := range records[:min(len(records), maxSharedRecords)] {
 		decoded = append(decoded, quarantiner.Record{
-			Fingerprint: quarantiner.Fingerprint(r.Fingerprint), Generation: r.Generation, Cleared: r.Cleared, Ended: r.Ended, Alone: r.Alone,
+			Fingerprint: quarantiner.Fingerprint(r.Fingerprint), Generation: r.Generation, Cleared: r.Cleared, Ended: r.Ended, Tried: r.Tried,
 			At: now.Add(-time.Duration(max(r.AgeMs, 0)) * time.Millisecond),
 		})
 	}
@@ -159,7 +159,7 @@
 	encoded := make([]encoder.QuarantineRecord, 0, len(records))
 	for _, r := range records {
 		encoded = append(encoded, encoder.QuarantineRecord{
-			Fingerprint: string(r.Fingerprint), Generation: r.Generation, Cleared: r.Cleared, Ended: append([]string{}, r.Ended...), Alone: r.Alone,
+			Fingerprint: string(r.Fingerprint), Generation: r.Generation, Cleared: r.Cleared, Ended: append([]string{}, r.Ended...), Tried: r.Tried,
 			AgeMs: int(now.Sub(r.At).Milliseconds()),
 		})
 	}
--- a/internal/wire/encoder/types.go
+++ b/internal/wire/encoder/types.go
@@ -716,9 +716,6 @@
 	// Time since the latest observation.
 	AgeMs int `json:"age-ms"`
 
-	// Whether one of them was the only target that ran the request at the time.
-	Alone bool `json:"alone"`
-
 	// Whether a target has answered the request with a success in this generation.
 	Cleared bool `json:"cleared"`
 
@@ -730,6 +727,9 @@
 
 	// Counts how often the suspicion began again after the request had been cleared.
 	Generation int `json:"generation"`
+
+	// Whether one of them ended in a trial, as the only target that ran the request.
+	Tried bool `json:"tried"`
 }
 
 // A class of queries with the same index, priority, routing and deadline.
