Begin fatal requests in the first second of a soak

With their first time drawn from the first half of the faults, too few came later than 2 s after the third end to tell whether they are kept away: with the mechanism turned off, one of four soaks that drew them reported it, though 66 targets had ended.

--- a/internal/standin/rehearser/target_faults.go
+++ b/internal/standin/rehearser/target_faults.go
@@ -28,8 +28,8 @@
 	fatalPath   = searchPrefix + "fatal"
 	fatalTime   = 10 * time.Millisecond
 	restartTime = time.Second
-	// maxFatalDelay is the fraction of the soak in which the first such request is sent: one in maxFatalDelay.
-	maxFatalDelay = 4
+	// maxFatalDelay is the maximum time until the first such request.
+	maxFatalDelay = time.Second
 	// fatalInterval is the time between two such requests of the same caller.
 	fatalInterval = 150 * time.Millisecond
 	// fatalNoticeTime is the time after the third end of a target from which at most maxFatalRequests more may reach targets.
@@ -83,7 +83,7 @@
 	if s.random.IntN(2) == 0 {
 		return func() []string { return nil }
 	}
-	begin := time.Now().Add(time.Duration(s.random.Int64N(int64(time.Until(until) / maxFatalDelay))))
+	begin := time.Now().Add(time.Duration(s.random.Int64N(int64(maxFatalDelay))))
 	random := rand.New(rand.NewPCG(s.random.Uint64(), 0))
 	s.faultLog = append(s.faultLog, fmt.Sprintf("request that ends targets from %s on", time.Until(begin).Round(time.Millisecond)))
 	var refused []string
