Let a test of the follower begin after the store has come back

It started the follower first, which could read the store before it was filled and restored and took the newer table from its peer then; the condition that the test waits for was met too early. The store is now filled and restored before the follower starts, as the comment of the test says.

--- a/internal/cluster/follower/follower_test.go
+++ b/internal/cluster/follower/follower_test.go
@@ -36,6 +36,12 @@
 func startFollower(t *testing.T, opts ...follower.Option) (*keeper.Store, *registrar.Registrar) {
 	t.Helper()
 	store := keeper.New()
+	return store, follow(t, store, opts...)
+}
+
+// follow runs a follower of the store until the test ends, which then closes the store as well.
+func follow(t *testing.T, store *keeper.Store, opts ...follower.Option) *registrar.Registrar {
+	t.Helper()
 	r := registrar.New()
 	quiet := log.New(io.Discard)
 	f := follower.New(platform.NewStore(store.Address(), quiet), r, quiet, opts...)
@@ -43,7 +49,7 @@
 	done := make(chan struct{})
 	go func() { defer close(done); f.Run(ctx) }()
 	t.Cleanup(func() { cancel(); store.Close(); <-done })
-	return store, r
+	return r
 }
 
 // eventually waits until the condition holds, at most for the propagation limit.
--- a/internal/cluster/follower/restore_test.go
+++ b/internal/cluster/follower/restore_test.go
@@ -85,9 +85,10 @@
 func TestNewerTableOfPeerIsAppliedWhenCopyIsOlder(t *testing.T) {
 	newest, problems := mapper.New(encoder.RoutingTable{Version: 7})
 	assert.Equal(t, len(problems), 0)
-	store, r := startFollower(t, follower.WithPeers(staticPeers{registrar.Change{Position: registrar.Position{Epoch: 1, Revision: 90}, Table: newest}}))
+	store := keeper.New()
 	store.Put(platform.KeyRoutingConfig, routingConfig(6))
 	store.Restore(store.Copy())
+	r := follow(t, store, follower.WithPeers(staticPeers{registrar.Change{Position: registrar.Position{Epoch: 1, Revision: 90}, Table: newest}}))
 	eventually(t, "version of the peer not in force", func() bool { return tableVersion(r) == 7 })
 	assert.Equal(t, r.View().Position().Epoch, 2)
 }
