--- a/internal/standin/rehearser/deployment.go
+++ b/internal/standin/rehearser/deployment.go
@@ -62,10 +62,13 @@
 
 // instancePlacements are the instances with their failure domains. The first failure domain has enough instances for
 // some of them to follow another one instead of the store (see packages follower and feeder).
-var instancePlacements = []struct{ name, domain string }{
+var instancePlacements = []placement{
 	{"entry-east", "east"}, {"entry-west", "west"}, {"entry-north", "north"}, {"entry-east-2", "east"}, {"entry-east-3", "east"},
 }
 
+// placement is the name of an instance and its failure domain.
+type placement struct{ name, domain string }
+
 // instance is an instance with the addresses and the settings file that it keeps over restarts.
 type instance struct {
 	name          string
@@ -82,6 +85,9 @@
 	directory string
 	store     *keeper.Store
 
+	// placements are the instances to start.
+	placements []placement
+
 	mu        sync.Mutex
 	instances []*instance
 	targets   map[string]*httpresponder.Target
@@ -105,12 +111,29 @@
 	closed bool
 }
 
+// Option configures a Deployment.
+type Option func(*Deployment)
+
+// WithInstances sets the number of instances, if it is larger than the usual one. Further ones are spread over all failure
+// domains.
+func WithInstances(n int) Option {
+	return func(d *Deployment) {
+		for i := len(d.placements); i < n; i++ {
+			domain := domains[i%len(domains)]
+			d.placements = append(d.placements, placement{name: fmt.Sprintf("entry-%s-%d", domain, i), domain: domain})
+		}
+	}
+}
+
 // NewDeployment starts the store, the targets and the instances.
-func NewDeployment(program, directory string) (*Deployment, error) {
-	d := &Deployment{program: program, directory: directory, store: keeper.New(), targets: make(map[string]*httpresponder.Target), services: make(map[string][]string)}
+func NewDeployment(program, directory string, opts ...Option) (*Deployment, error) {
+	d := &Deployment{program: program, directory: directory, placements: slices.Clone(instancePlacements), store: keeper.New(), targets: make(map[string]*httpresponder.Target), services: make(map[string][]string)}
 	d.healthy = make(map[string]func(*http.Request) (httpresponder.Behaviour, time.Duration))
 	d.started, d.entryWrites = make(map[string]int64), make(map[string]int)
 	d.links, d.domains = make(map[string]*forwarder.Forwarder), make(map[string]string)
+	for _, opt := range opts {
+		opt(d)
+	}
 	for i := range shardCount {
 		for _, domain := range domains[:2] {
 			d.AddTarget(shardName(i), domain, searchServiceTime)
@@ -275,10 +298,10 @@
 
 func (d *Deployment) startInstances() error {
 	var peers []string
-	for range instancePlacements {
+	for range d.placements {
 		peers = append(peers, launcher.FreeAddress())
 	}
-	for i, e := range instancePlacements {
+	for i, e := range d.placements {
 		d.storeLinks = append(d.storeLinks, startLink(d.store.Address()))
 		n := &instance{
 			name: e.name, callerAddress: launcher.FreeAddress(), adminAddress: launcher.FreeAddress(), readyAddress: launcher.FreeAddress(),
--- a/internal/standin/rehearser/soak.go
+++ b/internal/standin/rehearser/soak.go
@@ -87,8 +87,8 @@
 
 // Soak runs a load under random faults, which overlap and repeat. It returns the violations and a log of the faults.
 // The same seed draws the same faults.
-func Soak(ctx context.Context, program, directory string, seed uint64, duration time.Duration) (violations, log []string, err error) {
-	d, err := NewDeployment(program, directory)
+func Soak(ctx context.Context, program, directory string, seed uint64, duration time.Duration, opts ...Option) (violations, log []string, err error) {
+	d, err := NewDeployment(program, directory, opts...)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/internal/standin/rehearser/soak_test.go
+++ b/internal/standin/rehearser/soak_test.go
@@ -13,6 +13,7 @@
 var (
 	firstSeed = flag.Uint64("first-seed", 1, "first seed of the soak")
 	seeds     = flag.Int("seeds", 2, "number of seeds of the soak")
+	instances = flag.Int("instances", 0, "number of instances in the soak, if larger than usual")
 )
 
 // soakDuration is the duration of the load under faults for each seed.
@@ -20,12 +21,12 @@
 
 // Guards against violations under random faults that overlap and repeat, and against requests that fail after the
 // faults have ended. To run more seeds by hand: go test -run TestSoakReportsNoViolation -timeout 60m
-// ./internal/standin/rehearser -seeds 50 -first-seed 100.
+// ./internal/standin/rehearser -seeds 50 -first-seed 100, with -instances 60 for a larger deployment.
 func TestSoakReportsNoViolation(t *testing.T) {
 	program, err := buildProgram()
 	assert.NilError(t, err)
 	for seed := *firstSeed; seed < *firstSeed+uint64(*seeds); seed++ {
-		violations, log, err := rehearser.Soak(t.Context(), program, t.TempDir(), seed, soakDuration)
+		violations, log, err := rehearser.Soak(t.Context(), program, t.TempDir(), seed, soakDuration, rehearser.WithInstances(*instances))
 		assert.NilError(t, err)
 		for _, v := range violations {
 			t.Errorf("seed %d: %s", seed, v)
