--- a/internal/standin/rehearser/soak_test.go
+++ b/internal/standin/rehearser/soak_test.go
@@ -19,9 +19,9 @@
 // soakDuration is the duration of the load under faults for each seed.
 const soakDuration = 8 * time.Second
 
-// Guards against violations under random faults that overlap and repeat, and against requests that fail after the
-// faults have ended. To run more seeds by hand: go test -run TestSoakReportsNoViolation -timeout 60m
-// ./internal/standin/rehearser -seeds 50 -first-seed 100, with -instances 60 for a larger deployment.
+// Guards against violations under random faults that overlap and repeat, and against requests that fail after the faults
+// have ended. To run more seeds by hand, and with -instances a larger deployment: go test -run TestSoakReportsNoViolation
+// -timeout 60m ./internal/standin/rehearser -seeds 50 -first-seed 100.
 func TestSoakReportsNoViolation(t *testing.T) {
 	program, err := buildProgram()
 	assert.NilError(t, err)
