--- a/internal/cluster/follower/follower.go
+++ b/internal/cluster/follower/follower.go
@@ -240,8 +240,6 @@
 	}
 	if f.upstream != upstream {
 		f.logger.Info("following an instance", "upstream", upstream, "position", update.Change.Position)
-	}
-	if f.upstream != upstream {
 		// The upstream keeps the targets whose removal it does not trust, so all removals that it reports are trusted here.
 		f.trustRemovalsAt = time.Time{}
 	}
