Let instances be stranded in the soak, with a failing test of their callers

A stranded instance has lost its connections to all targets while callers, the store and other instances still reach it. Links can now be cut for one instance only, and refuse new connections while open ones live on. The soak does both, and holds the data, beside all its other faults; half of the callers of a stranded instance stay on their connections.

--- a/internal/standin/forwarder/forwarder.go
+++ b/internal/standin/forwarder/forwarder.go
@@ -23,6 +23,8 @@
 	ModeNormal Mode = "normal"
 	// ModeCut resets all connections, open and new ones.
 	ModeCut Mode = "cut"
+	// ModeCutNew resets new connections; open ones work.
+	ModeCutNew Mode = "cut-new"
 	// ModeSilent permanently stops the data of connections that are open now; new connections work.
 	ModeSilent Mode = "silent"
 	// ModeSilentAll holds the data of all connections, open and new ones, until the mode changes.
@@ -199,7 +201,8 @@
 	f.mu.Lock()
 	f.accepted++
 	f.openConns[p] = true
-	cut := f.modeOf(p.source) == ModeCut
+	mode := f.modeOf(p.source)
+	cut := mode == ModeCut || mode == ModeCutNew
 	f.mu.Unlock()
 	defer f.remove(p)
 	if cut || !p.awaitUnblocked() {
--- a/internal/standin/launcher/links.go
+++ b/internal/standin/launcher/links.go
@@ -51,20 +51,33 @@
 	}
 }
 
-// sourceDomain returns the failure domain of the instance that opened a connection, or an empty string. The instances
-// share loopback addresses, so it finds the process that holds the other end of the connection, where the remote
-// address is the local one.
+// sourceDomain returns the failure domain of the instance that opened a connection, or an empty string.
 func (s *linkSet) sourceDomain(c net.Conn) string {
+	s.launcher.mu.Lock()
+	defer s.launcher.mu.Unlock()
+	pids := make(map[string]int)
+	for name := range s.launcher.instances {
+		if p, found := s.launcher.processes[name]; found {
+			pids[name] = p.pid()
+		}
+	}
+	if name := ConnectionOwner(c, pids); name != "" {
+		return s.launcher.processes[name].domain
+	}
+	return ""
+}
+
+// ConnectionOwner returns the name of the process that opened a connection, or an empty string if it is none of the given
+// ones. Processes share loopback addresses, so it finds the one that holds the other end of the connection, where the
+// remote address is the local one.
+func ConnectionOwner(c net.Conn, pids map[string]int) string {
 	inode := socketInode(c.RemoteAddr(), c.LocalAddr())
 	if inode == "" {
 		return ""
 	}
-	s.launcher.mu.Lock()
-	defer s.launcher.mu.Unlock()
-	for name := range s.launcher.instances {
-		p, found := s.launcher.processes[name]
-		if found && holdsSocket(p.pid(), inode) {
-			return p.domain
+	for name, pid := range pids {
+		if holdsSocket(pid, inode) {
+			return name
 		}
 	}
 	return ""
--- a/internal/standin/rehearser/deployment.go
+++ b/internal/standin/rehearser/deployment.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"fmt"
 	"math"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -107,6 +108,10 @@
 	lastTargetNumber int
 	// ends holds the times at which targets ended under requests.
 	ends []time.Time
+	// stranded holds the modes of the links from stranded instances to all targets, by the name of the instance.
+	stranded map[string]forwarder.Mode
+	// pids holds the ids of the processes of the instances, by their names.
+	pids sync.Map
 	// closed reports whether Close was called, so that nothing starts any more.
 	closed bool
 }
@@ -130,6 +135,7 @@
 	d := &Deployment{program: program, directory: directory, placements: slices.Clone(instancePlacements), store: keeper.New(), targets: make(map[string]*httpresponder.Target), services: make(map[string][]string)}
 	d.healthy = make(map[string]func(*http.Request) (httpresponder.Behaviour, time.Duration))
 	d.started, d.entryWrites = make(map[string]int64), make(map[string]int)
+	d.stranded = make(map[string]forwarder.Mode)
 	d.links, d.domains = make(map[string]*forwarder.Forwarder), make(map[string]string)
 	for _, opt := range opts {
 		opt(d)
@@ -151,8 +157,8 @@
 }
 
 // startLink starts a link to an address. It panics on an error, which cannot occur on a machine with free ports.
-func startLink(upstream string) *forwarder.Forwarder {
-	l, err := forwarder.Start("127.0.0.1:0", upstream, "127.0.0.1:0")
+func startLink(upstream string, opts ...forwarder.Option) *forwarder.Forwarder {
+	l, err := forwarder.Start("127.0.0.1:0", upstream, "127.0.0.1:0", opts...)
 	if err != nil {
 		panic("rehearser: start link: " + err.Error())
 	}
@@ -181,7 +187,10 @@
 	d.targets[id] = target
 	d.domains[id] = domain
 	d.started[id] = time.Now().UnixMilli()
-	d.links[id] = startLink(target.Address())
+	d.links[id] = startLink(target.Address(), forwarder.WithClassifier(d.sourceInstance))
+	for name, mode := range d.stranded {
+		d.links[id].Control(forwarder.Control{Source: name, Mode: mode})
+	}
 	d.services[service] = append(d.services[service], id)
 	d.register(id, service, domain, platform.StateReady)
 	return id
@@ -341,9 +350,45 @@
 	n := d.instances[i]
 	p, err := launcher.StartProgram(n.name, filepath.Join(d.directory, n.name+".log"), d.program, "serve", "--settings", n.settingsPath)
 	n.program = p
+	if err == nil {
+		d.pids.Store(n.name, p.PID())
+	}
 	return err
 }
 
+// sourceInstance returns the name of the instance that opened a connection. It is called without the lock, because links
+// are controlled while it is held.
+func (d *Deployment) sourceInstance(c net.Conn) string {
+	pids := make(map[string]int)
+	d.pids.Range(func(name, pid any) bool {
+		pids[name.(string)] = pid.(int)
+		return true
+	})
+	return launcher.ConnectionOwner(c, pids)
+}
+
+// Strand sets the mode of the links from an instance to all targets. ModeNormal ends it.
+func (d *Deployment) Strand(i int, mode forwarder.Mode) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	name := d.instances[i].name
+	d.stranded[name] = mode
+	if mode == forwarder.ModeNormal {
+		delete(d.stranded, name)
+	}
+	for _, l := range d.links {
+		l.Control(forwarder.Control{Source: name, Mode: mode})
+	}
+}
+
+// isStranded reports whether an instance is stranded.
+func (d *Deployment) isStranded(i int) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	_, found := d.stranded[d.instances[i].name]
+	return found
+}
+
 // NotReadyError reports an instance that was not ready in time.
 type NotReadyError struct {
 	Instance string
--- a/internal/standin/rehearser/load.go
+++ b/internal/standin/rehearser/load.go
@@ -52,6 +52,8 @@
 type load struct {
 	deployment *Deployment
 	clients    []*http.Client
+	// at holds the instances that get all requests, ready or not; nil if a load balancer selects them.
+	at []int
 
 	mu     sync.Mutex
 	report Report
@@ -61,7 +63,13 @@
 
 // RunLoad sends requests at the rate to all instances for the duration and verifies every answer.
 func (d *Deployment) RunLoad(ctx context.Context, rate float64, duration time.Duration) Report {
-	l := &load{deployment: d}
+	return d.RunLoadAt(ctx, nil, rate, duration)
+}
+
+// RunLoadAt is like RunLoad with requests to the given instances only, whether they are ready or not, as from callers with
+// open connections.
+func (d *Deployment) RunLoadAt(ctx context.Context, instances []int, rate float64, duration time.Duration) Report {
+	l := &load{deployment: d, at: instances}
 	for range d.instances {
 		l.clients = append(l.clients, &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 50}, Timeout: 5 * time.Second})
 	}
@@ -83,9 +91,16 @@
 	return l.report
 }
 
-// readyInstance returns the first instance from i on that is ready for new connections, as a load balancer would. If
-// none is ready, it returns instance i.
-func (l *load) readyInstance(i int) int {
+// selectInstance returns the first instance from i on that is ready for new connections, as a load balancer would. If
+// none is ready, it returns instance i. Every second request that finds instance i stranded stays there: its caller has an
+// open connection.
+func (l *load) selectInstance(i int) int {
+	if len(l.at) > 0 {
+		return l.at[i%len(l.at)]
+	}
+	if k := i % len(l.deployment.instances); i/len(l.deployment.instances)%2 == 0 && l.deployment.isStranded(k) {
+		return k
+	}
 	for n := range l.deployment.instances {
 		if k := (i + n) % len(l.deployment.instances); l.deployment.IsReady(k) {
 			return k
@@ -96,7 +111,7 @@
 
 func (l *load) sendRequest(ctx context.Context, i int) {
 	id := fmt.Sprintf("%016x", time.Now().UnixNano()+int64(i))
-	k := l.readyInstance(i)
+	k := l.selectInstance(i)
 	method, path := http.MethodGet, searchPrefix+strconv.Itoa(i)
 	if i%orderInterval == 0 {
 		method, path = http.MethodPost, orderPrefix+strconv.Itoa(i)
--- a/internal/standin/rehearser/rehearser_test.go
+++ b/internal/standin/rehearser/rehearser_test.go
@@ -12,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"apricotflow/internal/standin/forwarder"
 	"apricotflow/internal/standin/keeper"
 	"apricotflow/internal/standin/rehearser"
 	"apricotflow/platform"
@@ -126,6 +127,34 @@
 	assert.Equal(t, d.ReceivedAfter(id, at.Add(3*time.Second)), 0)
 }
 
+// Guards against callers of instances that reach no target being refused, although others could serve their requests:
+// callers stay on open connections, and most instances may be stranded at once.
+func TestCallersOfStrandedInstancesAreServed(t *testing.T) {
+	for _, mode := range []forwarder.Mode{forwarder.ModeCut, forwarder.ModeCutNew} {
+		t.Run(string(mode), func(t *testing.T) {
+			d := startDeployment(t)
+			requireAllAnswered(t, d.RunLoad(t.Context(), 60, time.Second))
+			stranded := []int{1, 2, 3}
+			for _, i := range stranded {
+				d.Strand(i, mode)
+			}
+			// Instances may take this time to notice.
+			reportViolations(t, d.RunLoadAt(t.Context(), stranded, 60, 2*time.Second))
+			atStranded := d.RunLoadAt(t.Context(), stranded, 60, 3*time.Second)
+			requireAllAnswered(t, atStranded)
+			assert.Assert(t, atStranded.Failed <= 3, "%d of 180 requests at stranded instances failed", atStranded.Failed)
+			assert.Assert(t, atStranded.Coverage() > 0.97, atStranded.Coverage())
+			for _, i := range stranded {
+				d.Strand(i, forwarder.ModeNormal)
+			}
+			time.Sleep(time.Second)
+			after := d.RunLoad(t.Context(), 60, time.Second)
+			requireAllAnswered(t, after)
+			assert.Equal(t, after.Failed, 0)
+		})
+	}
+}
+
 // Guards against an instance that breaks a guarantee when it resumes after a suspension, because its state is outdated.
 func TestResumedInstanceKeepsGuarantees(t *testing.T) {
 	d := startDeployment(t)
--- a/internal/standin/rehearser/soak.go
+++ b/internal/standin/rehearser/soak.go
@@ -62,6 +62,7 @@
 	{"store restored", (*soak).restoreStore},
 	{"store link", (*soak).failStoreLink},
 	{"target links", (*soak).failTargetLinks},
+	{"strand", (*soak).strandInstances},
 	{"targets", (*soak).misbehaveTargets},
 	{"replace", (*soak).replaceTarget},
 	{"leave", (*soak).leaveTarget},
@@ -306,6 +307,29 @@
 	return func() { setMode(links, forwarder.ModeNormal) }
 }
 
+// strandModes are the modes of the links between a stranded instance and all targets.
+var strandModes = []forwarder.Mode{forwarder.ModeCut, forwarder.ModeCutNew, forwarder.ModeSilentAll}
+
+// strandInstances cuts some instances off from all targets, while callers, the store and other instances reach them.
+func (s *soak) strandInstances() func() {
+	mode := strandModes[s.random.IntN(len(strandModes))]
+	instances := s.random.Perm(len(s.deployment.instances))[:1+s.random.IntN(len(s.deployment.instances)-1)]
+	s.faultLog = append(s.faultLog, fmt.Sprintf("stranded: %v, links %s", instances, mode))
+	for _, i := range instances {
+		s.deployment.Strand(i, mode)
+	}
+	s.deployment.mu.Lock()
+	for id := range s.deployment.targets {
+		s.impaired[id] = true
+	}
+	s.deployment.mu.Unlock()
+	return func() {
+		for _, i := range instances {
+			s.deployment.Strand(i, forwarder.ModeNormal)
+		}
+	}
+}
+
 // misbehaveTargets makes random targets misbehave for half of their requests.
 func (s *soak) misbehaveTargets() func() {
 	behaviour := httpresponder.Shed + httpresponder.Behaviour(s.random.IntN(int(httpresponder.LastBehaviour-httpresponder.Shed)+1))
--- a/internal/standin/switcher/switcher.go
+++ b/internal/standin/switcher/switcher.go
@@ -27,6 +27,8 @@
 type Network struct {
 	mu        sync.Mutex
 	listeners map[string]*listener
+	// refusesNew reports whether all new connections are refused. Open ones live on.
+	refusesNew bool
 }
 
 // New returns a Network without listeners.
@@ -43,12 +45,19 @@
 	return l
 }
 
+// RefuseNew sets whether all new connections are refused.
+func (n *Network) RefuseNew(refuse bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.refusesNew = refuse
+}
+
 // Dial connects to the listener on the address. Writes to the connection wait until the other end has read them.
 func (n *Network) Dial(ctx context.Context, address string) (net.Conn, error) {
 	n.mu.Lock()
-	l := n.listeners[address]
+	l, refuses := n.listeners[address], n.refusesNew
 	n.mu.Unlock()
-	if l == nil {
+	if l == nil || refuses {
 		return nil, &RefusedError{Address: address}
 	}
 	near, far := net.Pipe()
