Notice at once that no failure domain is in reach, also by refused connections

Callers of an instance that has lost all targets wait for what the instance has not noticed yet.

When a failure domain has gone out of reach, all others are probed at once, and small ones count if others are out of reach too. Three targets of a domain to which no connection can be opened within 0.5 s, or whose new connections end without a reply, lead to a probe, which then needs eight refusals, since many targets may have ended at once. Many silent requests lead to a probe after 0.12 s. A probe also fails if its connection ends at once. An instance can verify its reach when it has sent nothing.

TestAllDomainsAreVerifiedWhenOneIsLost, TestDomainIsUnreachableWhenItsTargetsRefuseNewConnections, TestVerifyFindsThatIdleInstanceReachesNothing and TestConnectionThatEndsAtOnceIsNoProofOfReach need what was missing; TestDomainStaysReachableWhenManyTargetsHaveEnded guards against the opposite.

--- a/internal/target/prober/prober.go
+++ b/internal/target/prober/prober.go
@@ -1,13 +1,17 @@
 // Package prober detects when a failure domain is unreachable, as in a network partition, and when it becomes reachable
-// again, in relay mode. It tracks requests that get no reply. If none from a whole failure domain arrives, it probes
-// some targets there by opening a connection to each. The sender reports its requests and skips targets in unreachable
-// domains.
+// again, in relay mode. It tracks requests that get no reply and connections that cannot be opened. If there is no reply
+// from a whole failure domain, or several of its targets refuse connections, it probes some targets there by opening a
+// connection to each. The sender reports its requests and skips targets in unreachable domains.
 package prober
 
 import (
 	"context"
+	"errors"
+	"maps"
 	"math/rand/v2"
 	"net"
+	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,14 +26,30 @@
 	// silenceThreshold is the time without any reply from a failure domain, while requests are pending, after which
 	// the domain is probed. It is longer than the pause of a single target.
 	silenceThreshold = 250 * time.Millisecond
+	// broadSilenceThreshold replaces silenceThreshold while at least broadSilenceRequests are pending that long, which are
+	// too many for pauses of single targets.
+	broadSilenceThreshold = 120 * time.Millisecond
+	broadSilenceRequests  = 8
 	// checkInterval is the time between checks of which failure domains to probe.
 	checkInterval = 100 * time.Millisecond
 	// probeTimeout limits one round of probes. Opening a connection takes some milliseconds.
-	probeTimeout = 250 * time.Millisecond
+	probeTimeout = 200 * time.Millisecond
+	// acceptanceTime is how long a probe keeps its connection open.
+	acceptanceTime = 20 * time.Millisecond
 	// probedTargets is the number of targets that must all fail a probe before the domain is considered unreachable.
 	// Fewer targets may all be down independently. It is also the number of requests that must have ended without a
 	// reply before a domain is probed although no request is pending.
 	probedTargets = 3
+	// replyingProbedTargets replaces probedTargets for a domain that still replies on open connections, where many
+	// targets may have ended at once.
+	replyingProbedTargets = 8
+	// minUnconnectable is the number of targets of a domain without a connection within unconnectableWindow after which the
+	// domain is probed although it replies on open connections. These end one by one, and no new ones replace them.
+	minUnconnectable    = 3
+	unconnectableWindow = 500 * time.Millisecond
+	// verificationInterval is the time after a reply or a probe within which Verify takes a domain for reachable, or not,
+	// without probing it again.
+	verificationInterval = time.Second
 )
 
 // Views provides the current view with the known targets.
@@ -45,6 +65,10 @@
 	repliedAt time.Time
 	// failures is the number of requests that have ended without a reply since repliedAt.
 	failures int
+	// unconnectable holds when the latest connection to a target could not be opened, by the id of the target.
+	unconnectable map[string]time.Time
+	// probedAt is the time of the latest probe.
+	probedAt time.Time
 }
 
 // PendingRequest is a request that has neither got a reply nor ended without one.
@@ -65,6 +89,8 @@
 
 	mu      sync.Mutex
 	domains map[string]*domainState
+	// lost is closed, and replaced, when a failure domain becomes unreachable.
+	lost chan struct{}
 }
 
 // Option configures a Prober.
@@ -77,21 +103,34 @@
 
 // New returns a Prober that considers all failure domains reachable.
 func New(views Views, logger *log.Logger, opts ...Option) *Prober {
-	p := &Prober{views: views, logger: logger, dial: connect, domains: make(map[string]*domainState)}
+	p := &Prober{views: views, logger: logger, dial: connect, domains: make(map[string]*domainState), lost: make(chan struct{})}
 	for _, opt := range opts {
 		opt(p)
 	}
 	return p
 }
 
-// connect opens a connection and closes it.
+// errUnexpectedBytes is returned for a connection on which bytes arrived although no request was sent.
+var errUnexpectedBytes = errors.New("prober: unexpected bytes on a new connection")
+
+// connect opens a connection, waits for acceptanceTime and closes it. A connection that ends meanwhile is a failure:
+// something on the way has accepted it in place of the target.
 func connect(ctx context.Context, address string) error {
 	var dialer net.Dialer
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return err
 	}
-	return conn.Close()
+	err = conn.SetReadDeadline(time.Now().Add(acceptanceTime))
+	if err == nil {
+		if _, err = conn.Read(make([]byte, 1)); err == nil {
+			err = errUnexpectedBytes
+		}
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		err = nil
+	}
+	return errors.Join(err, conn.Close())
 }
 
 // Reachable reports whether the failure domain is considered reachable.
@@ -105,6 +144,13 @@
 	return p.unreachable.Load() == nil
 }
 
+// Lost returns a channel that is closed when the next failure domain becomes unreachable.
+func (p *Prober) Lost() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lost
+}
+
 // Begin records the start of a request to a target of the failure domain.
 func (p *Prober) Begin(domain string) *PendingRequest {
 	r := &PendingRequest{prober: p, domain: domain, start: time.Now()}
@@ -142,35 +188,76 @@
 func (p *Prober) stateOf(domain string) *domainState {
 	s := p.domains[domain]
 	if s == nil {
-		s = &domainState{pending: make(map[*PendingRequest]struct{})}
+		s = &domainState{pending: make(map[*PendingRequest]struct{}), unconnectable: make(map[string]time.Time)}
 		p.domains[domain] = s
 	}
 	return s
 }
 
-// needsProbe reports whether there was no reply for longer than silenceThreshold although a request has been pending
-// that long or several requests have ended without a reply.
-func (s *domainState) needsProbe(now time.Time) bool {
-	hasEvidence := s.failures >= probedTargets
+// RecordUnconnectable records that no connection to the target could be opened.
+func (p *Prober) RecordUnconnectable(domain, target string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stateOf(domain).unconnectable[target] = time.Now()
+}
+
+// hasUnconnectable reports whether several targets could not be connected to since the latest probe and within
+// unconnectableWindow.
+func (s *domainState) hasUnconnectable(now time.Time) bool {
+	n := 0
+	for target, at := range s.unconnectable {
+		if now.Sub(at) > unconnectableWindow {
+			delete(s.unconnectable, target)
+		} else if at.After(s.probedAt) {
+			n++
+		}
+	}
+	return n >= minUnconnectable
+}
+
+// isSilent reports whether there was no reply for longer than silenceThreshold although a request has been pending that
+// long or several requests have ended without a reply, or for longer than broadSilenceThreshold although many requests
+// have been pending that long.
+func (s *domainState) isSilent(now time.Time) bool {
+	hasEvidence, pending := s.failures >= probedTargets, 0
 	for r := range s.pending {
 		hasEvidence = hasEvidence || now.Sub(r.start) > silenceThreshold
+		if now.Sub(r.start) > broadSilenceThreshold {
+			pending++
+		}
 	}
-	return hasEvidence && now.Sub(s.repliedAt) > silenceThreshold
+	silence := now.Sub(s.repliedAt)
+	return hasEvidence && silence > silenceThreshold || pending >= broadSilenceRequests && silence > broadSilenceThreshold
 }
 
-// Run probes failure domains that need it until the context ends. Those of one round are probed at the same time: an
-// instance whose failure domain is cut off loses all others at once.
+// Run probes failure domains that need it until the context ends. When one has become unreachable, all others are
+// verified at once: an instance that has lost its own failure domain may have lost every other.
 func (p *Prober) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		var probes sync.WaitGroup
-		for _, domain := range p.domainsToProbe() {
-			probes.Go(func() { p.probe(ctx, domain) })
+		wasReachable := p.AllReachable()
+		p.probeAll(ctx, p.domainsToProbe())
+		if wasReachable && !p.AllReachable() {
+			p.probeAll(ctx, p.unverifiedDomains(0))
 		}
-		probes.Wait()
 		timekeeper.Sleep(ctx, checkInterval)
 	}
 }
 
+// Verify probes the failure domains of which nothing is known from the last verificationInterval, so that an instance
+// without requests does not take itself for one that reaches them.
+func (p *Prober) Verify(ctx context.Context) {
+	p.probeAll(ctx, p.unverifiedDomains(verificationInterval))
+}
+
+// probeAll probes the failure domains at the same time and waits for the results.
+func (p *Prober) probeAll(ctx context.Context, domains []string) {
+	var probes sync.WaitGroup
+	for _, domain := range domains {
+		probes.Go(func() { p.probe(ctx, domain) })
+	}
+	probes.Wait()
+}
+
 // domainsToProbe returns the failure domains that need a probe or are unreachable.
 func (p *Prober) domainsToProbe() []string {
 	now := time.Now()
@@ -178,17 +265,47 @@
 	defer p.mu.Unlock()
 	var names []string
 	for name, s := range p.domains {
-		if s.needsProbe(now) || !p.Reachable(name) {
+		if s.isSilent(now) || s.hasUnconnectable(now) || !p.Reachable(name) {
 			names = append(names, name)
 		}
 	}
 	return names
 }
 
+// unverifiedDomains returns the reachable failure domains with targets, without those that have replied or were probed
+// within the given time.
+func (p *Prober) unverifiedDomains(within time.Duration) []string {
+	now := time.Now()
+	names := make(map[string]bool)
+	for _, t := range p.views.View().Targets() {
+		names[t.FailureDomain] = true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	maps.DeleteFunc(names, func(name string, _ bool) bool {
+		s := p.stateOf(name)
+		return !p.Reachable(name) || now.Sub(s.repliedAt) < within || now.Sub(s.probedAt) < within
+	})
+	return slices.Collect(maps.Keys(names))
+}
+
+// beginProbe records a probe of the failure domain. It returns how many targets must fail it.
+func (p *Prober) beginProbe(domain string) int {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.stateOf(domain)
+	s.probedAt = now
+	if now.Sub(s.repliedAt) > broadSilenceThreshold {
+		return probedTargets
+	}
+	return replyingProbedTargets
+}
+
 // probe opens connections to some targets of a failure domain. One that succeeds proves the domain reachable.
-func (p *Prober) probe(ctx context.Context, domain string) {
-	addresses := p.addresses(domain)
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+func (p *Prober) probe(parent context.Context, domain string) {
+	addresses := p.addresses(domain, p.beginProbe(domain))
+	ctx, cancel := context.WithTimeout(parent, probeTimeout)
 	defer cancel()
 	results := make(chan error, len(addresses))
 	for _, address := range addresses {
@@ -203,14 +320,14 @@
 		}
 		failure = err
 	}
-	// If there are too few targets, all of them may be down.
-	if len(addresses) >= probedTargets {
+	// If there are too few targets, all of them may be down, unless other failure domains are unreachable too.
+	if failure != nil && parent.Err() == nil && (len(addresses) >= probedTargets || !p.AllReachable()) {
 		p.recordProbe(domain, false, failure)
 	}
 }
 
-// addresses returns the addresses of up to probedTargets random targets of a failure domain.
-func (p *Prober) addresses(domain string) []string {
+// addresses returns the addresses of up to n random targets of a failure domain.
+func (p *Prober) addresses(domain string, n int) []string {
 	var addresses []string
 	for _, t := range p.views.View().Targets() {
 		if t.FailureDomain == domain && !t.Draining && !t.Withdrawn {
@@ -218,7 +335,7 @@
 		}
 	}
 	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	return addresses[:min(len(addresses), probedTargets)]
+	return addresses[:min(len(addresses), n)]
 }
 
 // recordProbe records the result of a probe and logs a change of reachability.
@@ -250,4 +367,8 @@
 		return
 	}
 	p.unreachable.Store(&next)
+	if !reachable {
+		close(p.lost)
+		p.lost = make(chan struct{})
+	}
 }
--- a/internal/target/prober/prober_test.go
+++ b/internal/target/prober/prober_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -142,3 +143,119 @@
 	time.Sleep(600 * time.Millisecond)
 	assert.Assert(t, p.Reachable("west"))
 }
+
+// startManual runs a prober over the targets of some failure domains. The address of each target is its id, and accepts
+// decides which of them accept connections.
+func startManual(t *testing.T, targets map[string]int, accepts func(address string) bool) *prober.Prober {
+	t.Helper()
+	state := registrar.New()
+	var change registrar.Change
+	for domain, n := range targets {
+		for i := range n {
+			id := fmt.Sprintf("%s%d", domain, i)
+			change.Put = append(change.Put, registrar.Target{ID: id, Address: id, FailureDomain: domain})
+		}
+	}
+	state.Apply(change, true)
+	p := prober.New(state, log.New(io.Discard), prober.WithDial(func(_ context.Context, address string) error {
+		if accepts(address) {
+			return nil
+		}
+		return errPartitioned
+	}))
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	go p.Run(ctx)
+	return p
+}
+
+// Guards against an instance that has lost all targets and notices the failure domains one after the other, as requests
+// fail in each: small ones count too when others are out of reach.
+func TestAllDomainsAreVerifiedWhenOneIsLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := startManual(t, map[string]int{"a": 5, "b": 5, "c": 2}, func(string) bool { return false })
+		lost := p.Lost()
+		p.Begin("a")
+		time.Sleep(500 * time.Millisecond)
+		for _, domain := range []string{"a", "b", "c"} {
+			assert.Assert(t, !p.Reachable(domain), domain)
+		}
+		select {
+		case <-lost:
+		default:
+			t.Fatal("requests are not told of the loss")
+		}
+	})
+}
+
+// Guards against an instance whose open connections live on while new ones are refused: they end one by one, and what needs
+// a new one fails until then.
+func TestDomainIsUnreachableWhenItsTargetsRefuseNewConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := startManual(t, map[string]int{"a": 10}, func(string) bool { return false })
+		for range 10 {
+			for i := range 3 {
+				p.RecordUnconnectable("a", fmt.Sprintf("a%d", i))
+			}
+			p.Begin("a").End(true)
+			time.Sleep(50 * time.Millisecond)
+		}
+		assert.Assert(t, !p.Reachable("a"))
+	})
+}
+
+// Guards against taking a failure domain for lost when many of its targets have ended at once, while others reply.
+func TestDomainStaysReachableWhenManyTargetsHaveEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ended := map[string]bool{"a0": true, "a1": true, "a2": true, "a3": true, "a4": true, "a5": true, "a6": true}
+		p := startManual(t, map[string]int{"a": 10}, func(address string) bool { return !ended[address] })
+		for range 40 {
+			for id := range ended {
+				p.RecordUnconnectable("a", id)
+			}
+			p.Begin("a").End(true)
+			assert.Assert(t, p.Reachable("a"))
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+}
+
+// Guards against an instance that has sent nothing lately, such as one that has just started, and takes itself for one that
+// reaches targets.
+func TestVerifyFindsThatIdleInstanceReachesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := startManual(t, map[string]int{"a": 5, "b": 5}, func(string) bool { return false })
+		assert.Assert(t, p.AllReachable())
+		p.Verify(t.Context())
+		assert.Assert(t, !p.Reachable("a") && !p.Reachable("b"))
+	})
+}
+
+// Guards against probes that take something on the way, which accepts connections and ends them, for a target.
+func TestConnectionThatEndsAtOnceIsNoProofOfReach(t *testing.T) {
+	for _, ends := range []bool{true, false} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = listener.Close() })
+		go func() {
+			for {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				if ends {
+					_ = conn.Close()
+				}
+			}
+		}()
+		state := registrar.New()
+		var change registrar.Change
+		for i := range 3 {
+			change.Put = append(change.Put, registrar.Target{ID: fmt.Sprintf("a%d", i), Address: listener.Addr().String(), FailureDomain: "a"})
+		}
+		state.Apply(change, true)
+		p := prober.New(state, log.New(io.Discard))
+		p.Verify(t.Context())
+		assert.Equal(t, p.Reachable("a"), !ends)
+	}
+}
--- a/internal/target/sender/sender.go
+++ b/internal/target/sender/sender.go
@@ -298,6 +298,9 @@
 			// Unsent also counts as no reply, because opening a connection fails if the failure domain is unreachable.
 			pending.End(result.Outcome != transporter.Lost && result.Outcome != transporter.Unsent)
 		}
+		if isUnconnectable(result) {
+			s.prober.RecordUnconnectable(target.FailureDomain, target.ID)
+		}
 		if result.Outcome == transporter.Misdirected && s.registrar.Withdraw(target.ID, target.Address) {
 			s.logger.Info("target withdrawn, another one has its address", "target", target.ID, "address", target.Address,
 				"service", target.Service, "id", requestID)
@@ -363,6 +366,16 @@
 	}
 }
 
+// isUnconnectable reports whether no connection to the target could be opened, or a new one ended before any reply.
+func isUnconnectable(result transporter.Result) bool {
+	if errors.Is(result.Err, context.Canceled) {
+		return false
+	}
+	var dial *transporter.DialError
+	return errors.As(result.Err, &dial) ||
+		result.Outcome == transporter.Lost && result.OnNewConnection && !errors.Is(result.Err, context.DeadlineExceeded)
+}
+
 // givenUpHere reports whether this instance has not tried to send the request, because all connections were in use, or the
 // target was no longer serving or took no requests.
 func givenUpHere(result transporter.Result) bool {
--- a/internal/target/transporter/connection.go
+++ b/internal/target/transporter/connection.go
@@ -41,6 +41,8 @@
 	conn   net.Conn
 	reader *reader.Reader
 	closed atomic.Bool
+	// hasReplied is set by the first reply.
+	hasReplied atomic.Bool
 	// writeMu is held while a request is written.
 	writeMu sync.Mutex
 
@@ -110,7 +112,7 @@
 	_ = c.conn.Close()
 	c.pool.remove(c)
 	if x := c.takeExchange(); x != nil {
-		x.done <- Result{Outcome: Lost, Err: cause}
+		x.done <- Result{Outcome: Lost, Err: cause, OnNewConnection: !c.hasReplied.Load()}
 	}
 }
 
@@ -132,6 +134,7 @@
 			c.close(err)
 			return
 		}
+		c.hasReplied.Store(true)
 		if !c.deliver(result, reusable, idleLimit) {
 			return
 		}
--- a/internal/target/transporter/request.go
+++ b/internal/target/transporter/request.go
@@ -130,6 +130,9 @@
 	// PausedFor is how long the target wants no more requests from the instance that sent this one, or 0 if the reply does
 	// not state it.
 	PausedFor time.Duration
+	// OnNewConnection reports whether a lost request was the first on its connection, so that the connection may not have
+	// led to the target.
+	OnNewConnection bool
 	// Err is the reason why a request was not sent or was lost; nil for other outcomes.
 	Err error
 	// Latency is the time from the start of the request to its outcome.
