Take a refused connection as the end of a target only if others accept

A request whose connection is reset was suspected, and after three of them quarantined on all instances for 15 minutes, when its instance was stranded such that all targets refuse its new connections: the refusal was evidence that the target had ended.

A target now counts as ended only if one of up to four others, which have not run the request, accepts a connection at the same moment. What a stranded instance observes is then no evidence, and is not sent to others either.

TestRequestIsNotSuspectedWhenAllTargetsRefuseConnections: suspected after the second request before.

--- a/internal/query/relayer/caution.go
+++ b/internal/query/relayer/caution.go
@@ -140,8 +140,12 @@
 func (f *forwarder) checkEnd(r partResult, tried bool) {
 	f.caution.checks++
 	ctx := context.WithoutCancel(f.sendCtx)
+	var triedTargets []string
+	for _, p := range f.parts {
+		triedTargets = append(triedTargets, p.triedTargets...)
+	}
 	go func() {
-		f.caution.results <- endCheck{part: r.part, target: r.target, ended: f.sender.HasEnded(ctx, r.target), tried: tried}
+		f.caution.results <- endCheck{part: r.part, target: r.target, ended: f.sender.HasEnded(ctx, r.target, triedTargets), tried: tried}
 	}()
 }
 
--- a/internal/query/relayer/caution_test.go
+++ b/internal/query/relayer/caution_test.go
@@ -212,3 +212,21 @@
 		assert.Equal(t, f.verdict(fatal), quarantiner.Suspected)
 	})
 }
+
+// Guards against the quarantine of a request by an instance to which all targets refuse connections: none of them has
+// ended.
+func TestRequestIsNotSuspectedWhenAllTargetsRefuseConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 6, "s0", "s1")
+		for i := range 6 {
+			f.network.RefuseNew(true)
+			f.setBehaviour("s0", httpresponder.Reset)
+			_, _ = f.relay(singleRoute(true), "r")
+			time.Sleep(time.Second)
+			assert.Equal(t, f.verdict(singleRoute(true)), quarantiner.Unsuspected, "after %d requests", i+1)
+			f.network.RefuseNew(false)
+			f.setBehaviour("s0", httpresponder.Answer)
+			_, _ = f.relay(singleRoute(true), "calm")
+		}
+	})
+}
--- a/internal/target/sender/sender.go
+++ b/internal/target/sender/sender.go
@@ -48,6 +48,8 @@
 	pauseLogInterval = 10 * time.Second
 	// excessLogInterval is the minimum time between two log lines about excessive replies of a target.
 	excessLogInterval = 10 * time.Second
+	// maxControlTargets is the number of other targets to which connections are opened to confirm that a target has ended.
+	maxControlTargets = 4
 	// minHedgeDelay is the minimum hedge delay.
 	minHedgeDelay = 3 * time.Millisecond
 )
@@ -322,9 +324,36 @@
 	}
 }
 
-// HasEnded reports whether the process of the target has ended.
-func (s *Sender) HasEnded(ctx context.Context, target registrar.Target) bool {
-	return s.transporter.IsRefused(ctx, target.Address)
+// HasEnded reports whether the process of the target has ended: it refuses connections while one of a few other targets,
+// which has not run the request either, accepts them. If none does, connections from this instance are refused whatever
+// the target. If there is no other target, the refusal alone counts.
+func (s *Sender) HasEnded(ctx context.Context, target registrar.Target, tried []string) bool {
+	controls := s.controlTargets(append(slices.Clone(tried), target.ID))
+	accepted := make(chan bool, len(controls))
+	for _, c := range controls {
+		go func() { accepted <- s.transporter.Accepts(ctx, c.Address) }()
+	}
+	if !s.transporter.IsRefused(ctx, target.Address) {
+		return false
+	}
+	for range controls {
+		if <-accepted {
+			return true
+		}
+	}
+	if len(controls) > 0 {
+		s.scope.Counter("sender-ends-unconfirmed").Inc(1)
+	}
+	return len(controls) == 0
+}
+
+// controlTargets returns up to maxControlTargets random serving targets besides the excluded ones.
+func (s *Sender) controlTargets(excluded []string) []registrar.Target {
+	controls := slices.DeleteFunc(slices.Clone(s.registrar.View().Targets()), func(t registrar.Target) bool {
+		return t.Draining || t.Withdrawn || slices.Contains(excluded, t.ID)
+	})
+	rand.Shuffle(len(controls), func(i, j int) { controls[i], controls[j] = controls[j], controls[i] })
+	return controls[:min(len(controls), maxControlTargets)]
 }
 
 // recordExcess counts a reply that exceeded a limit, and logs the first one of a target in each excessLogInterval.
--- a/internal/target/transporter/transporter.go
+++ b/internal/target/transporter/transporter.go
@@ -122,18 +122,28 @@
 	return result
 }
 
-// IsRefused reports whether nothing listens on the address, because the process of the target has ended. An address that
-// does not answer may be out of reach instead, and is not refused.
+// IsRefused reports whether a connection to the address is refused: nothing listens there, or something on the way refuses
+// connections. An address that does not answer may be out of reach instead, and is not refused.
 func (t *Transporter) IsRefused(ctx context.Context, address string) bool {
+	return errors.Is(t.checkAddress(ctx, address), syscall.ECONNREFUSED)
+}
+
+// Accepts reports whether the address accepts a connection.
+func (t *Transporter) Accepts(ctx context.Context, address string) bool {
+	return t.checkAddress(ctx, address) == nil
+}
+
+// checkAddress opens a connection to the address and closes it.
+func (t *Transporter) checkAddress(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, refusalTimeout)
 	defer cancel()
 	conn, err := t.dial(ctx, address)
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+		return err
 	}
 	// Closing a connection that was opened as a check has no effect worth reporting.
 	_ = conn.Close()
-	return false
+	return nil
 }
 
 func (t *Transporter) pool(target, address string) *pool {
