Send no parts through instances that do not reach their targets

Parts of a query go through an instance of the targets' failure domain, or of the own one, which was chosen by its connection to this instance, not by what it reaches. The parts came back by hedges, until the budget for them was empty.

An instance that does not reach the targets of a batch now returns it unsent at once; the parts are sent directly, and it gets none for 2 s. One that has not noticed yet is left alone after two replies in a row without any result. A peer that cannot be reached at all was suspended before.

TestBatchIsReturnedUnsentWhenPeerDoesNotReachTargets and TestPeerIsSuspendedWhenItsBatchesStayEmpty fail without it.

--- a/internal/query/relayer/results.go
+++ b/internal/query/relayer/results.go
@@ -1,8 +1,11 @@
 package relayer
 
 import (
+	"errors"
 	"fmt"
+	"slices"
 
+	"apricotflow/internal/target/sender"
 	"apricotflow/internal/target/transporter"
 )
 
@@ -39,6 +42,10 @@
 	case transporter.Unsent:
 		p.sentRequests--
 		p.possibleRuns--
+		if errors.Is(r.result.Err, sender.ErrPeerOutOfReach) {
+			// The target may still be reached from here.
+			p.triedTargets = slices.DeleteFunc(p.triedTargets, func(id string) bool { return id == r.target.ID })
+		}
 		f.addDecision(p, r.target.ID, describe(r.result))
 	case transporter.Lost:
 		p.ranOrLost = true
--- a/internal/target/concentrator/concentrator.go
+++ b/internal/target/concentrator/concentrator.go
@@ -21,6 +21,7 @@
 
 	"apricotflow/internal/cluster/messenger"
 	"apricotflow/internal/cluster/registrar"
+	"apricotflow/internal/target/sender"
 	"apricotflow/internal/target/transporter"
 	"apricotflow/internal/wire/encoder"
 )
@@ -35,6 +36,9 @@
 	minTargets = 3
 	// suspendTime is how long a peer gets no batches after a call to it failed or its reply was overdue.
 	suspendTime = 2 * time.Second
+	// maxEmptyReplies is the number of replies in a row without any result after which a peer gets no batches: it may
+	// have lost its targets and not know it yet.
+	maxEmptyReplies = 2
 	// replyMargin is the time after the flush within which the reply must arrive. It covers a round trip between
 	// failure domains and scheduling delays on a small machine.
 	replyMargin = 25 * time.Millisecond
@@ -47,8 +51,11 @@
 	notifyTimeout = 500 * time.Millisecond
 )
 
-// errReplyOverdue is the cause of a suspension when the reply to a batch is overdue.
-var errReplyOverdue = errors.New("concentrator: peer did not reply to the batch in time")
+// Causes of a suspension besides failed calls.
+var (
+	errReplyOverdue = errors.New("concentrator: peer did not reply to the batch in time")
+	errEmptyReplies = errors.New("concentrator: peer has had no result for its latest batches")
+)
 
 // Peers provides the connected peers in a failure domain.
 type Peers interface {
@@ -57,6 +64,8 @@
 
 // LocalSender sends a request to one target on behalf of a peer.
 type LocalSender interface {
+	// Reaches reports whether the failure domain is reachable.
+	Reaches(domain string) bool
 	SendForPeer(ctx context.Context, target registrar.Target, route string, r *transporter.Request, deadline time.Time) transporter.Result
 }
 
@@ -98,7 +107,9 @@
 	cancelServed map[string]context.CancelFunc
 	// suspendedUntil holds the time until which a peer gets no batches.
 	suspendedUntil map[string]time.Time
-	nextPeer       int
+	// emptyReplies holds the number of latest replies of a peer without any result, by its name.
+	emptyReplies map[string]int
+	nextPeer     int
 	// justResumed reports whether a standstill of the process has ended within the last moments.
 	justResumed func() bool
 }
@@ -115,7 +126,8 @@
 func New(peers Peers, r *registrar.Registrar, local LocalSender, logger *log.Logger, scope tally.Scope, opts ...Option) *Concentrator {
 	c := &Concentrator{
 		peers: peers, registrar: r, local: local, logger: logger, scope: scope, lateResults: make(map[string]chan encoder.LateParts),
-		cancelServed: make(map[string]context.CancelFunc), suspendedUntil: make(map[string]time.Time), justResumed: func() bool { return false },
+		cancelServed: make(map[string]context.CancelFunc), suspendedUntil: make(map[string]time.Time),
+		emptyReplies: make(map[string]int), justResumed: func() bool { return false },
 	}
 	for _, opt := range opts {
 		opt(c)
@@ -178,7 +190,13 @@
 		deliver(results.failRemaining(outcomeOf(err), err, time.Since(start)))
 		return
 	}
+	if reply.OutOfReach != nil && *reply.OutOfReach {
+		c.suspend(batch.Peer, sender.ErrPeerOutOfReach)
+		deliver(results.failRemaining(transporter.Unsent, sender.ErrPeerOutOfReach, time.Since(start)))
+		return
+	}
 	deliver(results.decode(reply.Parts))
+	c.countEmptyReply(batch.Peer, results.remaining == len(batch.Targets))
 	for results.remaining > 0 {
 		select {
 		case parts := <-late:
@@ -233,6 +251,21 @@
 	}
 }
 
+// countEmptyReply counts the replies of the peer in a row that were empty, and suspends it after maxEmptyReplies.
+func (c *Concentrator) countEmptyReply(peer string, empty bool) {
+	c.mu.Lock()
+	if empty {
+		c.emptyReplies[peer]++
+	} else {
+		delete(c.emptyReplies, peer)
+	}
+	suspect := c.emptyReplies[peer] >= maxEmptyReplies
+	c.mu.Unlock()
+	if suspect {
+		c.suspend(peer, errEmptyReplies)
+	}
+}
+
 // notify sends a message that has no reply.
 func notify[M any](c *Concentrator, peer, method string, message M) {
 	ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
--- a/internal/target/concentrator/concentrator_test.go
+++ b/internal/target/concentrator/concentrator_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -20,6 +21,7 @@
 	"apricotflow/internal/operator/recorder"
 	"apricotflow/internal/operator/timekeeper"
 	"apricotflow/internal/target/concentrator"
+	"apricotflow/internal/target/sender"
 	"apricotflow/internal/target/transporter"
 )
 
@@ -40,8 +42,12 @@
 	leaving  map[string]bool
 	pauses   map[string]time.Duration
 	canceled int
+	// outOfReach reports whether the instance does not reach the targets.
+	outOfReach bool
 }
 
+func (f *fakeSender) Reaches(string) bool { return !f.outOfReach }
+
 func (f *fakeSender) SendForPeer(ctx context.Context, target registrar.Target, _ string, r *transporter.Request, _ time.Time) transporter.Result {
 	f.mu.Lock()
 	delay, outcome := f.delays[target.ID], f.failures[target.ID]
@@ -265,3 +271,39 @@
 		p.send(b.Context(), batch)
 	}
 }
+
+// Guards against parts that are sent through a peer that reaches none of their targets: it must say so at once, so that
+// they can be sent another way, and get no more.
+func TestBatchIsReturnedUnsentWhenPeerDoesNotReachTargets(t *testing.T) {
+	p := startPair(t, 4)
+	p.fakeSender.outOfReach = true
+	for _, target := range p.targets {
+		p.fakeSender.delays[target.ID] = time.Minute
+	}
+	begin := time.Now()
+	delivered := p.send(t.Context(), p.batch(time.Second))
+	assert.Assert(t, time.Since(begin) < 500*time.Millisecond)
+	assert.Equal(t, len(delivered.results), 4)
+	for _, r := range delivered.results {
+		assert.Equal(t, r.Outcome, transporter.Unsent)
+		assert.Assert(t, errors.Is(r.Err, sender.ErrPeerOutOfReach))
+	}
+	_, found := p.requester.ChoosePeer("east", 4, p.batch(0).Request)
+	assert.Assert(t, !found)
+}
+
+// Guards against parts that are sent through a peer that has lost its targets and has not noticed yet.
+func TestPeerIsSuspendedWhenItsBatchesStayEmpty(t *testing.T) {
+	p := startPair(t, 4)
+	for _, target := range p.targets {
+		p.fakeSender.delays[target.ID] = 100 * time.Millisecond
+	}
+	usable := func() bool {
+		_, found := p.requester.ChoosePeer("east", 4, p.batch(0).Request)
+		return found
+	}
+	p.send(t.Context(), p.batch(10*time.Millisecond))
+	assert.Assert(t, usable())
+	p.send(t.Context(), p.batch(10*time.Millisecond))
+	assert.Assert(t, !usable())
+}
--- a/internal/target/concentrator/serve.go
+++ b/internal/target/concentrator/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/base64"
 	"errors"
+	"slices"
 	"strings"
 	"time"
 
@@ -33,6 +34,12 @@
 		return encoder.PartsReply{}, err
 	}
 	c.scope.Counter("concentrator-served").Inc(1)
+	ids := strings.Fields(message.Targets)
+	if !c.reachesAll(ids) {
+		c.scope.Counter("concentrator-out-of-reach").Inc(1)
+		outOfReach := true
+		return encoder.PartsReply{OutOfReach: &outOfReach}, nil
+	}
 	r := transporter.RestoreRequest(message.RequestId, message.Method, []byte(message.Head), body)
 	deadline := time.Now().Add(time.Duration(message.LeftMs) * time.Millisecond)
 	// Each incarnation of a peer numbers its batches from 1.
@@ -46,7 +53,6 @@
 			return encoder.PartsReply{}, errCanceledBeforeSend
 		}
 	}
-	ids := strings.Fields(message.Targets)
 	results := make(chan indexedResult, len(ids))
 	for i, id := range ids {
 		go func() {
@@ -72,6 +78,15 @@
 	return encoder.PartsReply{Parts: collector.encode()}, nil
 }
 
+// reachesAll reports whether this instance reaches the failure domains of all known targets.
+func (c *Concentrator) reachesAll(ids []string) bool {
+	view := c.registrar.View()
+	return !slices.ContainsFunc(ids, func(id string) bool {
+		t, found := view.Target(id)
+		return found && !c.local.Reaches(t.FailureDomain)
+	})
+}
+
 func (c *Concentrator) sendToTarget(ctx context.Context, id, route string, r *transporter.Request, deadline time.Time) transporter.Result {
 	target, found := c.registrar.View().Target(id)
 	if !found {
--- a/internal/target/sender/sender.go
+++ b/internal/target/sender/sender.go
@@ -173,6 +173,9 @@
 // AllReachable reports whether all failure domains are reachable.
 func (s *Sender) AllReachable() bool { return s.prober.AllReachable() }
 
+// Reaches reports whether the failure domain is reachable.
+func (s *Sender) Reaches(domain string) bool { return s.prober.Reachable(domain) }
+
 // OwnDomainReachable reports whether the failure domain of this instance is reachable.
 func (s *Sender) OwnDomainReachable() bool { return s.prober.Reachable(s.domain) }
 
@@ -405,11 +408,15 @@
 		result.Outcome == transporter.Lost && result.OnNewConnection && !errors.Is(result.Err, context.DeadlineExceeded)
 }
 
-// givenUpHere reports whether this instance has not tried to send the request, because all connections were in use, or the
-// target was no longer serving or took no requests.
+// ErrPeerOutOfReach is returned for a request through a peer that does not reach the target at present.
+var ErrPeerOutOfReach = errors.New("sender: peer does not reach the target")
+
+// givenUpHere reports whether the request was not tried, because all connections were in use, the target was no longer
+// serving or took no requests, or the peer to send it did not reach the target.
 func givenUpHere(result transporter.Result) bool {
 	var busy *transporter.BusyError
-	return errors.As(result.Err, &busy) || errors.Is(result.Err, errNotServing) || errors.Is(result.Err, errPaused)
+	return errors.As(result.Err, &busy) || errors.Is(result.Err, errNotServing) || errors.Is(result.Err, errPaused) ||
+		errors.Is(result.Err, ErrPeerOutOfReach)
 }
 
 func (s *Sender) send(ctx context.Context, target registrar.Target, limit int, r *transporter.Request, deadline time.Time) transporter.Result {
--- a/internal/wire/encoder/types.go
+++ b/internal/wire/encoder/types.go
@@ -619,6 +619,10 @@
 	// Hybrid logical clock of the sender.
 	Clock int `json:"clock"`
 
+	// True if the instance cannot reach the targets at present, so that it has sent
+	// nothing.
+	OutOfReach *bool `json:"out-of-reach,omitempty,omitzero"`
+
 	// Parts corresponds to the JSON schema field "parts".
 	Parts MergedParts `json:"parts"`
 }
