Hand requests over to instances that reach the targets

Being not ready does not help while most of a failure domain is, and open connections stay where they are.

Cause: an instance answered for what it reaches itself. A request that needs targets out of reach now goes to one instance that has stated within the last second that it reaches targets, the one with the fewest requests in hand. That instance decides alone on targets, hedges and retries, within its own limits, budgets and shares, by its own configuration if that is not older; it never hands the request on. The origin keeps the caller, the deadline and the log line. Until an instance has taken the request, which it says before anything is sent, another one may be tried; after that never, so it runs at most once. If nobody is able, requests are refused at once. Requests that were in flight when the reach was lost follow as repetitions, if they may be repeated, with one run less and out of the budget for retries; they are never told as not run.

Nothing happens while all failure domains are in reach.

--- a/internal/caller/assembler/relay.go
+++ b/internal/caller/assembler/relay.go
@@ -23,6 +23,7 @@
 	"apricotflow/internal/operator/reporter"
 	admin "apricotflow/internal/operator/server"
 	"apricotflow/internal/operator/timekeeper"
+	"apricotflow/internal/query/delegator"
 	"apricotflow/internal/query/quarantiner"
 	"apricotflow/internal/query/relayer"
 	"apricotflow/internal/query/sharer"
@@ -73,7 +74,7 @@
 		fx.Supply(settings, Version(version), platform, logWriter),
 		fx.Provide(newIncarnation, newClock, newRecorder, reporter.New, newScope, newRelayLogger),
 		fx.Provide(registrar.New, newDiscoverer, newFeeder, newRelayMessenger, newFollower),
-		fx.Provide(newPicker, newBudgeter, newThrottler, newTransporter, newProber, newOwnFailureDomain, sender.New, newConcentrator, newStandstillDetector, newQuarantiner, newSharer, newRelayer, newReceiver, newObserver, newRelayAdminServer),
+		fx.Provide(newPicker, newBudgeter, newThrottler, newTransporter, newProber, newOwnFailureDomain, sender.New, newConcentrator, newStandstillDetector, newQuarantiner, newSharer, newDelegator, newRelayer, newReceiver, newObserver, newRelayAdminServer),
 		fx.Invoke(registerRelayInstance),
 	)
 	return runApp(ctx, app)
@@ -152,10 +153,17 @@
 	return s
 }
 
+func newDelegator(d *discoverer.Discoverer, m *messenger.Messenger, l *log.Logger, scope tally.Scope) *delegator.Delegator {
+	handover := delegator.New(d, l, scope)
+	handover.Attach(m)
+	return handover
+}
+
 func newRelayer(
-	s *sender.Sender, c relayer.Concentrator, standstills *timekeeper.StandstillDetector, q *quarantiner.Quarantiner, scope tally.Scope,
+	s *sender.Sender, c relayer.Concentrator, standstills *timekeeper.StandstillDetector, q *quarantiner.Quarantiner, d *delegator.Delegator,
+	scope tally.Scope,
 ) *relayer.Relayer {
-	return relayer.New(s, c, scope, relayer.WithStandstills(standstills.JustResumed), relayer.WithQuarantine(q))
+	return relayer.New(s, c, scope, relayer.WithStandstills(standstills.JustResumed), relayer.WithQuarantine(q), relayer.WithDelegator(d))
 }
 
 func newPicker(settings loader.Settings, d *discoverer.Discoverer, limits *throttler.Throttler) *picker.Picker {
@@ -186,9 +194,12 @@
 }
 
 func newReceiver(
-	settings loader.Settings, platform PlatformAdapters, r *registrar.Registrar, relay *relayer.Relayer, f *feeder.Feeder, l *log.Logger, scope tally.Scope,
+	settings loader.Settings, platform PlatformAdapters, r *registrar.Registrar, relay *relayer.Relayer, f *feeder.Feeder, d *delegator.Delegator,
+	l *log.Logger, scope tally.Scope,
 ) *receiver.Receiver {
-	return receiver.New(platform.CallerHeaders, r, relay, settings.Concurrency(), l, scope, receiver.WithStateAge(f.Age))
+	rc := receiver.New(platform.CallerHeaders, r, relay, settings.Concurrency(), l, scope, receiver.WithStateAge(f.Age))
+	d.SetServer(rc)
+	return rc
 }
 
 func newRelayAdminServer(
--- /dev/null
+++ b/internal/caller/receiver/delegation.go
@@ -0,0 +1,58 @@
+package receiver
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"apricotflow/internal/query/relayer"
+)
+
+// CanServeOthers reports whether this instance can relay requests that other instances hand over.
+func (rc *Receiver) CanServeOthers(ctx context.Context) bool {
+	rc.relay.VerifyReach(ctx)
+	return rc.Ready() && rc.inFlight.Load() < rc.maxInFlight
+}
+
+// ServeDelegated serves a request that another instance has handed over, by the routing table that is in force here. It
+// returns a *relayer.NotAcceptedError if the request was not sent to any target.
+func (rc *Receiver) ServeDelegated(ctx context.Context, d relayer.Delegation) (relayer.Answer, error) {
+	arrived := time.Now()
+	refuse := func(reason string) (relayer.Answer, error) {
+		return relayer.Answer{}, &relayer.NotAcceptedError{ID: d.Outbound.ID, Origin: d.Origin, Reason: reason}
+	}
+	if rc.stopping.Load() {
+		return refuse("instance stopping")
+	}
+	if rc.inFlight.Add(1) > rc.maxInFlight {
+		rc.inFlight.Add(-1)
+		rc.scope.Counter("receiver-overload").Inc(1)
+		return refuse("too many requests in flight")
+	}
+	defer rc.inFlight.Add(-1)
+	table := rc.registrar.View().Table()
+	if table == nil || table.Version() < d.Version {
+		return refuse("older configuration")
+	}
+	path, _, _ := strings.Cut(d.Outbound.URI(), "?")
+	route, found := table.Match(d.Outbound.Host(), path)
+	switch {
+	case !found:
+		return refuse("no route")
+	case !rc.relay.CanServeRoute(route, d.Outbound.ID):
+		return refuse("too few serving and reachable targets")
+	case d.PriorRuns >= route.MaxRuns:
+		return refuse("no further run allowed")
+	}
+	d.Outbound.RequireFreshConnection = !route.Idempotent
+	request := relayer.Request{
+		Route: route, Table: table, Outbound: d.Outbound, Arrived: arrived, Delegated: true, PriorRuns: d.PriorRuns,
+		Deadline: rc.limitToService(arrived.Add(d.TimeLeft)),
+	}
+	if d.DueIn != nil {
+		request.Due = arrived.Add(*d.DueIn)
+	}
+	answer := rc.relay.Relay(ctx, request)
+	rc.logIfNotable(rc.logger.With("origin", d.Origin), request, answer)
+	return answer, nil
+}
--- a/internal/caller/receiver/receiver.go
+++ b/internal/caller/receiver/receiver.go
@@ -21,6 +21,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"apricotflow/internal/cluster/registrar"
+	"apricotflow/internal/manifest/mapper"
 	"apricotflow/internal/query/relayer"
 	"apricotflow/internal/target/transporter"
 )
@@ -74,6 +75,10 @@
 	Relay(ctx context.Context, request relayer.Request) relayer.Answer
 	// CanServe reports whether most of the requests that callers send could succeed now.
 	CanServe() bool
+	// CanServeRoute reports whether a request of the route could succeed now.
+	CanServeRoute(route *mapper.Route, requestID string) bool
+	// VerifyReach finds out which failure domains are reachable, if requests have not shown it within the last moments.
+	VerifyReach(ctx context.Context)
 }
 
 // Option configures a Receiver.
@@ -224,7 +229,7 @@
 	}
 	answer := rc.relay.Relay(r.Context(), request)
 	rc.latency.RecordDuration(time.Since(arrived))
-	rc.logIfNotable(request, answer)
+	rc.logIfNotable(rc.logger, request, answer)
 	rc.writeAnswer(w, r.Method, answer)
 }
 
@@ -391,12 +396,12 @@
 
 // logIfNotable logs a request only if it failed, missed its objective, or succeeded only after decisions such as a
 // retry.
-func (rc *Receiver) logIfNotable(request relayer.Request, answer relayer.Answer) {
+func (rc *Receiver) logIfNotable(logger *log.Logger, request relayer.Request, answer relayer.Answer) {
 	late := !request.Due.IsZero() && time.Now().After(request.Due)
 	if len(answer.Decisions) == 0 && !late && (answer.Outcome == relayer.Merged || answer.Outcome == relayer.Relayed) {
 		return
 	}
-	rc.logger.Info("request", "id", request.Outbound.ID, "route", request.Route.Name, "version", request.Table.Version(),
+	logger.Info("request", "id", request.Outbound.ID, "route", request.Route.Name, "version", request.Table.Version(),
 		"outcome", answer.Outcome, "ms", time.Since(request.Arrived).Milliseconds(), "left-ms", time.Until(request.Deadline).Milliseconds(),
 		"missing", answer.Missing, "late", late, "decisions", describeDecisions(answer.Decisions))
 }
--- a/internal/caller/receiver/receiver_test.go
+++ b/internal/caller/receiver/receiver_test.go
@@ -40,6 +40,10 @@
 
 func (r *fakeRelay) CanServe() bool { return !r.cannotServe }
 
+func (r *fakeRelay) CanServeRoute(*mapper.Route, string) bool { return !r.cannotServe }
+
+func (r *fakeRelay) VerifyReach(context.Context) {}
+
 func (r *fakeRelay) Relay(ctx context.Context, request relayer.Request) relayer.Answer {
 	if r.release != nil {
 		<-r.release
--- /dev/null
+++ b/internal/query/delegator/codec.go
@@ -0,0 +1,185 @@
+package delegator
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"time"
+
+	"apricotflow/internal/query/relayer"
+	"apricotflow/internal/target/transporter"
+	"apricotflow/internal/wire/encoder"
+)
+
+const (
+	// maxBodyBytes is the maximum length of a body that another instance may announce.
+	maxBodyBytes = 8 << 20
+	// maxEncodedDecisions is the maximum number of decisions that go along with an answer.
+	maxEncodedDecisions = 16
+	// decisionFields is the number of fields of an encoded decision.
+	decisionFields = 4
+)
+
+// errMalformed is returned for a message that cannot be decoded.
+var errMalformed = errors.New("delegator: malformed message")
+
+func encodeRequest(id string, request relayer.Request) encoder.DelegatedRequest {
+	message := encoder.DelegatedRequest{
+		Id: id, RequestId: request.Outbound.ID, Head: base64.StdEncoding.EncodeToString(request.Outbound.Head()),
+		Body: base64.StdEncoding.EncodeToString(request.Outbound.Body()), Version: request.Table.Version(),
+		LeftMs: int(max(time.Until(request.Deadline)-hopTime, 0).Milliseconds()),
+	}
+	if request.PriorRuns > 0 {
+		message.Runs = &request.PriorRuns
+	}
+	if !request.Due.IsZero() {
+		due := int((time.Until(request.Due) - hopTime).Microseconds())
+		message.DueUs = &due
+	}
+	return message
+}
+
+func decodeRequest(origin string, message encoder.DelegatedRequest) (relayer.Delegation, error) {
+	head, errHead := base64.StdEncoding.DecodeString(message.Head)
+	body, errBody := base64.StdEncoding.DecodeString(message.Body)
+	if err := errors.Join(errHead, errBody); err != nil {
+		return relayer.Delegation{}, fmt.Errorf("%w: %w", errMalformed, err)
+	}
+	outbound, err := transporter.ParseRequest(message.RequestId, head, body)
+	if err != nil {
+		return relayer.Delegation{}, err
+	}
+	d := relayer.Delegation{
+		Origin: origin, Outbound: outbound, Version: message.Version, TimeLeft: time.Duration(message.LeftMs) * time.Millisecond,
+	}
+	if message.Runs != nil {
+		d.PriorRuns = *message.Runs
+	}
+	if message.DueUs != nil {
+		dueIn := time.Duration(*message.DueUs) * time.Microsecond
+		d.DueIn = &dueIn
+	}
+	return d, nil
+}
+
+// encodeAnswer returns the message for an answer without its body, and the body.
+func encodeAnswer(answer relayer.Answer) (encoder.DelegatedAnswer, []byte) {
+	message := encoder.DelegatedAnswer{
+		Accepted: true, Outcome: string(answer.Outcome), Signatures: strings.Join(answer.Signatures, "\n"), Missing: answer.Missing,
+		RetryAfterMs: int(answer.RetryAfter.Milliseconds()), Decisions: encodeDecisions(answer.Decisions),
+	}
+	if answer.Reply == nil {
+		return message, answer.Records
+	}
+	var header bytes.Buffer
+	// Writing to a bytes.Buffer cannot fail.
+	_ = answer.Reply.Header.Write(&header)
+	message.Status, message.Signatures = answer.Reply.Status, answer.Reply.Signature
+	message.Header = base64.StdEncoding.EncodeToString(header.Bytes())
+	return message, answer.Reply.Body
+}
+
+// DecodeWholeAnswer decodes an answer whose body is in one message.
+func DecodeWholeAnswer(message encoder.DelegatedAnswer) (relayer.Answer, error) {
+	body, err := decodeBytes(message.Body, message.BodyBytes)
+	if err == nil && len(body) != message.BodyBytes {
+		err = fmt.Errorf("%w: %d of %d bytes", errMalformed, len(body), message.BodyBytes)
+	}
+	if err != nil {
+		return relayer.Answer{}, err
+	}
+	return decodeAnswer(message, body)
+}
+
+func decodeAnswer(message encoder.DelegatedAnswer, body []byte) (relayer.Answer, error) {
+	answer := relayer.Answer{
+		Outcome: relayer.Outcome(message.Outcome), Missing: message.Missing,
+		RetryAfter: time.Duration(message.RetryAfterMs) * time.Millisecond, Decisions: decodeDecisions(message.Decisions),
+	}
+	switch answer.Outcome {
+	case relayer.Merged:
+		answer.Records, answer.Signatures = body, strings.Split(message.Signatures, "\n")
+	case relayer.Relayed:
+		header, err := decodeHeader(message.Header)
+		if err != nil {
+			return relayer.Answer{}, err
+		}
+		answer.Reply = &transporter.Reply{Status: message.Status, Header: header, Body: body, Signature: message.Signatures}
+	case relayer.NotRun, relayer.Failed, relayer.TimedOut:
+	default:
+		// The caller of an abandoned request has left, which this instance would know.
+		return relayer.Answer{}, fmt.Errorf("%w: outcome %q", errMalformed, message.Outcome)
+	}
+	return answer, nil
+}
+
+func decodeHeader(encoded string) (http.Header, error) {
+	raw, err := base64.StdEncoding.DecodeString(encoded)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", errMalformed, err)
+	}
+	header, err := textproto.NewReader(bufio.NewReader(bytes.NewReader(append(raw, "\r\n"...)))).ReadMIMEHeader()
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", errMalformed, err)
+	}
+	return http.Header(header), nil
+}
+
+// decodeBytes decodes the first bytes of a body of the given length.
+func decodeBytes(encoded string, length int) ([]byte, error) {
+	if length < 0 || length > maxBodyBytes {
+		return nil, fmt.Errorf("%w: body of %d bytes", errMalformed, length)
+	}
+	return appendBytes(make([]byte, 0, length), encoded, length)
+}
+
+// appendBytes appends decoded bytes to a body, which must not become longer than the given length.
+func appendBytes(body []byte, encoded string, length int) ([]byte, error) {
+	before := len(body)
+	body, err := base64.StdEncoding.AppendDecode(body, []byte(encoded))
+	switch {
+	case err != nil:
+		return nil, fmt.Errorf("%w: %w", errMalformed, err)
+	case len(body) > length, len(body) == before && length > before:
+		return nil, fmt.Errorf("%w: %d bytes after %d of %d", errMalformed, len(body)-before, before, length)
+	}
+	return body, nil
+}
+
+// fieldSeparators are the characters that separate the fields and lines of encoded decisions.
+var fieldSeparators = strings.NewReplacer("\t", " ", "\n", " ")
+
+func encodeDecisions(decisions []relayer.Decision) string {
+	var text strings.Builder
+	for _, d := range decisions[:min(len(decisions), maxEncodedDecisions)] {
+		text.WriteString(strconv.FormatInt(d.After.Microseconds(), 10))
+		for _, field := range []string{d.Service, d.Target, d.Event} {
+			text.WriteString("\t" + fieldSeparators.Replace(field))
+		}
+		text.WriteByte('\n')
+	}
+	return text.String()
+}
+
+// decodeDecisions decodes what explains an answer. It skips malformed lines.
+func decodeDecisions(encoded string) []relayer.Decision {
+	var decisions []relayer.Decision
+	for line := range strings.Lines(encoded) {
+		fields := strings.SplitN(strings.TrimSuffix(line, "\n"), "\t", decisionFields)
+		if len(fields) != decisionFields {
+			continue
+		}
+		after, err := strconv.ParseInt(fields[0], 10, 64)
+		if err != nil {
+			continue
+		}
+		decisions = append(decisions, relayer.Decision{After: time.Duration(after) * time.Microsecond, Service: fields[1], Target: fields[2], Event: fields[3]})
+	}
+	return decisions
+}
--- /dev/null
+++ b/internal/query/delegator/delegator_test.go
@@ -0,0 +1,248 @@
+package delegator_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
+	"gotest.tools/v3/assert"
+
+	"apricotflow/internal/cluster/messenger"
+	"apricotflow/internal/manifest/mapper"
+	"apricotflow/internal/operator/recorder"
+	"apricotflow/internal/operator/timekeeper"
+	"apricotflow/internal/query/delegator"
+	"apricotflow/internal/query/relayer"
+	"apricotflow/internal/target/transporter"
+	"apricotflow/internal/wire/encoder"
+)
+
+// fakeServer serves delegated requests as the functions say.
+type fakeServer struct {
+	able  bool
+	serve func(ctx context.Context, d relayer.Delegation) (relayer.Answer, error)
+
+	mu     sync.Mutex
+	served []relayer.Delegation
+}
+
+func (s *fakeServer) CanServeOthers(context.Context) bool { return s.able }
+
+func (s *fakeServer) ServeDelegated(ctx context.Context, d relayer.Delegation) (relayer.Answer, error) {
+	s.mu.Lock()
+	s.served = append(s.served, d)
+	s.mu.Unlock()
+	return s.serve(ctx, d)
+}
+
+func (s *fakeServer) servedCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.served)
+}
+
+// instance is an instance with its delegator.
+type instance struct {
+	*delegator.Delegator
+	server *fakeServer
+	stop   func()
+}
+
+type instanceNames []string
+
+func (n instanceNames) OtherInstances() []string { return n }
+
+// startInstances starts an origin "a" and the other instances, which answer with their names.
+func startInstances(t *testing.T, others ...string) (origin *delegator.Delegator, delegates map[string]*instance) {
+	t.Helper()
+	addresses := make(map[string]string)
+	for _, name := range append([]string{"a"}, others...) {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		addresses[name] = l.Addr().String()
+		assert.NilError(t, l.Close())
+	}
+	resolver := messenger.ResolverFunc(func(name string) (string, bool) { return addresses[name], true })
+	delegates = make(map[string]*instance)
+	for name, address := range addresses {
+		clock := timekeeper.NewHybridClock(time.Now)
+		m := messenger.New(messenger.Identity{Instance: name, Incarnation: name + "1"}, address, resolver, clock, recorder.New(name, clock, 10))
+		d := delegator.New(instanceNames(others), log.New(io.Discard), tally.NoopScope)
+		d.Attach(m)
+		server := &fakeServer{able: true, serve: func(context.Context, relayer.Delegation) (relayer.Answer, error) {
+			return relayer.Answer{Outcome: relayer.Merged, Signatures: []string{name}, Records: []byte("0123456789abcdef"), Missing: 1}, nil
+		}}
+		d.SetServer(server)
+		assert.NilError(t, m.Start())
+		stop := sync.OnceFunc(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+			defer cancel()
+			_ = m.Close(ctx)
+		})
+		t.Cleanup(stop)
+		if name == "a" {
+			origin = d
+			continue
+		}
+		delegates[name] = &instance{Delegator: d, server: server, stop: stop}
+	}
+	return origin, delegates
+}
+
+func newRequest(t *testing.T, timeLeft time.Duration) relayer.Request {
+	t.Helper()
+	table, problems := mapper.New(encoder.RoutingTable{Version: 7})
+	assert.Equal(t, len(problems), 0)
+	header := http.Header{"X-Other": {"caf\xe9"}, "Authorization": {"secret"}}
+	return relayer.Request{
+		Route: &mapper.Route{Name: "search", Idempotent: true}, Table: table, Arrived: time.Now(), Due: time.Now().Add(timeLeft / 2), Deadline: time.Now().Add(timeLeft),
+		Outbound: transporter.NewRequest("r1", http.MethodPost, "/x/%2f?q=1", "a.example", header, []byte("body\x00")),
+	}
+}
+
+// Guards against a request or an answer that is changed by the hop: bytes, properties, deadline and outcome must arrive as
+// they are.
+func TestRequestAndAnswerAreUnchangedByHop(t *testing.T) {
+	origin, delegates := startInstances(t, "b")
+	request := newRequest(t, time.Second).WithPriorRuns(1)
+	answer, taken := origin.Delegate(t.Context(), request)
+	assert.Assert(t, taken)
+	assert.Equal(t, answer.Outcome, relayer.Merged)
+	assert.DeepEqual(t, answer.Signatures, []string{"b"})
+	assert.Equal(t, string(answer.Records), "0123456789abcdef")
+	assert.Equal(t, answer.Missing, 1)
+	got := delegates["b"].server.served[0]
+	assert.DeepEqual(t, got.Outbound.Properties(), request.Outbound.Properties())
+	assert.DeepEqual(t, got.Outbound.Head(), request.Outbound.Head())
+	assert.Equal(t, got.Outbound.ID, "r1")
+	assert.Equal(t, got.Origin, "a")
+	assert.Equal(t, got.Version, 7)
+	assert.Equal(t, got.PriorRuns, 1)
+	assert.Assert(t, got.TimeLeft > 900*time.Millisecond && got.TimeLeft < time.Second, got.TimeLeft)
+	assert.Assert(t, *got.DueIn > 400*time.Millisecond && *got.DueIn < 500*time.Millisecond, *got.DueIn)
+}
+
+// Guards against lost bytes of a large reply, which takes several messages, and against a reply without its headers.
+func TestLargeReplyArrivesWhole(t *testing.T) {
+	origin, delegates := startInstances(t, "b")
+	body := bytes.Repeat([]byte("0123456789abcdef"), 50_000)
+	reply := &transporter.Reply{Status: http.StatusTeapot, Header: http.Header{"X-Kept": {"1", "2"}, "X-Binary": {"caf\xe9"}}, Body: body, Signature: "sig"}
+	delegates["b"].server.serve = func(context.Context, relayer.Delegation) (relayer.Answer, error) {
+		decisions := []relayer.Decision{{After: time.Millisecond, Service: "s", Target: "i-1", Event: "lost: a\tb\nc"}}
+		return relayer.Answer{Outcome: relayer.Relayed, Reply: reply, Decisions: decisions}, nil
+	}
+	answer, taken := origin.Delegate(t.Context(), newRequest(t, 5*time.Second))
+	assert.Assert(t, taken)
+	assert.Assert(t, bytes.Equal(answer.Reply.Body, body))
+	assert.DeepEqual(t, answer.Reply.Header, reply.Header)
+	assert.Equal(t, answer.Reply.Status, http.StatusTeapot)
+	assert.Equal(t, answer.Reply.Signature, "sig")
+	last := answer.Decisions[len(answer.Decisions)-1]
+	assert.DeepEqual(t, last, relayer.Decision{After: time.Millisecond, Service: "s", Target: "i-1", Event: "lost: a b c"})
+}
+
+// Guards against a second run: once an instance may have received the request, no other one gets it.
+func TestRequestIsNotHandedOverAgainWhenInstanceIsLost(t *testing.T) {
+	origin, delegates := startInstances(t, "b", "c")
+	for _, d := range delegates {
+		d.server.serve = func(context.Context, relayer.Delegation) (relayer.Answer, error) {
+			d.stop()
+			return relayer.Answer{Outcome: relayer.Merged}, nil
+		}
+	}
+	answer, taken := origin.Delegate(t.Context(), newRequest(t, time.Second))
+	assert.Assert(t, taken)
+	assert.Equal(t, answer.Outcome, relayer.Failed)
+	assert.Equal(t, delegates["b"].server.servedCount()+delegates["c"].server.servedCount(), 1)
+}
+
+// Guards against refusing a request that another instance could serve: one that is unable, stopped or does not take it has
+// sent nothing.
+func TestNextInstanceIsTriedWhenRequestIsNotTaken(t *testing.T) {
+	origin, delegates := startInstances(t, "b", "c", "d")
+	delegates["b"].server.able = false
+	delegates["c"].server.serve = func(context.Context, relayer.Delegation) (relayer.Answer, error) {
+		return relayer.Answer{}, &relayer.NotAcceptedError{Reason: "older configuration"}
+	}
+	for range 20 {
+		answer, taken := origin.Delegate(t.Context(), newRequest(t, time.Second))
+		assert.Assert(t, taken)
+		assert.DeepEqual(t, answer.Signatures, []string{"d"})
+	}
+	assert.Equal(t, delegates["b"].server.servedCount(), 0)
+	delegates["d"].stop()
+	time.Sleep(100 * time.Millisecond)
+	_, taken := origin.Delegate(t.Context(), newRequest(t, time.Second))
+	assert.Assert(t, !taken)
+}
+
+// Guards against requests that wait although no instance can serve them: they are refused after the first questions, and
+// at once after that.
+func TestRequestIsNotHeldWhenNoInstanceIsAble(t *testing.T) {
+	origin, delegates := startInstances(t, "b", "c")
+	for _, d := range delegates {
+		d.server.able = false
+	}
+	var waits []time.Duration
+	for range 30 {
+		begin := time.Now()
+		_, taken := origin.Delegate(t.Context(), newRequest(t, time.Second))
+		assert.Assert(t, !taken)
+		waits = append(waits, time.Since(begin))
+		time.Sleep(20 * time.Millisecond)
+	}
+	slices.Sort(waits)
+	assert.Assert(t, waits[len(waits)-3] < 20*time.Millisecond, waits)
+}
+
+// Guards against work for callers that have left: the other instance must learn of it.
+func TestServedRequestIsCanceledWhenCallerLeaves(t *testing.T) {
+	origin, delegates := startInstances(t, "b")
+	canceled := make(chan struct{})
+	delegates["b"].server.serve = func(ctx context.Context, _ relayer.Delegation) (relayer.Answer, error) {
+		<-ctx.Done()
+		close(canceled)
+		return relayer.Answer{Outcome: relayer.Abandoned}, nil
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	answer, taken := origin.Delegate(ctx, newRequest(t, 5*time.Second))
+	assert.Assert(t, taken)
+	assert.Equal(t, answer.Outcome, relayer.Abandoned)
+	select {
+	case <-canceled:
+	case <-time.After(300 * time.Millisecond):
+		t.Fatal("the other instance still serves the request")
+	}
+}
+
+// Guards against an answer that is taken for a success although it is damaged.
+func FuzzAnswerIsDecodedWholeOrRefused(f *testing.F) {
+	f.Add("merged", "", "a\nb", "MDEyMw==", 4, "1\ts\tt\te\n")
+	f.Add("relayed", "WDogMQ0K", "sig", "", 0, "")
+	f.Add("relayed", "!", "sig", "MDEyMw==", 9<<20, "x\t\t")
+	f.Fuzz(func(t *testing.T, outcome, header, signatures, body string, bodyBytes int, decisions string) {
+		message := encoder.DelegatedAnswer{Accepted: true, Outcome: outcome, Header: header, Signatures: signatures, Body: body, BodyBytes: bodyBytes, Decisions: decisions}
+		answer, err := delegator.DecodeWholeAnswer(message)
+		if err != nil {
+			return
+		}
+		switch answer.Outcome {
+		case relayer.Merged:
+			assert.Equal(t, len(answer.Records), bodyBytes)
+		case relayer.Relayed:
+			assert.Equal(t, len(answer.Reply.Body), bodyBytes)
+		case relayer.NotRun, relayer.Failed, relayer.TimedOut:
+		default:
+			t.Fatalf("outcome %q", answer.Outcome)
+		}
+	})
+}
--- /dev/null
+++ b/internal/query/delegator/serve.go
@@ -0,0 +1,83 @@
+package delegator
+
+import (
+	"context"
+	"encoding/base64"
+	"errors"
+	"time"
+
+	"apricotflow/internal/cluster/messenger"
+	"apricotflow/internal/query/relayer"
+	"apricotflow/internal/wire/encoder"
+)
+
+// serveAbility states whether this instance can relay requests for others.
+func (d *Delegator) serveAbility(ctx context.Context, _ messenger.Peer, _ encoder.AbilityRequest) (encoder.AbilityReply, error) {
+	return encoder.AbilityReply{Able: d.server.CanServeOthers(ctx)}, nil
+}
+
+// serveRequest serves a request that another instance has handed over.
+func (d *Delegator) serveRequest(ctx context.Context, peer messenger.Peer, message encoder.DelegatedRequest) (encoder.DelegatedAnswer, error) {
+	delegation, err := decodeRequest(peer.Instance, message)
+	if err != nil {
+		return encoder.DelegatedAnswer{Outcome: err.Error()}, nil
+	}
+	key := delegationKey(peer, message.Id)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	d.mu.Lock()
+	d.cancelServed[key] = cancel
+	d.mu.Unlock()
+	defer func() {
+		d.mu.Lock()
+		delete(d.cancelServed, key)
+		d.mu.Unlock()
+	}()
+	answer, err := d.server.ServeDelegated(ctx, delegation)
+	var notAccepted *relayer.NotAcceptedError
+	if errors.As(err, &notAccepted) {
+		d.scope.Counter("delegator-refused").Inc(1)
+		return encoder.DelegatedAnswer{Outcome: notAccepted.Reason}, nil
+	}
+	if err != nil {
+		return encoder.DelegatedAnswer{}, err
+	}
+	d.scope.Counter("delegator-served").Inc(1)
+	encoded, body := encodeAnswer(answer)
+	encoded.BodyBytes = len(body)
+	encoded.Body = base64.StdEncoding.EncodeToString(body[:min(len(body), maxMessageBody)])
+	if len(body) > maxMessageBody {
+		d.bodies.hold(key, body, time.Now().Add(delegation.TimeLeft))
+	}
+	return encoded, nil
+}
+
+// delegationKey returns the key of a delegation. Each incarnation of an instance numbers its delegations from 1.
+func delegationKey(peer messenger.Peer, id string) string {
+	return peer.Instance + " " + peer.Incarnation + " " + id
+}
+
+// errUnknownBody is returned for a body that is not held, or no longer.
+var errUnknownBody = errors.New("delegator: no such body")
+
+// serveBody returns further bytes of the body of an answer.
+func (d *Delegator) serveBody(_ context.Context, peer messenger.Peer, message encoder.BodyRequest) (encoder.BodyReply, error) {
+	next, found := d.bodies.read(delegationKey(peer, message.Id), message.Offset)
+	if !found {
+		return encoder.BodyReply{}, errUnknownBody
+	}
+	return encoder.BodyReply{Body: base64.StdEncoding.EncodeToString(next)}, nil
+}
+
+// cancelRequest cancels a request whose caller has left or got another answer, and drops the rest of its answer.
+func (d *Delegator) cancelRequest(_ context.Context, peer messenger.Peer, message encoder.EndDelegation) (struct{}, error) {
+	key := delegationKey(peer, message.Id)
+	d.bodies.drop(key)
+	d.mu.Lock()
+	cancel, found := d.cancelServed[key]
+	d.mu.Unlock()
+	if found {
+		cancel()
+	}
+	return struct{}{}, nil
+}
--- a/internal/query/relayer/answers.go
+++ b/internal/query/relayer/answers.go
@@ -39,6 +39,7 @@
 }
 
 func (f *forwarder) answerSuccess() Answer {
+	f.succeeded = true
 	if !f.request.Route.IsSharded() {
 		return Answer{Outcome: Relayed, Reply: f.parts[0].reply}
 	}
--- a/internal/query/relayer/fixture_test.go
+++ b/internal/query/relayer/fixture_test.go
@@ -71,6 +71,20 @@
 	// justResumed reports whether the process has just stood still.
 	justResumed bool
 	quarantine  *quarantiner.Quarantiner
+	// delegator hands requests over to other instances.
+	delegator *fakeDelegator
+}
+
+// fakeDelegator records the requests that are handed over, and answers them if takes is set.
+type fakeDelegator struct {
+	takes    bool
+	answer   relayer.Answer
+	requests []relayer.Request
+}
+
+func (d *fakeDelegator) Delegate(_ context.Context, request relayer.Request) (relayer.Answer, bool) {
+	d.requests = append(d.requests, request)
+	return d.answer, d.takes
 }
 
 // records returns n records in no particular order, whose leading numbers count up from first.
@@ -86,7 +100,7 @@
 // newFixture starts a relayer and services with some targets each; part i has records from 100 x i.
 func newFixture(t testing.TB, replicas int, services ...string) *fixture {
 	t.Helper()
-	f := &fixture{t: t, network: switcher.New(), registrar: registrar.New(), peers: noPeers{}, targets: make(map[string][]*httpresponder.Target), limits: budgeter.Limits{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}}
+	f := &fixture{t: t, network: switcher.New(), delegator: &fakeDelegator{answer: relayer.Answer{Outcome: relayer.Merged, Signatures: []string{"from another instance"}}}, registrar: registrar.New(), peers: noPeers{}, targets: make(map[string][]*httpresponder.Target), limits: budgeter.Limits{Ratio: 0.2, Slack: 100, Window: 10 * time.Second}}
 	wire := encoder.RoutingTable{Version: 1}
 	change := registrar.Change{Position: registrar.Position{Revision: 1}}
 	for i, service := range services {
@@ -133,7 +147,7 @@
 	s := sender.New(domain, f.registrar, picker.New(picker.ColdLimits{Factor: 1}, singleInstance{}, domain, picker.WithLimits(limits)), budgeter.New(f.limits, singleInstance{}.InstanceEstimate),
 		limits, connections, f.prober, log.New(io.Discard), tally.NoopScope)
 	f.relayer = relayer.New(s, f.peers, tally.NoopScope, relayer.WithStandstills(func() bool { return f.justResumed }),
-		relayer.WithQuarantine(f.quarantine))
+		relayer.WithQuarantine(f.quarantine), relayer.WithDelegator(f.delegator))
 }
 
 // shardedRoute returns the route of a query over the services, which are its shards.
--- a/internal/query/relayer/forwarder.go
+++ b/internal/query/relayer/forwarder.go
@@ -107,6 +107,8 @@
 	cutoff    time.Time
 	decisions []Decision
 	caution   caution
+	// succeeded reports whether the answer is a success.
+	succeeded bool
 	// answeredCaller reports whether the caller has got its answer or has left, so that decisions are no longer recorded.
 	answeredCaller bool
 }
@@ -126,7 +128,7 @@
 	}
 	// No result is received after the answer, so the channel must hold the results of all requests in flight: at most
 	// two for each part.
-	f.resultBatches = make(chan resultBatch, len(services)*(route.MaxRuns+1))
+	f.resultBatches = make(chan resultBatch, len(services)*(request.maxRuns()+1))
 	f.wakeups = make(chan int, len(services))
 	f.caution = caution{quarantine: q, results: make(chan endCheck, cap(f.resultBatches))}
 	if route.IsSharded() {
@@ -174,6 +176,7 @@
 	defer f.leaveQueues()
 	timer := time.NewTimer(f.timeUntilNextCheck())
 	defer timer.Stop()
+	reachLost := f.sender.ReachLost()
 	for {
 		if answer, ended := f.answerIfEnded(); ended {
 			return answer
@@ -191,6 +194,11 @@
 				f.parts[i].waitUntil = time.Time{}
 				f.sendIfDue(i)
 			}
+		case <-reachLost:
+			reachLost = f.sender.ReachLost()
+			if !f.request.Delegated && f.isStranded() {
+				return f.answerFailure()
+			}
 		case <-timer.C:
 			for i := range f.parts {
 				f.sendIfDue(i)
@@ -263,7 +271,7 @@
 		return time.Time{}, false
 	case p.inFlight == 0:
 		return p.waitUntil, true
-	case f.request.Route.Idempotent && p.inFlight == 1 && f.mayHedge() && p.possibleRuns < f.request.Route.MaxRuns:
+	case f.request.Route.Idempotent && p.inFlight == 1 && f.mayHedge() && p.possibleRuns < f.request.maxRuns():
 		at := p.hedgeDelayStart.Add(f.latency.HedgeDelay)
 		if p.waitUntil.After(at) {
 			at = p.waitUntil
--- a/internal/query/relayer/relayer.go
+++ b/internal/query/relayer/relayer.go
@@ -3,7 +3,8 @@
 // query. It caps the hedge delay of a sharded query so that a hedge still has time, and repeats a non-idempotent
 // request only if it cannot have run. It refuses a request before anything is sent if the request limits of targets leave
 // too few parts for an answer. The receiver uses it in relay mode; picking targets and sending to them is left to package
-// sender, and sending through other instances to package concentrator.
+// sender, sending parts through other instances to package concentrator, and handing whole requests over to them to
+// package delegator.
 package relayer
 
 import (
@@ -102,8 +103,22 @@
 	Due time.Time
 	// Deadline is when the caller gives up or the time limit of the route ends.
 	Deadline time.Time
+	// Delegated reports whether another instance has handed the request over, so that it must not go further.
+	Delegated bool
+	// PriorRuns is the number of targets of each service that may have run the request before it was handed over. Each
+	// request to a target is then a repetition.
+	PriorRuns int
 }
 
+// WithPriorRuns returns a copy of the request that targets may have run already.
+func (r Request) WithPriorRuns(n int) Request {
+	r.PriorRuns = n
+	return r
+}
+
+// maxRuns returns the maximum number of targets of each service that may still run the request.
+func (r Request) maxRuns() int { return r.Route.MaxRuns - r.PriorRuns }
+
 // Answer is the result of a request.
 type Answer struct {
 	Outcome Outcome
@@ -147,6 +162,7 @@
 	// justResumed reports whether a standstill of the process has ended within the last moments.
 	justResumed func() bool
 	quarantine  *quarantiner.Quarantiner
+	delegator   Delegator
 }
 
 // Option configures a Relayer.
@@ -162,9 +178,17 @@
 	return func(r *Relayer) { r.quarantine = q }
 }
 
+// WithDelegator sets what hands requests over to other instances while this one is cut off from targets.
+func WithDelegator(d Delegator) Option {
+	return func(r *Relayer) { r.delegator = d }
+}
+
 // New creates a relayer.
 func New(s *sender.Sender, c Concentrator, scope tally.Scope, opts ...Option) *Relayer {
-	r := &Relayer{sender: s, concentrator: c, scope: scope, recent: newRecentRoutes(), gate: newLimitGate(), justResumed: func() bool { return false }, quarantine: quarantiner.New()}
+	r := &Relayer{
+		sender: s, concentrator: c, scope: scope, recent: newRecentRoutes(), gate: newLimitGate(), justResumed: func() bool { return false },
+		quarantine: quarantiner.New(), delegator: noDelegator{},
+	}
 	for _, opt := range opts {
 		opt(r)
 	}
@@ -182,9 +206,7 @@
 		}
 	}
 	r.recent.add(request.Route)
-	f := newForwarder(r.sender, r.concentrator, r.gate, r.quarantine, request)
-	answer := f.run(ctx)
-	answer.Decisions = f.decisions
+	answer := r.serve(ctx, request)
 	r.scope.Counter("relayer-" + string(answer.Outcome)).Inc(1)
 	if answer.Missing > 0 {
 		r.scope.Counter("relayer-partial").Inc(1)
--- a/internal/query/relayer/results.go
+++ b/internal/query/relayer/results.go
@@ -91,7 +91,7 @@
 	if p.inFlight > 0 {
 		return
 	}
-	if f.caution.quarantined || p.ranOrLost && !f.request.Route.Idempotent || p.possibleRuns >= f.request.Route.MaxRuns || f.sendCtx.Err() != nil {
+	if f.caution.quarantined || p.ranOrLost && !f.request.Route.Idempotent || p.possibleRuns >= f.request.maxRuns() || f.sendCtx.Err() != nil {
 		f.giveUp(p)
 		return
 	}
--- a/internal/query/relayer/start.go
+++ b/internal/query/relayer/start.go
@@ -19,6 +19,10 @@
 // that saves bytes; many requests to targets in the own failure domain are divided among its instances.
 func (f *forwarder) sendFirst() {
 	f.caution.trial = f.caution.active
+	if f.request.PriorRuns > 0 {
+		f.sendRepeated()
+		return
+	}
 	chosen := make(map[string][]choice)
 	first := rand.IntN(len(f.parts))
 	for n := range f.parts {
@@ -51,6 +55,15 @@
 	}
 }
 
+// sendRepeated sends a request that targets may have run already, as far as the budget for repetitions allows.
+func (f *forwarder) sendRepeated() {
+	for i := range f.parts {
+		if f.parts[i].isPending() && f.maySend() {
+			f.send(i, false)
+		}
+	}
+}
+
 func (f *forwarder) sendDirectly(choices []choice) {
 	for _, c := range choices {
 		f.sendTo(c.part, c.target)
--- a/internal/query/relayer/steps.go
+++ b/internal/query/relayer/steps.go
@@ -15,7 +15,7 @@
 	case !p.isPending() || now.Before(p.waitUntil) || !f.maySend():
 	case p.inFlight == 0:
 		f.send(i, false)
-	case f.request.Route.Idempotent && p.inFlight == 1 && f.mayHedge() && p.possibleRuns < f.request.Route.MaxRuns && now.Sub(p.hedgeDelayStart) >= f.latency.HedgeDelay:
+	case f.request.Route.Idempotent && p.inFlight == 1 && f.mayHedge() && p.possibleRuns < f.request.maxRuns() && now.Sub(p.hedgeDelayStart) >= f.latency.HedgeDelay:
 		f.send(i, true)
 	}
 }
@@ -24,7 +24,7 @@
 func (f *forwarder) send(i int, hedge bool) {
 	p := f.parts[i]
 	switch {
-	case p.possibleRuns >= f.request.Route.MaxRuns:
+	case p.possibleRuns >= f.request.maxRuns():
 		f.giveUp(p)
 		return
 	case time.Now().After(f.latestUsefulSend()):
@@ -56,7 +56,7 @@
 		f.waitForCapacity(i)
 		return
 	}
-	if p.sentRequests > 0 && !f.takeBudget(p, hedge) {
+	if (p.sentRequests > 0 || f.request.PriorRuns > 0) && !f.takeBudget(p, hedge) {
 		f.addDecision(p, target.ID, "budget-empty")
 		if hedge {
 			f.postponeHedge(p)
--- a/internal/target/sender/sender.go
+++ b/internal/target/sender/sender.go
@@ -176,6 +176,18 @@
 // Reaches reports whether the failure domain is reachable.
 func (s *Sender) Reaches(domain string) bool { return s.prober.Reachable(domain) }
 
+// ReachesTarget reports whether the failure domain of a known target is reachable.
+func (s *Sender) ReachesTarget(id string) bool {
+	target, found := s.registrar.View().Target(id)
+	return found && s.prober.Reachable(target.FailureDomain)
+}
+
+// ReachLost returns a channel that is closed when the next failure domain becomes unreachable.
+func (s *Sender) ReachLost() <-chan struct{} { return s.prober.Lost() }
+
+// VerifyReach finds out which failure domains are reachable, if requests have not shown it within the last moments.
+func (s *Sender) VerifyReach(ctx context.Context) { s.prober.Verify(ctx) }
+
 // OwnDomainReachable reports whether the failure domain of this instance is reachable.
 func (s *Sender) OwnDomainReachable() bool { return s.prober.Reachable(s.domain) }
 
--- a/internal/target/transporter/request.go
+++ b/internal/target/transporter/request.go
@@ -4,7 +4,9 @@
 package transporter
 
 import (
+	"bufio"
 	"bytes"
+	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -40,6 +42,25 @@
 	}
 }
 
+// ParseRequest restores a request that an instance has handed over with its complete head. It has the same properties as the
+// original.
+func ParseRequest(id string, head, body []byte) (*Request, error) {
+	parsed, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(append(bytes.Clone(head), "\r\n"...))))
+	if err != nil {
+		return nil, fmt.Errorf("transporter: parse head of request %s: %w", id, err)
+	}
+	return &Request{
+		ID: id, Method: parsed.Method, uri: parsed.RequestURI, host: parsed.Host, credentials: parsed.Header.Get("Authorization"),
+		head: head, body: body,
+	}, nil
+}
+
+// Host returns the host that the caller has named.
+func (r *Request) Host() string { return r.host }
+
+// URI returns the path with the query.
+func (r *Request) URI() string { return r.uri }
+
 // Properties returns what identifies requests that are the same to a target: method, host, URI, the caller's credentials
 // and body. A request that was restored for a peer has fewer properties.
 func (r *Request) Properties() [][]byte {
--- a/internal/wire/encoder/types.go
+++ b/internal/wire/encoder/types.go
@@ -2,6 +2,43 @@
 
 package encoder
 
+// Whether an instance can relay requests for another one.
+type AbilityReply struct {
+	// False if the instance does not reach enough targets itself, has no
+	// configuration or stops.
+	Able bool `json:"able"`
+
+	// Hybrid logical clock of the sender.
+	Clock int `json:"clock"`
+}
+
+// Asks whether an instance can relay requests for another one.
+type AbilityRequest struct {
+	// Hybrid logical clock of the sender.
+	Clock int `json:"clock"`
+}
+
+// Further bytes of a body.
+type BodyReply struct {
+	// Bytes from the offset on, in base64.
+	Body string `json:"body"`
+
+	// Hybrid logical clock of the sender.
+	Clock int `json:"clock"`
+}
+
+// Asks for further bytes of the body of an answer to a delegated request.
+type BodyRequest struct {
+	// Hybrid logical clock of the sender.
+	Clock int `json:"clock"`
+
+	// Id of the delegation.
+	Id string `json:"id"`
+
+	// Number of bytes that were received.
+	Offset int `json:"offset"`
+}
+
 // Notification that the results of these attempts are no longer needed.
 type CancelBatchMessage struct {
 	// Ids of the attempts.
@@ -32,6 +69,77 @@
 	ShardsAnswered int `json:"shards-answered"`
 }
 
+// Answer to a delegated request.
+type DelegatedAnswer struct {
+	// False if the instance has not sent the request to any target and never will,
+	// because it cannot serve it.
+	Accepted bool `json:"accepted"`
+
+	// First bytes of the body of the reply, or of the merged records, in base64.
+	Body string `json:"body"`
+
+	// Length of the whole body. The rest is read by further messages.
+	BodyBytes int `json:"body-bytes"`
+
+	// Hybrid logical clock of the sender.
+	Clock int `json:"clock"`
+
+	// What explains the answer, one decision per line: microseconds, service, target,
+	// event, separated by tabs.
+	Decisions string `json:"decisions"`
+
+	// Headers of the reply of the target, in base64.
+	Header string `json:"header"`
+
+	// Number of shards whose part is missing.
+	Missing int `json:"missing"`
+
+	// How the request ended, or why it was not accepted.
+	Outcome string `json:"outcome"`
+
+	// Time after which the caller may retry a request that has not run.
+	RetryAfterMs int `json:"retry-after-ms"`
+
+	// Signatures of the reply or of the merged parts, one per line.
+	Signatures string `json:"signatures"`
+
+	// Status of the reply of the target; 0 unless its reply is relayed.
+	Status int `json:"status"`
+}
+
+// Request of a caller that an instance hands over to another one, because it does
+// not reach the targets.
+type DelegatedRequest struct {
+	// Body of the request in base64; empty if there is none.
+	Body string `json:"body"`
+
+	// Hybrid logical clock of the sender.
+	Clock int `json:"clock"`
+
+	// Time left until the answer is due, in microseconds; negative if it is late,
+	// absent if the route has no objective.
+	DueUs *int `json:"due-us,omitempty,omitzero"`
+
+	// Request line and headers that are the same for all targets, in base64.
+	Head string `json:"head"`
+
+	// Id of the delegation, unique within the sender's incarnation.
+	Id string `json:"id"`
+
+	// Time left until the deadline of the request.
+	LeftMs int `json:"left-ms"`
+
+	// Id of the caller's attempt.
+	RequestId string `json:"request-id"`
+
+	// Number of targets of each service that may have run the request already; absent
+	// if it was not sent to any.
+	Runs *int `json:"runs,omitempty,omitzero"`
+
+	// Version of the routing table that the sender has in force.
+	Version int `json:"version"`
+}
+
 // Notification with one reply of a batch.
 type DeliverMessage struct {
 	// Batch id, unique over all instances and restarts.
@@ -99,6 +207,15 @@
 	Whole bool `json:"whole"`
 }
 
+// Notification that a delegated request is no longer needed.
+type EndDelegation struct {
+	// Hybrid logical clock of the sender.
+	Clock int `json:"clock"`
+
+	// Id of the delegation.
+	Id string `json:"id"`
+}
+
 // Notification that the results of a parts request are no longer needed.
 type EndParts struct {
 	// Batch id of the request.
