Ask more instances at random for their ability to relay

Instances that were able lately were half of those asked, so with many of them in a large fleet some got twice the mean: 125 of a mean of 60 requests once in TestStrandedInstancesShareTheAbleOnesEvenly (100 of 400 instances stranded).

--- a/internal/query/delegator/ledger.go
+++ b/internal/query/delegator/ledger.go
@@ -20,7 +20,7 @@
 	maxAskedInstances = 64
 	// retainedFraction is the fraction of them that were able lately. The others are drawn at random, so that over time the
 	// requests of all stranded instances spread over all able ones.
-	retainedFraction = 0.5
+	retainedFraction = 0.25
 )
 
 // Ledger holds what this instance knows of the ability of others to relay requests for it, and how many requests each of
