Spare targets that leave also after answers through another instance

An instance that hands a request over passes the answer on, but did not learn that a target in it has stated that it leaves, and could send that target new requests once it reaches it again. The answer now names such targets. Found by reading.

TestTargetThatLeavesGetsNothingAfterHandedOverAnswer fails without it.

--- a/internal/query/delegator/codec.go
+++ b/internal/query/delegator/codec.go
@@ -74,6 +74,9 @@
 		Accepted: true, Outcome: string(answer.Outcome), Signatures: strings.Join(answer.Signatures, "\n"), Missing: answer.Missing,
 		RetryAfterMs: int(answer.RetryAfter.Milliseconds()), Decisions: encodeDecisions(answer.Decisions),
 	}
+	if leaving := encodeLeaving(answer.Leaving); leaving != "" {
+		message.Leaving = &leaving
+	}
 	if answer.Reply == nil {
 		return message, answer.Records
 	}
@@ -102,6 +105,9 @@
 		Outcome: relayer.Outcome(message.Outcome), Missing: message.Missing,
 		RetryAfter: time.Duration(message.RetryAfterMs) * time.Millisecond, Decisions: decodeDecisions(message.Decisions),
 	}
+	if message.Leaving != nil {
+		answer.Leaving = decodeLeaving(*message.Leaving)
+	}
 	switch answer.Outcome {
 	case relayer.Merged:
 		answer.Records, answer.Signatures = body, strings.Split(message.Signatures, "\n")
@@ -152,6 +158,26 @@
 	return body, nil
 }
 
+func encodeLeaving(leaving []relayer.Departure) string {
+	var text strings.Builder
+	for _, d := range leaving {
+		fmt.Fprintf(&text, "%s %d\n", d.Target, d.Started)
+	}
+	return text.String()
+}
+
+// decodeLeaving decodes the targets that leave. It skips malformed lines.
+func decodeLeaving(encoded string) []relayer.Departure {
+	var leaving []relayer.Departure
+	for line := range strings.Lines(encoded) {
+		target, text, _ := strings.Cut(strings.TrimSuffix(line, "\n"), " ")
+		if started, err := strconv.Atoi(text); err == nil {
+			leaving = append(leaving, relayer.Departure{Target: target, Started: started})
+		}
+	}
+	return leaving
+}
+
 // fieldSeparators are the characters that separate the fields and lines of encoded decisions.
 var fieldSeparators = strings.NewReplacer("\t", " ", "\n", " ")
 
--- a/internal/query/delegator/delegator_test.go
+++ b/internal/query/delegator/delegator_test.go
@@ -137,7 +137,7 @@
 	reply := &transporter.Reply{Status: http.StatusTeapot, Header: http.Header{"X-Kept": {"1", "2"}, "X-Binary": {"caf\xe9"}}, Body: body, Signature: "sig"}
 	delegates["b"].server.serve = func(context.Context, relayer.Delegation) (relayer.Answer, error) {
 		decisions := []relayer.Decision{{After: time.Millisecond, Service: "s", Target: "i-1", Event: "lost: a\tb\nc"}}
-		return relayer.Answer{Outcome: relayer.Relayed, Reply: reply, Decisions: decisions}, nil
+		return relayer.Answer{Outcome: relayer.Relayed, Reply: reply, Decisions: decisions, Leaving: []relayer.Departure{{Target: "i-1", Started: 7}}}, nil
 	}
 	answer, taken := origin.Delegate(t.Context(), newRequest(t, 5*time.Second))
 	assert.Assert(t, taken)
@@ -145,6 +145,7 @@
 	assert.DeepEqual(t, answer.Reply.Header, reply.Header)
 	assert.Equal(t, answer.Reply.Status, http.StatusTeapot)
 	assert.Equal(t, answer.Reply.Signature, "sig")
+	assert.DeepEqual(t, answer.Leaving, []relayer.Departure{{Target: "i-1", Started: 7}})
 	last := answer.Decisions[len(answer.Decisions)-1]
 	assert.DeepEqual(t, last, relayer.Decision{After: time.Millisecond, Service: "s", Target: "i-1", Event: "lost: a b c"})
 }
--- a/internal/query/relayer/delegation.go
+++ b/internal/query/relayer/delegation.go
@@ -61,17 +61,17 @@
 func (r *Relayer) serve(ctx context.Context, request Request) Answer {
 	mayDelegate := !request.Delegated
 	if mayDelegate && isCutOff(r.sender, request) {
-		if answer, taken := r.delegator.Delegate(ctx, request); taken {
+		if answer, taken := r.delegate(ctx, request); taken {
 			return answer
 		}
 		mayDelegate = false
 	}
 	f := newForwarder(r.sender, r.concentrator, r.gate, r.quarantine, request)
 	answer := f.run(ctx)
-	answer.Decisions = f.decisions
+	answer.Decisions, answer.Leaving = f.decisions, f.leaving
 	if mayDelegate && f.isStranded() && ctx.Err() == nil {
 		prior := f.priorRuns()
-		if delegated, taken := r.delegator.Delegate(ctx, request.WithPriorRuns(prior)); taken {
+		if delegated, taken := r.delegate(ctx, request.WithPriorRuns(prior)); taken {
 			delegated.Decisions = append(f.decisions, delegated.Decisions...)
 			if delegated.Outcome == NotRun && prior > 0 {
 				// It has not run there, but may have run here.
@@ -83,6 +83,15 @@
 	return answer
 }
 
+// delegate hands the request over to another instance and takes note of the targets that leave.
+func (r *Relayer) delegate(ctx context.Context, request Request) (answer Answer, taken bool) {
+	answer, taken = r.delegator.Delegate(ctx, request)
+	for _, d := range answer.Leaving {
+		r.sender.MarkLeaving(d.Target, d.Started, request.Outbound.ID)
+	}
+	return answer, taken
+}
+
 // isCutOff reports whether the request cannot succeed because targets that it needs are out of reach.
 func isCutOff(s *sender.Sender, request Request) bool {
 	return !s.AllReachable() && !s.CanServe(request.Route, request.Outbound.ID)
--- a/internal/query/relayer/delegation_test.go
+++ b/internal/query/relayer/delegation_test.go
@@ -100,6 +100,20 @@
 	}
 }
 
+// Guards against requests to a target that leaves from an instance that has passed on its answer, which another instance has
+// received.
+func TestTargetThatLeavesGetsNothingAfterHandedOverAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 3, "s0")
+		f.delegator.takes = true
+		f.delegator.answer.Leaving = []relayer.Departure{{Target: "s0-1"}}
+		f.strandNoticed(t)
+		_, _ = f.relay(singleRoute(true), "r1")
+		assert.Assert(t, !f.registrar.View().IsServing("s0-1"))
+		assert.Assert(t, f.registrar.View().IsServing("s0-0"))
+	})
+}
+
 // Guards against a promise that a request has not run, which holds for the other instance only.
 func TestRequestInFlightIsNotToldAsNotRunWhenItIsRefusedElsewhere(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/query/relayer/forwarder.go
+++ b/internal/query/relayer/forwarder.go
@@ -106,7 +106,9 @@
 	// requests.
 	cutoff    time.Time
 	decisions []Decision
-	caution   caution
+	// leaving holds the targets that have stated that they leave.
+	leaving []Departure
+	caution caution
 	// succeeded reports whether the answer is a success.
 	succeeded bool
 	// answeredCaller reports whether the caller has got its answer or has left, so that decisions are no longer recorded.
--- a/internal/query/relayer/relayer.go
+++ b/internal/query/relayer/relayer.go
@@ -134,6 +134,16 @@
 	RetryAfter time.Duration
 	// Decisions are the events that explain the answer, without first requests that succeeded.
 	Decisions []Decision
+	// Leaving holds the targets that have stated that they leave. An instance that passes the answer on must send them
+	// nothing more either.
+	Leaving []Departure
+}
+
+// Departure is one start of a target that has stated that it leaves.
+type Departure struct {
+	Target string
+	// Started is the start time of the target in Unix milliseconds; 0 if unknown.
+	Started int
 }
 
 // Decision is one event of serving a request: a failed request, a retry or a hedge, or why a part was given up.
--- a/internal/query/relayer/results.go
+++ b/internal/query/relayer/results.go
@@ -23,6 +23,9 @@
 	p := f.parts[r.part]
 	p.inFlight--
 	f.observe(r)
+	if r.result.Leaving {
+		f.leaving = append(f.leaving, Departure{Target: r.target.ID, Started: r.target.Started})
+	}
 	if merged && p.reply != nil && r.result.CanBeMerged() {
 		// The merged records include this part, so its earlier reply, to the other request of a hedge, is dropped.
 		p.reply = r.result.Reply
--- a/internal/target/sender/sender.go
+++ b/internal/target/sender/sender.go
@@ -322,9 +322,8 @@
 			s.logger.Info("target withdrawn, another one has its address", "target", target.ID, "address", target.Address,
 				"service", target.Service, "id", requestID)
 		}
-		if result.Leaving && s.registrar.MarkLeaving(target.ID, target.Started) {
-			s.scope.Counter("sender-leaving-targets").Inc(1)
-			s.logger.Info("target states that it leaves", "target", target.ID, "address", target.Address, "service", target.Service, "id", requestID)
+		if result.Leaving {
+			s.MarkLeaving(target.ID, target.Started, requestID)
 		}
 		if result.PausedFor > 0 {
 			s.recordPause(target, result, requestID)
@@ -339,6 +338,14 @@
 	}
 }
 
+// MarkLeaving records that a start of a target has stated, in a reply to the request, that it leaves.
+func (s *Sender) MarkLeaving(target string, started int, requestID string) {
+	if s.registrar.MarkLeaving(target, started) {
+		s.scope.Counter("sender-leaving-targets").Inc(1)
+		s.logger.Info("target states that it leaves", "target", target, "started", started, "id", requestID)
+	}
+}
+
 // HasEnded reports whether the process of the target has ended: it refuses connections while one of a few other targets,
 // which has not run the request either, accepts them. If none does, connections from this instance are refused whatever
 // the target. If there is no other target, the refusal alone counts.
--- a/internal/wire/encoder/types.go
+++ b/internal/wire/encoder/types.go
@@ -91,6 +91,10 @@
 	// Headers of the reply of the target, in base64.
 	Header string `json:"header"`
 
+	// Targets that have stated that they leave, one per line: id, start time in Unix
+	// milliseconds. Absent if there are none.
+	Leaving *string `json:"leaving,omitempty,omitzero"`
+
 	// Number of shards whose part is missing.
 	Missing int `json:"missing"`
 
