--- a/internal/cluster/feeder/codec.go
+++ b/internal/cluster/feeder/codec.go
@@ -64,10 +64,16 @@
 		change.Table = table
 	}
 	for _, t := range reply.Targets {
-		change.Put = append(change.Put, registrar.Target{
-			ID: t.Target, Service: t.Service, Address: t.Address, FailureDomain: t.FailureDomain, Slots: t.Slots,
-			Draining: t.Draining, Leaving: t.Leaving, Seq: t.Seq, Withdrawn: t.Withdrawn, Started: t.Started, ColdUntil: now.Add(time.Duration(t.WarmupMs) * time.Millisecond),
-		})
+		target := registrar.Target{
+			ID: t.Target, Service: t.Service, Address: t.Address, FailureDomain: t.FailureDomain, Slots: t.Slots, Draining: t.Draining,
+			Leaving: t.Leaving, Seq: t.Seq, Withdrawn: t.Withdrawn, Started: t.Started, ColdUntil: registrar.WarmupEnd(now, float64(t.WarmupMs)),
+		}
+		if target.Validate(now) != nil {
+			// The other instance has taken an entry that names no target, which it must not do; its other targets hold.
+			change.Removed = append(change.Removed, target.ID)
+			continue
+		}
+		change.Put = append(change.Put, target)
 	}
 	return change, nil
 }
--- a/internal/cluster/feeder/feeder_test.go
+++ b/internal/cluster/feeder/feeder_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"slices"
 	"sync/atomic"
@@ -312,3 +313,32 @@
 	_, found = b.feeder.NewerState(t.Context(), registrar.Position{Epoch: 1, Revision: 70})
 	assert.Assert(t, !found)
 }
+
+// Guards against a target with odd values that another instance, of an earlier version, has taken from the store: an instance
+// that follows it must neither take it nor stop following.
+func TestOddTargetOfOtherInstanceIsDropped(t *testing.T) {
+	d := newDomain(t, 3)
+	d.putTarget("good", platform.StateReady)
+	d.waitFor(5*time.Second, "the good target", func(n *instance) bool { return n.registrar.View().IsServing("good") })
+	time.Sleep(settleTime)
+	top := d.instances[0]
+	odd := registrar.Target{Service: "s", Address: "127.0.0.1:9", FailureDomain: "east", Slots: 2}
+	var put []registrar.Target
+	for i, spoil := range []func(*registrar.Target){
+		func(t *registrar.Target) { t.Slots = math.MaxInt }, func(t *registrar.Target) { t.Slots = -1 }, func(t *registrar.Target) { t.Seq = math.MaxInt },
+		func(t *registrar.Target) { t.Started = math.MaxInt }, func(t *registrar.Target) { t.ColdUntil = time.Now().Add(math.MaxInt64) },
+		func(t *registrar.Target) { t.ID = "a b" },
+	} {
+		target := odd
+		target.ID = fmt.Sprintf("odd%d", i)
+		spoil(&target)
+		put = append(put, target)
+	}
+	top.registrar.Apply(registrar.Change{Position: top.registrar.View().Position(), Put: put}, true)
+	d.putTarget("later", platform.StateReady)
+	d.waitFor(5*time.Second, "a later target", func(n *instance) bool { return n.registrar.View().IsServing("later") })
+	for _, n := range d.instances[1:] {
+		assert.Equal(t, len(n.registrar.View().Targets()), 2)
+		assert.Assert(t, n.registrar.View().IsServing("good"))
+	}
+}
--- a/internal/standin/rehearser/soak.go
+++ b/internal/standin/rehearser/soak.go
@@ -1,6 +1,7 @@
 package rehearser
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -60,6 +61,7 @@
 	{"store endless", func(s *soak) func() { return s.failStore(keeper.Endless) }},
 	{"store watches silent", func(s *soak) func() { return s.failStore(keeper.WatchesMissChanges) }},
 	{"store restored", (*soak).restoreStore},
+	{"store odd entry", (*soak).writeOddEntry},
 	{"store link", (*soak).failStoreLink},
 	{"target links", (*soak).failTargetLinks},
 	{"strand", (*soak).strandInstances},
@@ -255,6 +257,22 @@
 	}
 }
 
+// oddEntries are entries of another writer among those of targets that name no target.
+var oddEntries = [][]byte{
+	{},
+	[]byte("null"), []byte("\xff\x00"), bytes.Repeat([]byte("["), 100_000),
+	[]byte(`{"service":"parts00","address":"127.0.0.1:70000","zone":"east","version":"v1","slots":4,"state":"ready","warmup_left_ms":0,"seq":1}`),
+	[]byte(`{"service":"parts00","address":"127.0.0.1:1","zone":"east","version":"v1","slots":1e400,"state":"ready","warmup_left_ms":1e300,"seq":1}`),
+	[]byte(`{"service":"parts00","address":"127.0.0.1:1","zone":"east","version":"v1","slots":4,"state":"ready","warmup_left_ms":0,"seq":9223372036854775807}`),
+}
+
+// writeOddEntry leaves an entry of another writer among those of targets.
+func (s *soak) writeOddEntry() func() {
+	key := fmt.Sprintf("%sodd entry %d", platform.PrefixTargets, s.random.IntN(len(oddEntries)))
+	s.deployment.store.Put(key, oddEntries[s.random.IntN(len(oddEntries))])
+	return func() { s.deployment.store.Remove(key) }
+}
+
 // linkFailureModes are the modes of a link that fails.
 var linkFailureModes = []forwarder.Mode{forwarder.ModeCut, forwarder.ModeSilent, forwarder.ModeSilentAll}
 
--- a/internal/target/picker/picker_test.go
+++ b/internal/target/picker/picker_test.go
@@ -183,3 +183,20 @@
 	target.Started = 2000
 	assert.Equal(t, p.PausedFor(target), time.Duration(0))
 }
+
+// Guards against limits that overflow with the largest values that an entry of a target may state.
+func TestLimitsHoldForLargestValuesOfEntry(t *testing.T) {
+	p := newPicker(picker.ColdLimits{Factor: 1.5, Slack: 5}, instances(4))
+	target := registrar.Target{ID: "a", FailureDomain: "east", Slots: 1 << 16, Seq: 1 << 53, ColdUntil: time.Now().Add(time.Hour)}
+	assert.NilError(t, withNames(target).Validate(time.Now()))
+	service := mapper.Service{Name: "s", MaxConnections: 20, WarmupRate: 8}
+	assert.Equal(t, p.RequestLimit(target, service), 4)
+	assert.Equal(t, p.ConnectionLimit(target, service), 4)
+	counts := pickCounts(p, []registrar.Target{target, {ID: "b", FailureDomain: "east", Slots: 2}}, service)
+	assert.Equal(t, counts["a"]+counts["b"], 200)
+}
+
+func withNames(t registrar.Target) registrar.Target {
+	t.Service = "s"
+	return t
+}
