Let a test of the objective allow for the time until a request is read

TestObjectiveIncludesNetworkLatency failed once beside the whole test suite with the race detector: 181.3 ms of 188 ms were left, at least 183 ms were expected. The receiver counts the objective from the acceptance of the connection, as it should; on a busy machine the first request was read 6.7 ms after that. The test now takes that time into account for the first request, up to the real time since the dial, and expects the exact value for the second, which had 5 ms of slack.

--- a/internal/caller/receiver/receiver_test.go
+++ b/internal/caller/receiver/receiver_test.go
@@ -301,19 +301,25 @@
 	assert.NilError(t, err)
 	served := make(chan error, 1)
 	go func() { served <- s.Serve(listener) }()
+	dialed := time.Now()
 	conn, err := net.Dial("tcp", listener.Addr().String())
 	assert.NilError(t, err)
 	reader := bufio.NewReader(conn)
 	// The objective of 200 ms without the trip of the response, and without the three trips of the handshake and the first
-	// request, or the one trip of a later request. A trip takes 3 ms.
-	for _, remaining := range []time.Duration{188 * time.Millisecond, 194 * time.Millisecond} {
+	// request, or the one trip of a later request. A trip takes 3 ms. The time from the acceptance of the connection to the
+	// first request counts too.
+	for i, remaining := range []time.Duration{188 * time.Millisecond, 194 * time.Millisecond} {
 		_, err = conn.Write([]byte("GET /in/ HTTP/1.1\r\nHost: a.example\r\n\r\n"))
 		assert.NilError(t, err)
 		response, err := http.ReadResponse(reader, nil)
 		assert.NilError(t, err)
 		assert.NilError(t, response.Body.Close())
 		due := r.lastRequest.Due.Sub(r.lastRequest.Arrived)
-		assert.Assert(t, due <= remaining && due > remaining-5*time.Millisecond, "%s of %s", due, remaining)
+		if i == 0 {
+			assert.Assert(t, due <= remaining && due >= remaining-r.lastRequest.Arrived.Sub(dialed), "%s of %s", due, remaining)
+		} else {
+			assert.Equal(t, due, remaining)
+		}
 	}
 	assert.NilError(t, conn.Close())
 	assert.NilError(t, s.Stop(t.Context()))
