Read what stranded requests need before their observation goes on

The race detector found it in TestScatterIsRefusedAtOnceWhenTargetsAreDown: whether a request may be handed over was read after its answer, while the requests still in flight were already observed in another goroutine.

--- a/internal/query/delegator/codec.go
+++ b/internal/query/delegator/codec.go
@@ -59,7 +59,7 @@
 		Origin: origin, Outbound: outbound, Version: message.Version, TimeLeft: time.Duration(message.LeftMs) * time.Millisecond,
 	}
 	if message.Runs != nil {
-		d.PriorRuns = *message.Runs
+		d.PriorRuns = max(*message.Runs, 0)
 	}
 	if message.DueUs != nil {
 		dueIn := time.Duration(*message.DueUs) * time.Microsecond
@@ -88,19 +88,13 @@
 	return message, answer.Reply.Body
 }
 
-// DecodeWholeAnswer decodes an answer whose body is in one message.
-func DecodeWholeAnswer(message encoder.DelegatedAnswer) (relayer.Answer, error) {
-	body, err := decodeBytes(message.Body, message.BodyBytes)
-	if err == nil && len(body) != message.BodyBytes {
-		err = fmt.Errorf("%w: %d of %d bytes", errMalformed, len(body), message.BodyBytes)
-	}
+// DecodeAnswer decodes an answer. The function readMore returns the encoded bytes of the body from an offset on, for a body
+// that is longer than one message.
+func DecodeAnswer(message encoder.DelegatedAnswer, readMore func(offset int) (string, error)) (relayer.Answer, error) {
+	body, err := decodeBody(message, readMore)
 	if err != nil {
 		return relayer.Answer{}, err
 	}
-	return decodeAnswer(message, body)
-}
-
-func decodeAnswer(message encoder.DelegatedAnswer, body []byte) (relayer.Answer, error) {
 	answer := relayer.Answer{
 		Outcome: relayer.Outcome(message.Outcome), Missing: message.Missing,
 		RetryAfter: time.Duration(message.RetryAfterMs) * time.Millisecond, Decisions: decodeDecisions(message.Decisions),
@@ -137,12 +131,20 @@
 	return http.Header(header), nil
 }
 
-// decodeBytes decodes the first bytes of a body of the given length.
-func decodeBytes(encoded string, length int) ([]byte, error) {
+// decodeBody decodes the body of an answer and reads what does not fit into its message.
+func decodeBody(message encoder.DelegatedAnswer, readMore func(offset int) (string, error)) ([]byte, error) {
+	length := message.BodyBytes
 	if length < 0 || length > maxBodyBytes {
 		return nil, fmt.Errorf("%w: body of %d bytes", errMalformed, length)
 	}
-	return appendBytes(make([]byte, 0, length), encoded, length)
+	body, err := appendBytes(make([]byte, 0, length), message.Body, length)
+	for err == nil && len(body) < length {
+		var next string
+		if next, err = readMore(len(body)); err == nil {
+			body, err = appendBytes(body, next, length)
+		}
+	}
+	return body, err
 }
 
 // appendBytes appends decoded bytes to a body, which must not become longer than the given length.
--- a/internal/query/delegator/delegator.go
+++ b/internal/query/delegator/delegator.go
@@ -73,6 +73,8 @@
 	logger    *log.Logger
 	scope     tally.Scope
 	lastID    atomic.Int64
+	// hasAble reports whether the latest round has found an able instance.
+	hasAble atomic.Bool
 
 	mu sync.Mutex
 	// round is the latest round of questions; nil before the first.
@@ -169,12 +171,13 @@
 	return d.round
 }
 
-// ask asks some instances whether they can relay requests.
+// ask asks some instances whether they can relay requests, and logs when there is an able one again, or none any more.
 func (d *Delegator) ask(r *round) {
 	answered := sync.OnceFunc(func() { close(r.answered) })
 	defer answered()
 	var questions sync.WaitGroup
-	for _, peer := range d.ledger.Candidates(d.instances.OtherInstances(), r.failedRounds, r.startedAt) {
+	asked := d.ledger.Candidates(d.instances.OtherInstances(), r.failedRounds, r.startedAt)
+	for _, peer := range asked {
 		questions.Go(func() {
 			if d.askOne(peer) {
 				r.found.Store(true)
@@ -183,6 +186,12 @@
 		})
 	}
 	questions.Wait()
+	switch found := r.found.Load(); {
+	case found && !d.hasAble.Swap(true):
+		d.logger.Info("other instances can relay requests", "asked", asked)
+	case !found && (d.hasAble.Swap(false) || r.failedRounds == 0):
+		d.logger.Warn("no other instance can relay requests", "asked", asked)
+	}
 }
 
 // askOne asks an instance, records its answer and reports whether it is able.
@@ -226,7 +235,10 @@
 		return relayer.Answer{}, false
 	}
 	if err == nil {
-		answer, err = d.receiveAnswer(callCtx, peer, id, reply)
+		answer, err = DecodeAnswer(reply, func(offset int) (string, error) {
+			next, err := messenger.Call[encoder.BodyRequest, encoder.BodyReply](callCtx, d.messenger, peer, methodReadBody, encoder.BodyRequest{Id: id, Offset: offset})
+			return next.Body, err
+		})
 	}
 	if err == nil {
 		return withDelegate(answer, peer, request), true
@@ -255,7 +267,10 @@
 	case ctx.Err() != nil:
 		return relayer.Answer{Outcome: relayer.Abandoned}, true
 	case unreceived:
-		d.suspend(peer, err)
+		var size *messenger.SizeError
+		if !errors.As(err, &size) {
+			d.suspend(peer, err)
+		}
 		return relayer.Answer{}, false
 	case !time.Now().Before(request.Deadline):
 		answer.Outcome = relayer.TimedOut
@@ -282,21 +297,3 @@
 		d.logger.Debug("end of request not sent to peer", "peer", peer, "error", err)
 	}
 }
-
-// receiveAnswer decodes an answer and reads the rest of its body.
-func (d *Delegator) receiveAnswer(ctx context.Context, peer, id string, reply encoder.DelegatedAnswer) (relayer.Answer, error) {
-	body, err := decodeBytes(reply.Body, reply.BodyBytes)
-	if err != nil {
-		return relayer.Answer{}, err
-	}
-	for len(body) < reply.BodyBytes {
-		next, err := messenger.Call[encoder.BodyRequest, encoder.BodyReply](ctx, d.messenger, peer, methodReadBody, encoder.BodyRequest{Id: id, Offset: len(body)})
-		if err != nil {
-			return relayer.Answer{}, err
-		}
-		if body, err = appendBytes(body, next.Body, reply.BodyBytes); err != nil {
-			return relayer.Answer{}, err
-		}
-	}
-	return decodeAnswer(reply, body)
-}
--- a/internal/query/delegator/delegator_test.go
+++ b/internal/query/delegator/delegator_test.go
@@ -232,7 +232,7 @@
 	f.Add("relayed", "!", "sig", "MDEyMw==", 9<<20, "x\t\t")
 	f.Fuzz(func(t *testing.T, outcome, header, signatures, body string, bodyBytes int, decisions string) {
 		message := encoder.DelegatedAnswer{Accepted: true, Outcome: outcome, Header: header, Signatures: signatures, Body: body, BodyBytes: bodyBytes, Decisions: decisions}
-		answer, err := delegator.DecodeWholeAnswer(message)
+		answer, err := delegator.DecodeAnswer(message, func(int) (string, error) { return body, nil })
 		if err != nil {
 			return
 		}
--- a/internal/query/delegator/serve.go
+++ b/internal/query/delegator/serve.go
@@ -44,11 +44,12 @@
 	}
 	d.scope.Counter("delegator-served").Inc(1)
 	encoded, body := encodeAnswer(answer)
+	if len(body) > maxMessageBody && !d.bodies.hold(key, body, time.Now().Add(delegation.TimeLeft)) {
+		d.scope.Counter("delegator-bodies-dropped").Inc(1)
+		encoded, body = encodeAnswer(relayer.Answer{Outcome: relayer.Failed, Decisions: answer.Decisions})
+	}
 	encoded.BodyBytes = len(body)
 	encoded.Body = base64.StdEncoding.EncodeToString(body[:min(len(body), maxMessageBody)])
-	if len(body) > maxMessageBody {
-		d.bodies.hold(key, body, time.Now().Add(delegation.TimeLeft))
-	}
 	return encoded, nil
 }
 
--- a/internal/query/relayer/delegation.go
+++ b/internal/query/relayer/delegation.go
@@ -69,18 +69,19 @@
 	f := newForwarder(r.sender, r.concentrator, r.gate, r.quarantine, request)
 	answer := f.run(ctx)
 	answer.Decisions, answer.Leaving = f.decisions, f.leaving
-	if mayDelegate && f.isStranded() && ctx.Err() == nil {
-		prior := f.priorRuns()
-		if delegated, taken := r.delegate(ctx, request.WithPriorRuns(prior)); taken {
-			delegated.Decisions = append(f.decisions, delegated.Decisions...)
-			if delegated.Outcome == NotRun && prior > 0 {
-				// It has not run there, but may have run here.
-				delegated.Outcome = Failed
-			}
-			return delegated
-		}
+	if !mayDelegate || !f.stranded || ctx.Err() != nil {
+		return answer
+	}
+	delegated, taken := r.delegate(ctx, request.WithPriorRuns(f.runsWhenStranded))
+	if !taken {
+		return answer
 	}
-	return answer
+	delegated.Decisions = append(f.decisions, delegated.Decisions...)
+	if delegated.Outcome == NotRun && f.runsWhenStranded > 0 {
+		// It has not run there, but may have run here.
+		delegated.Outcome = Failed
+	}
+	return delegated
 }
 
 // delegate hands the request over to another instance and takes note of the targets that leave.
@@ -97,6 +98,11 @@
 	return !s.AllReachable() && !s.CanServe(request.Route, request.Outbound.ID)
 }
 
+// recordStranded records whether the request is stranded, before the requests in flight are left to be observed.
+func (f *forwarder) recordStranded() {
+	f.stranded, f.runsWhenStranded = f.isStranded(), f.priorRuns()
+}
+
 // isStranded reports whether the request has no success here and may still have one through another instance: targets that
 // it needs have gone out of reach, and it has not run or may be repeated. Requests under which targets may end stay here.
 func (f *forwarder) isStranded() bool {
--- a/internal/query/relayer/forwarder.go
+++ b/internal/query/relayer/forwarder.go
@@ -111,6 +111,10 @@
 	caution caution
 	// succeeded reports whether the answer is a success.
 	succeeded bool
+	// stranded reports whether the request ended without a success that another instance could have, and runsWhenStranded
+	// how many targets of each service may have run it by then.
+	stranded         bool
+	runsWhenStranded int
 	// answeredCaller reports whether the caller has got its answer or has left, so that decisions are no longer recorded.
 	answeredCaller bool
 }
@@ -175,6 +179,7 @@
 			go f.observeAfterAnswer()
 		}
 	}()
+	defer f.recordStranded()
 	defer f.leaveQueues()
 	timer := time.NewTimer(f.timeUntilNextCheck())
 	defer timer.Stop()
