--- a/internal/query/relayer/delegation_test.go
+++ b/internal/query/relayer/delegation_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"apricotflow/internal/cluster/registrar"
 	"apricotflow/internal/query/relayer"
 	"apricotflow/internal/standin/httpresponder"
 )
@@ -151,3 +152,32 @@
 		assert.Equal(t, f.runsOfS0(), runs+1)
 	})
 }
+
+// Guards against an instance that reaches some failure domains and hands over what it could serve itself, or keeps what it
+// cannot.
+func TestOnlyRequestsThatNeedTargetsOutOfReachAreHandedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 2, "s0")
+		f.delegator.takes = true
+		change := registrar.Change{Position: registrar.Position{Revision: 2}}
+		for _, id := range []string{"far-0", "far-1", "far-2"} {
+			far := f.startTarget(id, records(100, 10))
+			change.Put = append(change.Put, registrar.Target{ID: id, Service: "s1", Address: far.Address(), FailureDomain: "west", Slots: 4})
+		}
+		f.registrar.Apply(change, true)
+		f.cutOff = map[string]bool{"far": true}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go f.prober.Run(ctx)
+		f.prober.Begin("west")
+		time.Sleep(time.Second)
+		assert.Assert(t, !f.prober.Reachable("west") && f.prober.Reachable(domain))
+		own, _ := f.relay(singleRoute(true), "r1")
+		assert.Equal(t, own.Outcome, relayer.Relayed)
+		partial, _ := f.relay(shardedRoute(0.5, "s0", "s1"), "r2")
+		assert.Equal(t, partial.Missing, 1)
+		assert.Equal(t, len(f.delegator.requests), 0)
+		whole, _ := f.relay(shardedRoute(1, "s0", "s1"), "r3")
+		assert.DeepEqual(t, whole.Signatures, []string{"from another instance"})
+	})
+}
