Keep failure domains out of reach while something ends their connections

The logs show failure domains in reach again and out of reach some 0.3 s later: the link had accepted a probe and ended it only after 20 ms, so the probe counted as a success, and requests followed it.

Probes of a domain that is out of reach now keep their connections for 100 ms. While other domains are out of reach, one target without a connection is enough for a probe of a small domain, whose single target had been taken for reachable by such a probe.

The stand-in: links know who has opened a connection only while an instance is stranded, and read the open files of all processes once for all connections that wait.

--- a/internal/standin/forwarder/forwarder.go
+++ b/internal/standin/forwarder/forwarder.go
@@ -67,8 +67,10 @@
 	controlServer *http.Server
 	upstream      string
 	classify      Classifier
-	done          chan struct{}
-	closeOnce     sync.Once
+	// classifiesOnDemand reports whether connections are classified only while a source has a mode.
+	classifiesOnDemand bool
+	done               chan struct{}
+	closeOnce          sync.Once
 
 	mu    sync.Mutex
 	modes map[string]Mode
@@ -87,6 +89,12 @@
 	return func(f *Forwarder) { f.classify = c }
 }
 
+// WithClassifierOnDemand is like WithClassifier, but connections are assigned only while a source has a mode of its own: the
+// open ones when it is set, which suits classifiers that take long.
+func WithClassifierOnDemand(c Classifier) Option {
+	return func(f *Forwarder) { f.classify, f.classifiesOnDemand = c, true }
+}
+
 // Start forwards connections from address to upstream until Close; control is the address of the control endpoints.
 func Start(address, upstream, control string, options ...Option) (*Forwarder, error) {
 	l, err := net.Listen("tcp", address)
@@ -157,8 +165,11 @@
 		delete(f.modes, source)
 	}
 	for p := range f.openConns {
-		if source != "" && p.source != source {
-			continue
+		if source != "" {
+			f.assignSource(p)
+			if p.source != source {
+				continue
+			}
 		}
 		switch mode {
 		case ModeCut:
@@ -178,6 +189,20 @@
 	return Statistics{Mode: f.modes[""], Accepted: f.accepted, Open: len(f.openConns)}
 }
 
+// hasSourceMode reports whether a source has a mode of its own.
+func (f *Forwarder) hasSourceMode() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.modes) > 1
+}
+
+// assignSource classifies a connection that has not been. The caller must hold f.mu.
+func (f *Forwarder) assignSource(p *proxiedConn) {
+	if !p.classified {
+		p.source, p.classified = f.classify(p.client), true
+	}
+}
+
 // modeOf returns the mode of a source. The caller must hold f.mu.
 func (f *Forwarder) modeOf(source string) Mode {
 	if m, found := f.modes[source]; found {
@@ -197,7 +222,10 @@
 }
 
 func (f *Forwarder) serve(client net.Conn) {
-	p := &proxiedConn{forwarder: f, client: client, source: f.classify(client), closed: make(chan struct{})}
+	p := &proxiedConn{forwarder: f, client: client, closed: make(chan struct{})}
+	if !f.classifiesOnDemand || f.hasSourceMode() {
+		p.source, p.classified = f.classify(client), true
+	}
 	f.mu.Lock()
 	f.accepted++
 	f.openConns[p] = true
--- a/internal/standin/forwarder/pipe.go
+++ b/internal/standin/forwarder/pipe.go
@@ -12,7 +12,9 @@
 type proxiedConn struct {
 	forwarder *Forwarder
 	client    net.Conn
-	source    string
+	// source is the source of the connection once it is classified.
+	source     string
+	classified bool
 	// silenced stops the connection permanently; it is guarded by forwarder.mu.
 	silenced  bool
 	closed    chan struct{}
--- a/internal/standin/launcher/links.go
+++ b/internal/standin/launcher/links.go
@@ -8,8 +8,10 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
+	"time"
 
 	"apricotflow/internal/standin/forwarder"
 )
@@ -21,10 +23,13 @@
 	byName   map[string]*forwarder.Forwarder
 	// domains holds the failure domain of the process behind each link. It is empty for the platform.
 	domains map[string]string
+	owners  *ConnectionOwners
 }
 
 func newLinkSet(l *Launcher) *linkSet {
-	return &linkSet{launcher: l, byName: make(map[string]*forwarder.Forwarder), domains: make(map[string]string)}
+	s := &linkSet{launcher: l, byName: make(map[string]*forwarder.Forwarder), domains: make(map[string]string)}
+	s.owners = NewConnectionOwners(s.instancePIDs)
+	return s
 }
 
 // open starts a link in front of an address and returns the address of the link. If links are disabled, it returns the
@@ -53,6 +58,17 @@
 
 // sourceDomain returns the failure domain of the instance that opened a connection, or an empty string.
 func (s *linkSet) sourceDomain(c net.Conn) string {
+	name := s.owners.Owner(c)
+	s.launcher.mu.Lock()
+	defer s.launcher.mu.Unlock()
+	if p, found := s.launcher.processes[name]; found {
+		return p.domain
+	}
+	return ""
+}
+
+// instancePIDs returns the ids of the processes of all instances, by their names.
+func (s *linkSet) instancePIDs() map[string]int {
 	s.launcher.mu.Lock()
 	defer s.launcher.mu.Unlock()
 	pids := make(map[string]int)
@@ -61,26 +77,44 @@
 			pids[name] = p.pid()
 		}
 	}
-	if name := ConnectionOwner(c, pids); name != "" {
-		return s.launcher.processes[name].domain
-	}
-	return ""
+	return pids
 }
 
-// ConnectionOwner returns the name of the process that opened a connection, or an empty string if it is none of the given
-// ones. Processes share loopback addresses, so it finds the one that holds the other end of the connection, where the
-// remote address is the local one.
-func ConnectionOwner(c net.Conn, pids map[string]int) string {
-	inode := socketInode(c.RemoteAddr(), c.LocalAddr())
+// ConnectionOwners finds the processes that opened connections. Processes share loopback addresses, so it finds the one that
+// holds the other end of a connection, where the remote address is the local one. It reads the open files of all processes once for all connections
+// that are asked for meanwhile, since reading them for each connection takes a core with some dozens of processes.
+type ConnectionOwners struct {
+	pids func() map[string]int
+
+	mu sync.Mutex
+	// byInode holds the name of the process for each socket of the latest reading, which began at readAt.
+	byInode map[string]string
+	readAt  time.Time
+}
+
+// NewConnectionOwners returns a ConnectionOwners for the processes that the function returns, by their names.
+func NewConnectionOwners(pids func() map[string]int) *ConnectionOwners {
+	return &ConnectionOwners{pids: pids}
+}
+
+// Owner returns the name of the process that opened a connection, or an empty string.
+func (o *ConnectionOwners) Owner(c net.Conn) string {
+	inode, asked := socketInode(c.RemoteAddr(), c.LocalAddr()), time.Now()
 	if inode == "" {
 		return ""
 	}
-	for name, pid := range pids {
-		if holdsSocket(pid, inode) {
-			return name
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if name, found := o.byInode[inode]; found || o.readAt.After(asked) {
+		return name
+	}
+	o.byInode, o.readAt = make(map[string]string), time.Now()
+	for name, pid := range o.pids() {
+		for _, open := range socketsOf(pid) {
+			o.byInode[open] = name
 		}
 	}
-	return ""
+	return o.byInode[inode]
 }
 
 // Constants of the kernel's socket diagnosis (sock_diag) over netlink: the protocol and the message type, the sizes of
@@ -139,18 +173,21 @@
 	return request
 }
 
-func holdsSocket(pid int, inode string) bool {
+// socketsOf returns the inodes of the sockets that a process has open.
+func socketsOf(pid int) []string {
 	directory := fmt.Sprintf("/proc/%d/fd", pid)
 	entries, err := os.ReadDir(directory)
 	if err != nil {
-		return false
+		return nil
 	}
+	var inodes []string
 	for _, e := range entries {
-		if target, _ := os.Readlink(filepath.Join(directory, e.Name())); target == "socket:["+inode+"]" {
-			return true
+		target, _ := os.Readlink(filepath.Join(directory, e.Name()))
+		if inode, isSocket := strings.CutPrefix(target, "socket:["); isSocket {
+			inodes = append(inodes, strings.TrimSuffix(inode, "]"))
 		}
 	}
-	return false
+	return inodes
 }
 
 // Link returns the link in front of a target or an instance, or nil if links are disabled.
--- a/internal/standin/rehearser/deployment.go
+++ b/internal/standin/rehearser/deployment.go
@@ -9,7 +9,6 @@
 	"encoding/json"
 	"fmt"
 	"math"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -110,8 +109,10 @@
 	ends []time.Time
 	// stranded holds the modes of the links from stranded instances to all targets, by the name of the instance.
 	stranded map[string]forwarder.Mode
-	// pids holds the ids of the processes of the instances, by their names.
-	pids sync.Map
+	// pids holds the ids of the processes of the instances, by their names. It has no lock, because the owners of connections
+	// are asked for while links are controlled.
+	pids   sync.Map
+	owners *launcher.ConnectionOwners
 	// closed reports whether Close was called, so that nothing starts any more.
 	closed bool
 }
@@ -136,6 +137,7 @@
 	d.healthy = make(map[string]func(*http.Request) (httpresponder.Behaviour, time.Duration))
 	d.started, d.entryWrites = make(map[string]int64), make(map[string]int)
 	d.stranded = make(map[string]forwarder.Mode)
+	d.owners = launcher.NewConnectionOwners(d.instancePIDs)
 	d.links, d.domains = make(map[string]*forwarder.Forwarder), make(map[string]string)
 	for _, opt := range opts {
 		opt(d)
@@ -187,7 +189,7 @@
 	d.targets[id] = target
 	d.domains[id] = domain
 	d.started[id] = time.Now().UnixMilli()
-	d.links[id] = startLink(target.Address(), forwarder.WithClassifier(d.sourceInstance))
+	d.links[id] = startLink(target.Address(), forwarder.WithClassifierOnDemand(d.owners.Owner))
 	for name, mode := range d.stranded {
 		d.links[id].Control(forwarder.Control{Source: name, Mode: mode})
 	}
@@ -356,15 +358,14 @@
 	return err
 }
 
-// sourceInstance returns the name of the instance that opened a connection. It is called without the lock, because links
-// are controlled while it is held.
-func (d *Deployment) sourceInstance(c net.Conn) string {
+// instancePIDs returns the ids of the processes of the instances, by their names.
+func (d *Deployment) instancePIDs() map[string]int {
 	pids := make(map[string]int)
 	d.pids.Range(func(name, pid any) bool {
 		pids[name.(string)] = pid.(int)
 		return true
 	})
-	return launcher.ConnectionOwner(c, pids)
+	return pids
 }
 
 // Strand sets the mode of the links from an instance to all targets. ModeNormal ends it.
--- a/internal/standin/rehearser/rehearser_test.go
+++ b/internal/standin/rehearser/rehearser_test.go
@@ -33,7 +33,7 @@
 	t.Helper()
 	program, err := buildProgram()
 	assert.NilError(t, err)
-	d, err := rehearser.NewDeployment(program, t.TempDir())
+	d, err := rehearser.NewDeployment(program, t.ArtifactDir())
 	assert.NilError(t, err)
 	t.Cleanup(d.Close)
 	return d
--- a/internal/target/prober/prober.go
+++ b/internal/target/prober/prober.go
@@ -34,8 +34,10 @@
 	checkInterval = 100 * time.Millisecond
 	// probeTimeout limits one round of probes. Opening a connection takes some milliseconds.
 	probeTimeout = 120 * time.Millisecond
-	// acceptanceTime is how long a probe keeps its connection open.
+	// acceptanceTime is how long a probe keeps its connection open, and returnTime how long that of an unreachable domain:
+	// what has accepted connections in place of targets and ended them may take a while to do so.
 	acceptanceTime = 20 * time.Millisecond
+	returnTime     = 100 * time.Millisecond
 	// probedTargets is the number of targets that must all fail a probe before the domain is considered unreachable.
 	// Fewer targets may all be down independently. It is also the number of requests that must have ended without a
 	// reply before a domain is probed although no request is pending.
@@ -82,7 +84,8 @@
 type Prober struct {
 	views  Views
 	logger *log.Logger
-	dial   func(ctx context.Context, address string) error
+	// dial opens a connection to an address and keeps it open for a time.
+	dial func(ctx context.Context, address string, keep time.Duration) error
 	// unreachable holds the unreachable failure domains and is replaced on each change. It is nil while all are
 	// reachable.
 	unreachable atomic.Pointer[map[string]bool]
@@ -98,7 +101,9 @@
 
 // WithDial sets the function that probes an address by opening a connection.
 func WithDial(dial func(ctx context.Context, address string) error) Option {
-	return func(p *Prober) { p.dial = dial }
+	return func(p *Prober) {
+		p.dial = func(ctx context.Context, address string, _ time.Duration) error { return dial(ctx, address) }
+	}
 }
 
 // New returns a Prober that considers all failure domains reachable.
@@ -113,15 +118,15 @@
 // errUnexpectedBytes is returned for a connection on which bytes arrived although no request was sent.
 var errUnexpectedBytes = errors.New("prober: unexpected bytes on a new connection")
 
-// connect opens a connection, waits for acceptanceTime and closes it. A connection that ends meanwhile is a failure:
-// something on the way has accepted it in place of the target.
-func connect(ctx context.Context, address string) error {
+// connect opens a connection and closes it after a time. A connection that ends before is a failure: something on the way
+// has accepted it in place of the target.
+func connect(ctx context.Context, address string, keep time.Duration) error {
 	var dialer net.Dialer
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return err
 	}
-	err = conn.SetReadDeadline(time.Now().Add(acceptanceTime))
+	err = conn.SetReadDeadline(time.Now().Add(keep))
 	if err == nil {
 		if _, err = conn.Read(make([]byte, 1)); err == nil {
 			err = errUnexpectedBytes
@@ -201,9 +206,9 @@
 	p.stateOf(domain).unconnectable[target] = time.Now()
 }
 
-// hasUnconnectable reports whether several targets could not be connected to since the latest probe and within
-// unconnectableWindow.
-func (s *domainState) hasUnconnectable(now time.Time) bool {
+// hasUnconnectable reports whether at least the given number of targets could not be connected to since the latest probe and
+// within unconnectableWindow.
+func (s *domainState) hasUnconnectable(now time.Time, needed int) bool {
 	n := 0
 	for target, at := range s.unconnectable {
 		if now.Sub(at) > unconnectableWindow {
@@ -212,7 +217,7 @@
 			n++
 		}
 	}
-	return n >= minUnconnectable
+	return n >= needed
 }
 
 // isSilent reports whether there was no reply for longer than silenceThreshold although a request has been pending that
@@ -260,12 +265,16 @@
 
 // domainsToProbe returns the failure domains that need a probe or are unreachable.
 func (p *Prober) domainsToProbe() []string {
-	now := time.Now()
+	now, needed := time.Now(), minUnconnectable
+	if !p.AllReachable() {
+		// The others may be out of reach too, and small ones have too few targets.
+		needed = 1
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var names []string
 	for name, s := range p.domains {
-		if s.isSilent(now) || s.hasUnconnectable(now) || !p.Reachable(name) {
+		if s.isSilent(now) || s.hasUnconnectable(now, needed) || !p.Reachable(name) {
 			names = append(names, name)
 		}
 	}
@@ -304,12 +313,15 @@
 
 // probe opens connections to some targets of a failure domain. One that succeeds proves the domain reachable.
 func (p *Prober) probe(parent context.Context, domain string) {
-	addresses := p.addresses(domain, p.beginProbe(domain))
+	addresses, keep := p.addresses(domain, p.beginProbe(domain)), acceptanceTime
+	if !p.Reachable(domain) {
+		keep = returnTime
+	}
 	ctx, cancel := context.WithTimeout(parent, probeTimeout)
 	defer cancel()
 	results := make(chan error, len(addresses))
 	for _, address := range addresses {
-		go func() { results <- p.dial(ctx, address) }()
+		go func() { results <- p.dial(ctx, address, keep) }()
 	}
 	var failure error
 	for range addresses {
--- a/internal/target/prober/prober_test.go
+++ b/internal/target/prober/prober_test.go
@@ -231,9 +231,11 @@
 	})
 }
 
-// Guards against probes that take something on the way, which accepts connections and ends them, for a target.
-func TestConnectionThatEndsAtOnceIsNoProofOfReach(t *testing.T) {
+// Guards against probes that take something on the way, which accepts connections and ends them, for a target, also if that
+// takes it longer later.
+func TestConnectionThatEndsIsNoProofOfReach(t *testing.T) {
 	for _, ends := range []bool{true, false} {
+		var delay atomic.Int64
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		assert.NilError(t, err)
 		t.Cleanup(func() { _ = listener.Close() })
@@ -244,7 +246,7 @@
 					return
 				}
 				if ends {
-					_ = conn.Close()
+					time.AfterFunc(time.Duration(delay.Load()), func() { _ = conn.Close() })
 				}
 			}
 		}()
@@ -257,5 +259,10 @@
 		p := prober.New(state, log.New(io.Discard))
 		p.Verify(t.Context())
 		assert.Equal(t, p.Reachable("a"), !ends)
+		delay.Store(int64(50 * time.Millisecond))
+		ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+		p.Run(ctx)
+		cancel()
+		assert.Equal(t, p.Reachable("a"), !ends)
 	}
 }
