Let a test of the follower fail the store before it starts

Traced: the store failed only after the follower had started; if its first load has succeeded by then, the peer is asked when the watch that waits has ended and the next one has failed, after 3 s. The store now fails from the start, which is what the test is about: a new instance without any state.

--- a/internal/cluster/follower/follower_test.go
+++ b/internal/cluster/follower/follower_test.go
@@ -225,7 +225,8 @@
 // Guards against a new instance that has no state to serve from while the store is unavailable.
 func TestPeerStateIsAppliedWhenStoreIsUnavailable(t *testing.T) {
 	target := registrar.Target{ID: "i1", Service: "s", Address: "127.0.0.1:9"}
-	store, r := startFollower(t, follower.WithPeers(staticPeers{registrar.Change{Position: registrar.Position{Revision: 9}, Put: []registrar.Target{target}, Complete: true}}))
+	store := keeper.New()
 	store.SetFault(keeper.Busy)
+	r := follow(t, store, follower.WithPeers(staticPeers{registrar.Change{Position: registrar.Position{Revision: 9}, Put: []registrar.Target{target}, Complete: true}}))
 	eventually(t, "nothing from the peer", func() bool { return r.View().Position().Revision == 9 && r.View().IsServing("i1") })
 }
