Add a review case: a machine goes back to an older configuration after a hand-over

Cause: an instance that serves a handed-over request by a newer routing table does not tell the origin, which goes on with its older one. Ruled out: an instance that is only turned away by the store, which stays with one version.

--- a/review/scenario/leaf.go
+++ b/review/scenario/leaf.go
@@ -33,6 +33,8 @@
 	late func(id string, refused bool, answer []byte) []byte
 	// shed reports whether a leaf that sheds part of its requests refuses this one.
 	shed func() bool
+	// cutOff reports whether a connection comes from a machine that is cut off from the leaf.
+	cutOff func(remote net.Addr) bool
 
 	mu      sync.Mutex
 	running int
@@ -40,6 +42,9 @@
 	free    *sync.Cond
 	runs    map[string]int
 	stamps  map[string]string
+	// ranAt holds when the first run of a request began.
+	ranAt map[string]time.Time
+	conns map[net.Conn]bool
 }
 
 func (w *world) newLeaf(id, service, zone string, slots, queue int) (*leaf, error) {
@@ -52,7 +57,7 @@
 		work: func() time.Duration { return 20 * time.Millisecond },
 		body: func(id string) []byte { return []byte("result of " + id) },
 		late: func(string, bool, []byte) []byte { return nil },
-		shed: func() bool { return false },
+		shed: func() bool { return false }, cutOff: func(net.Addr) bool { return false }, conns: make(map[net.Conn]bool), ranAt: make(map[string]time.Time),
 	}
 	f.free = sync.NewCond(&f.mu)
 	go f.accept()
@@ -77,9 +82,40 @@
 	}
 }
 
+// resetCutOff resets the open connections from machines that are cut off.
+func (f *leaf) resetCutOff() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for conn := range f.conns {
+		if f.cutOff(conn.RemoteAddr()) {
+			reset(conn)
+		}
+	}
+}
+
+// reset ends a connection with a reset.
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 // serve serves one request at a time on the connection.
 func (f *leaf) serve(conn net.Conn) {
-	defer conn.Close()
+	if f.cutOff(conn.RemoteAddr()) {
+		reset(conn)
+		return
+	}
+	f.mu.Lock()
+	f.conns[conn] = true
+	f.mu.Unlock()
+	defer func() {
+		f.mu.Lock()
+		delete(f.conns, conn)
+		f.mu.Unlock()
+		_ = conn.Close()
+	}()
 	reader := bufio.NewReader(conn)
 	var pending []byte
 	for {
@@ -90,6 +126,10 @@
 		if _, err := io.Copy(io.Discard, request.Body); err != nil {
 			return
 		}
+		if f.cutOff(conn.RemoteAddr()) {
+			reset(conn)
+			return
+		}
 		if pending != nil {
 			// The bytes after the answer before arrive only now.
 			if _, err := conn.Write(pending); err != nil {
@@ -125,6 +165,9 @@
 	f.mu.Lock()
 	f.runs[id]++
 	run := f.runs[id]
+	if run == 1 {
+		f.ranAt[id] = time.Now()
+	}
 	stamp := fmt.Sprintf("%s.%s.%d", f.id, id, run)
 	f.stamps[id] = stamp
 	f.mu.Unlock()
--- a/review/scenario/world.go
+++ b/review/scenario/world.go
@@ -77,6 +77,10 @@
 	w.closed = true
 	_ = w.record.Flush()
 	_ = w.file.Close()
+	if keep := os.Getenv("KEEP_LOGS"); keep != "" {
+		_ = os.Rename(w.directory, keep)
+		return
+	}
 	_ = os.RemoveAll(w.directory)
 }
 
@@ -218,6 +222,8 @@
 	history  []storeItem
 	revision int
 	changed  chan struct{}
+	// turnsAway reports whether the store answers a call with 503; nil if it serves all.
+	turnsAway func(remote net.Addr) bool
 }
 
 // storeItem is an item, or its removal.
@@ -239,11 +245,35 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /kv-range", s.serveRange)
 	mux.HandleFunc("GET /kv-watch", s.serveWatch)
-	s.server = &http.Server{Handler: mux}
+	s.server = &http.Server{Handler: http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if s.refuses(r) {
+			http.Error(rw, "busy", http.StatusServiceUnavailable)
+			return
+		}
+		mux.ServeHTTP(rw, r)
+	})}
 	go func() { _ = s.server.Serve(l) }()
 	return s, nil
 }
 
+// setTurnsAway sets which calls get 503.
+func (s *store) setTurnsAway(turnsAway func(remote net.Addr) bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.turnsAway = turnsAway
+}
+
+func (s *store) refuses(r *http.Request) bool {
+	s.mu.Lock()
+	turnsAway := s.turnsAway
+	s.mu.Unlock()
+	if turnsAway == nil {
+		return false
+	}
+	remote, err := net.ResolveTCPAddr("tcp", r.RemoteAddr)
+	return err == nil && turnsAway(remote)
+}
+
 func (s *store) address() string { return s.listener.Addr().String() }
 
 func (s *store) close() { _ = s.server.Close() }
@@ -328,12 +358,20 @@
 		revision, changed := s.revision, s.changed
 		s.mu.Unlock()
 		if len(events) > 0 {
+			if s.refuses(r) {
+				http.Error(rw, "busy", http.StatusServiceUnavailable)
+				return
+			}
 			writeJSON(rw, map[string]any{"events": events, "store_revision": revision})
 			return
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
+			if s.refuses(r) {
+				http.Error(rw, "busy", http.StatusServiceUnavailable)
+				return
+			}
 			writeJSON(rw, map[string]any{"events": events, "store_revision": revision})
 			return
 		case <-r.Context().Done():
