Add a review case: leafs go on with parts of queries whose clients have left

Cause: a batch whose context ends before its first reply is not cancelled at the other instance. Ruled out: batches that have had their first reply, which are cancelled.

--- a/review/scenario/leaf.go
+++ b/review/scenario/leaf.go
@@ -44,9 +44,19 @@
 	stamps  map[string]string
 	// ranAt holds when the first run of a request began.
 	ranAt map[string]time.Time
+	// all holds the runs that have ended.
+	all   []leafRun
 	conns map[net.Conn]bool
 }
 
+// leafRun is a run of a request.
+type leafRun struct {
+	id           string
+	began, ended time.Time
+	// planned is how long the run takes unless its connection is closed.
+	planned time.Duration
+}
+
 func (w *world) newLeaf(id, service, zone string, slots, queue int) (*leaf, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -172,7 +182,14 @@
 	f.stamps[id] = stamp
 	f.mu.Unlock()
 	f.world.logf("leaf %s: runs %s %s %s, run %d", f.id, request.Method, request.RequestURI, id, run)
-	if isClosedWithin(conn, reader, f.work()) {
+	d := f.work()
+	one := leafRun{id: id, began: time.Now(), planned: d}
+	closed := isClosedWithin(conn, reader, d)
+	one.ended = time.Now()
+	f.mu.Lock()
+	f.all = append(f.all, one)
+	f.mu.Unlock()
+	if closed {
 		return nil, false, true
 	}
 	return encodeAnswer(http.StatusOK, id, "X-Server-Stamp: "+stamp+"\r\n", f.body(id)), false, false
--- a/review/scenario/parts.go
+++ b/review/scenario/parts.go
@@ -78,7 +78,7 @@
 }
 
 // startSharded starts leafs in zone east and one machine in each of the zones west and east. Between the machines are links.
-func (w *world) startSharded(leafsPerService int) (west, east *instance, westLink, eastLink *link, leafs []*leaf, err error) {
+func (w *world) startSharded(leafsPerService, timeoutMs, objectiveMs int) (west, east *instance, westLink, eastLink *link, leafs []*leaf, err error) {
 	var names []string
 	for n := range shardCount {
 		name := fmt.Sprintf("huvo%02da", n)
@@ -94,7 +94,7 @@
 		}
 	}
 	w.putConfig(7, []map[string]any{{
-		"name": "r-uu3i6yn", "host": host, "prefix": "/bapu561/", "route_type": "idempotent", "timeout_ms": 2500, "target_latency_ms": 150,
+		"name": "r-uu3i6yn", "host": host, "prefix": "/bapu561/", "route_type": "idempotent", "timeout_ms": timeoutMs, "target_latency_ms": objectiveMs,
 		"priority": 1, "gather": names, "max_attempts": 2, "top_k": topRecords, "min_version": leastShare,
 	}}, names, 25)
 	if west, err = w.newInstance("edge-west-1", "west"); err != nil {
@@ -133,7 +133,7 @@
 // body is made of them.
 func playPartsAfterRestart(w *world) ([]string, error) {
 	const rounds = 4
-	west, _, westLink, eastLink, leafs, err := w.startSharded(3)
+	west, _, westLink, eastLink, leafs, err := w.startSharded(3, 2500, 150)
 	if err != nil {
 		return nil, err
 	}
