--- a/review/scenario/client.go
+++ b/review/scenario/client.go
@@ -54,12 +54,12 @@
 }
 
 // send sends a request on the kept connection and waits for its answer.
-func (c *client) send(method, uri, id, header string, body []byte, deadline time.Duration) answer {
+func (c *client) send(method, uri, id string, body []byte, deadline time.Duration) answer {
 	if err := c.connect(); err != nil {
 		return answer{err: err}
 	}
 	c.world.logf("client %s: sends %s %s %s", c.name, method, uri, id)
-	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n%s", method, uri, host, id, deadline.Milliseconds(), header)
+	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n", method, uri, host, id, deadline.Milliseconds())
 	if body != nil {
 		head += fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	}
@@ -93,6 +93,7 @@
 			return answer{err: err}
 		}
 		body, err := io.ReadAll(response.Body)
+		_ = response.Body.Close()
 		if err != nil {
 			return answer{err: err}
 		}
--- a/review/scenario/regress.go
+++ b/review/scenario/regress.go
@@ -103,7 +103,7 @@
 			defer c.disconnect()
 			for k := 0; time.Now().Before(end); k++ {
 				s := sent{id: fmt.Sprintf("%08x%04x%04x", rand.Uint32(), n, k), uri: prefix + strconv.Itoa(k), at: time.Now()}
-				s.status = c.send(http.MethodGet, s.uri, s.id, "", nil, 5*time.Second).status
+				s.status = c.send(http.MethodGet, s.uri, s.id, nil, 5*time.Second).status
 				mu.Lock()
 				all = append(all, s)
 				mu.Unlock()
--- a/review/scenario/single.go
+++ b/review/scenario/single.go
@@ -88,7 +88,7 @@
 			defer c.disconnect()
 			for k, end := 0, time.Now().Add(length); time.Now().Before(end); k++ {
 				id := fmt.Sprintf("%08x%04x%04x", rand.Uint32(), n, k)
-				a := c.send(http.MethodGet, "/0/"+strconv.Itoa(k), id, "", nil, 5*time.Second)
+				a := c.send(http.MethodGet, "/0/"+strconv.Itoa(k), id, nil, 5*time.Second)
 				if a.err == nil && a.status/100 == 2 && !isWholeAnswer(leafs, id, a) {
 					mu.Lock()
 					violations = append(violations, fmt.Sprintf("MIXED: request %s got %d with signature %q and body %q, which no leaf has given for it", id, a.status, a.header.Get("X-Server-Stamp"), a.body))
@@ -144,7 +144,7 @@
 			defer c.disconnect()
 			for k, end := 0, time.Now().Add(length); time.Now().Before(end); k++ {
 				id := fmt.Sprintf("%08x%04x%04x", rand.Uint32(), n, k)
-				a := c.send(http.MethodPost, fmt.Sprintf("/%d/%d", n%services, k), id, "", []byte("order "+id), 5*time.Second)
+				a := c.send(http.MethodPost, fmt.Sprintf("/%d/%d", n%services, k), id, []byte("order "+id), 5*time.Second)
 				mu.Lock()
 				statuses[id] = a.status
 				mu.Unlock()
