--- a/review/scenario/single.go
+++ b/review/scenario/single.go
@@ -119,7 +119,7 @@
 		shedTime          = 9 * time.Second
 		repeatShare       = 0.04
 		repeatTime        = 5 * time.Second
-		length            = 75 * time.Second
+		length            = 100 * time.Second
 	)
 	i, leafs, err := w.startSingle("non_idempotent", services, 3, 12, 5000, 500)
 	if err != nil {
