--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Plays the case; see claim.txt. Needs the build of the deploy file and review/build.sh.
+# Plays the case; see claim.txt. TROUBLE=0 leaves the disruption out. Needs the build of the deploy file and review/build.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/apricotflow ] && [ -x target/review-scenario ] || exit 2
-exec target/review-scenario --case left-clients --program target/apricotflow --record review/5/record.txt
+exec target/review-scenario --case left-clients --trouble "${TROUBLE:-1}" --program target/apricotflow --record review/5/record.txt
--- a/review/scenario/main.go
+++ b/review/scenario/main.go
@@ -29,6 +29,7 @@
 func main() {
 	name := flag.String("case", "", "name of the case")
 	program := flag.String("program", "target/apricotflow", "the program under test")
+	trouble := flag.String("trouble", "1", "0 to leave the disruption out")
 	record := flag.String("record", "record.txt", "file for what was sent, answered and run")
 	flag.Parse()
 	play, found := scenarios[*name]
@@ -36,11 +37,11 @@
 		fmt.Fprintf(os.Stderr, "no case %q\n", *name)
 		os.Exit(exitNotRun)
 	}
-	os.Exit(run(*name, *program, *record, play))
+	os.Exit(run(*name, *program, *record, *trouble != "0", play))
 }
 
-func run(name, program, recordFile string, play func(w *world) ([]string, error)) int {
-	w, err := newWorld(program, recordFile, os.Getenv("TROUBLE") != "0")
+func run(name, program, recordFile string, trouble bool, play func(w *world) ([]string, error)) int {
+	w, err := newWorld(program, recordFile, trouble)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
