--- a/review/scenario/world.go
+++ b/review/scenario/world.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -82,13 +83,24 @@
 	_ = os.RemoveAll(w.directory)
 }
 
+// Ports of the machines. They lie below those that the kernel gives to connections, so that none is taken while a process is
+// down, and are drawn at random, so that scripts that run at the same time do not choose the same ones.
+const (
+	firstPort = 10000
+	portCount = 22000
+)
+
 // freeAddress returns a loopback address whose port was free a moment ago.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	var err error
+	for range 100 {
+		var l net.Listener
+		l, err = net.Listen("tcp", "127.0.0.1:"+strconv.Itoa(firstPort+rand.IntN(portCount)))
+		if err == nil {
+			return l.Addr().String(), l.Close()
+		}
 	}
-	return l.Addr().String(), l.Close()
+	return "", err
 }
 
 // instance is a machine of the system with one process.
@@ -177,6 +189,11 @@
 func (i *instance) waitReady(limit time.Duration) error {
 	client := http.Client{Timeout: 500 * time.Millisecond}
 	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		select {
+		case <-i.exited:
+			return fmt.Errorf("machine %s: the process has ended%s", i.name, i.logTail())
+		default:
+		}
 		response, err := client.Get("http://" + i.ready + "/ready")
 		if err != nil {
 			continue
