Deliver late parts only to the process and batch that wait for them

Callers got parts of queries of before a restart: after a loss of power, a new process numbers its batches from 1 again, the instance that serves the batches sends late results to whoever has the name, and they were matched by the number alone.

The id of a batch now holds the incarnation of its sender, which the serving instance repeats, whatever its version. Late results are sent only on a connection to the process that has sent the batch, and count only from the instance that serves it. A message with records of results that were delivered before adds none.

--- a/internal/cluster/messenger/call.go
+++ b/internal/cluster/messenger/call.go
@@ -70,12 +70,18 @@
 // Notify sends a message that has no reply to an instance. The message may be lost even if the error is nil.
 func Notify[Q any](ctx context.Context, m *Messenger, instance, method string, message Q) error {
 	stampClock(clockFieldOf[Q](), m.clock, &message)
-	return m.sendWithRetry(ctx, instance, method, func(l *link) error {
-		if err := l.rpc.Notify(ctx, method, message); err != nil {
-			return err
+	return m.sendWithRetry(ctx, instance, method, func(l *link) error { return l.notify(ctx, method, message) })
+}
+
+// NotifyIncarnation is like Notify, but sends the message only to this start of the peer. A process that was started later
+// under the same name does not get it; the cause of the NotSentError is then an IncarnationError.
+func NotifyIncarnation[Q any](ctx context.Context, m *Messenger, peer Peer, method string, message Q) error {
+	stampClock(clockFieldOf[Q](), m.clock, &message)
+	return m.sendWithRetry(ctx, peer.Instance, method, func(l *link) error {
+		if actual := l.peer.Load().Incarnation; actual != peer.Incarnation {
+			return &IncarnationError{Instance: peer.Instance, Expected: peer.Incarnation, Actual: actual}
 		}
-		l.release()
-		return nil
+		return l.notify(ctx, method, message)
 	})
 }
 
--- a/internal/cluster/messenger/errors.go
+++ b/internal/cluster/messenger/errors.go
@@ -59,6 +59,17 @@
 	return fmt.Sprintf("messenger: hello: expected %s, found instance %q", e.Expected, e.Actual)
 }
 
+// IncarnationError reports a message to a start of an instance whose name now belongs to another start.
+type IncarnationError struct {
+	Instance string
+	Expected string
+	Actual   string
+}
+
+func (e *IncarnationError) Error() string {
+	return fmt.Sprintf("messenger: incarnation %s of %s has been replaced by %s", e.Expected, e.Instance, e.Actual)
+}
+
 // SizeError reports a message that exceeds the size limit.
 type SizeError struct {
 	// Bytes is the size of the message in bytes.
--- a/internal/cluster/messenger/link.go
+++ b/internal/cluster/messenger/link.go
@@ -172,6 +172,15 @@
 	l.activeCalls.Add(-1)
 }
 
+// notify queues a message that has no reply. It releases the link, unless it returns an error.
+func (l *link) notify(ctx context.Context, method string, message any) error {
+	if err := l.rpc.Notify(ctx, method, message); err != nil {
+		return err
+	}
+	l.release()
+	return nil
+}
+
 func (l *link) markUsed() {
 	l.lastUsed.Store(int64(time.Since(l.stream.epoch)))
 }
--- a/internal/cluster/messenger/messenger.go
+++ b/internal/cluster/messenger/messenger.go
@@ -166,6 +166,9 @@
 	m.joining, m.onHello = joining, onHello
 }
 
+// Incarnation returns the incarnation of this instance, which its peers know from hello.
+func (m *Messenger) Incarnation() string { return m.identity.Incarnation }
+
 // Start listens on the address and accepts connections in the background.
 func (m *Messenger) Start() error {
 	listener, err := net.Listen("tcp", m.address)
--- a/internal/target/concentrator/concentrator.go
+++ b/internal/target/concentrator/concentrator.go
@@ -103,8 +103,8 @@
 	lastBatchID atomic.Int64
 
 	mu sync.Mutex
-	// lateResults holds the channels that receive late results, by the ID of a batch that this instance has sent.
-	lateResults map[string]chan encoder.LateParts
+	// sent holds the batches that this instance has sent and waits for, by their ids.
+	sent map[string]sentBatch
 	// cancelServed holds the functions that cancel the batches served for peers.
 	cancelServed map[string]context.CancelFunc
 	// suspendedUntil holds the time until which a peer gets no batches.
@@ -118,6 +118,12 @@
 	justResumed func() bool
 }
 
+// sentBatch is a batch that waits for late results.
+type sentBatch struct {
+	peer string
+	late chan encoder.MergedParts
+}
+
 // Option configures a Concentrator.
 type Option func(*Concentrator)
 
@@ -129,9 +135,8 @@
 // New returns a Concentrator without a messenger; see Attach.
 func New(peers Peers, r *registrar.Registrar, local LocalSender, logger *log.Logger, scope tally.Scope, opts ...Option) *Concentrator {
 	c := &Concentrator{
-		peers: peers, registrar: r, local: local, logger: logger, scope: scope, lateResults: make(map[string]chan encoder.LateParts),
-		cancelServed: make(map[string]context.CancelFunc), suspendedUntil: make(map[string]time.Time),
-		suspensionLoggedAt: make(map[string]time.Time), emptyReplies: make(map[string]int), justResumed: func() bool { return false },
+		peers: peers, registrar: r, local: local, logger: logger, scope: scope, cancelServed: make(map[string]context.CancelFunc),
+		sent: make(map[string]sentBatch), suspendedUntil: make(map[string]time.Time), suspensionLoggedAt: make(map[string]time.Time), emptyReplies: make(map[string]int), justResumed: func() bool { return false },
 	}
 	for _, opt := range opts {
 		opt(c)
@@ -169,19 +174,10 @@
 }
 
 // Send sends the batch and delivers each result once. It returns when all results are delivered or the context has
-// ended. In the latter case the peer is told to cancel the remaining requests, and their results are delivered as
-// lost.
+// ended. In the latter case the remaining results are delivered as lost, and the peer is told to cancel their requests.
 func (c *Concentrator) Send(ctx context.Context, batch Batch, deliver func(PartialResults)) {
-	id := strconv.FormatInt(c.lastBatchID.Add(1), 36)
-	late := make(chan encoder.LateParts, len(batch.Targets))
-	c.mu.Lock()
-	c.lateResults[id] = late
-	c.mu.Unlock()
-	defer func() {
-		c.mu.Lock()
-		delete(c.lateResults, id)
-		c.mu.Unlock()
-	}()
+	id, late, forget := c.recordSent(batch)
+	defer forget()
 	start := time.Now()
 	results := newUndeliveredResults(len(batch.Targets))
 	c.scope.Counter("concentrator-batches").Inc(1)
@@ -204,15 +200,31 @@
 	for results.remaining > 0 {
 		select {
 		case parts := <-late:
-			deliver(results.decode(parts.Parts))
+			deliver(results.decode(parts))
 		case <-ctx.Done():
-			notify(c, batch.Peer, methodCancelBatch, encoder.EndParts{Batch: id})
+			c.cancelAt(batch.Peer, id)
 			deliver(results.failRemaining(transporter.Lost, ctx.Err(), time.Since(start)))
 			return
 		}
 	}
 }
 
+// recordSent records a batch that is about to be sent. It returns the id of the batch, the channel of its late results and
+// a function that ends the wait for them. The id holds the incarnation of this instance: a peer sends late results to the
+// process that has the name of the sender, which may have been started after the batch was sent.
+func (c *Concentrator) recordSent(batch Batch) (id string, late <-chan encoder.MergedParts, forget func()) {
+	id = c.messenger.Incarnation() + "." + strconv.FormatInt(c.lastBatchID.Add(1), 36)
+	sent := sentBatch{peer: batch.Peer, late: make(chan encoder.MergedParts, len(batch.Targets))}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sent[id] = sent
+	return id, sent.late, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.sent, id)
+	}
+}
+
 func newPartsRequest(id string, batch Batch) encoder.PartsRequest {
 	message := encoder.PartsRequest{
 		Batch: id, RequestId: batch.Request.ID, Method: batch.Request.Method, Head: string(batch.Request.Head()),
@@ -274,26 +286,41 @@
 	}
 }
 
-// notify sends a message that has no reply.
-func notify[M any](c *Concentrator, peer, method string, message M) {
+// notify sends a message that has no reply to a peer, by the given function.
+func (c *Concentrator) notify(peer, method string, send func(ctx context.Context) error) error {
 	ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
 	defer cancel()
-	if err := messenger.Notify(ctx, c.messenger, peer, method, message); err != nil {
+	err := send(ctx)
+	if err != nil {
 		c.logger.Debug("message to peer not sent", "peer", peer, "method", method, "error", err)
 	}
+	return err
 }
 
-// receiveLateResults passes late results to the batch that waits for them. Results of a finished batch are dropped.
-func (c *Concentrator) receiveLateResults(_ context.Context, _ messenger.Peer, message encoder.LateParts) (struct{}, error) {
+// cancelAt tells a peer that the results of a batch are no longer needed.
+func (c *Concentrator) cancelAt(peer, batch string) {
+	// The error is ignored: the peer ends the batch at its deadline.
+	_ = c.notify(peer, methodCancelBatch, func(ctx context.Context) error {
+		return messenger.Notify(ctx, c.messenger, peer, methodCancelBatch, encoder.EndParts{Batch: batch})
+	})
+}
+
+// receiveLateResults passes late results to the batch that waits for them. It drops those of a batch that has ended, was
+// sent by an earlier process of this name, or was sent to another instance.
+func (c *Concentrator) receiveLateResults(_ context.Context, peer messenger.Peer, message encoder.LateParts) (struct{}, error) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if late, found := c.lateResults[message.Batch]; found {
-		select {
-		case late <- message:
-		default:
-			// A correct peer sends no more messages than there are targets.
-			c.scope.Counter("concentrator-surplus").Inc(1)
-		}
+	sent, found := c.sent[message.Batch]
+	c.mu.Unlock()
+	if !found || sent.peer != peer.Instance {
+		c.scope.Counter("concentrator-unclaimed").Inc(1)
+		c.logger.Debug("late results belong to no batch of this instance", "peer", peer.Instance, "incarnation", peer.Incarnation, "batch", message.Batch)
+		return struct{}{}, nil
+	}
+	select {
+	case sent.late <- message.Parts:
+	default:
+		// A correct peer sends no more messages than there are targets.
+		c.scope.Counter("concentrator-surplus").Inc(1)
 	}
 	return struct{}{}, nil
 }
--- a/internal/target/concentrator/concentrator_test.go
+++ b/internal/target/concentrator/concentrator_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"encoding/binary"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -23,6 +25,7 @@
 	"apricotflow/internal/target/concentrator"
 	"apricotflow/internal/target/sender"
 	"apricotflow/internal/target/transporter"
+	"apricotflow/internal/wire/encoder"
 )
 
 // fixedPeer is the only peer in every failure domain.
@@ -77,39 +80,53 @@
 	requester  *concentrator.Concentrator
 	fakeSender *fakeSender
 	targets    []registrar.Target
+	state      *registrar.Registrar
+	addresses  map[string]string
 	// stop stops the serving instance.
 	stop func()
 }
 
 func startPair(t testing.TB, targets int) *pair {
 	t.Helper()
-	p := &pair{fakeSender: &fakeSender{delays: make(map[string]time.Duration), failures: make(map[string]transporter.Outcome)}}
-	state := registrar.New()
+	p := &pair{fakeSender: &fakeSender{delays: make(map[string]time.Duration), failures: make(map[string]transporter.Outcome)}, state: registrar.New()}
 	for i := range targets {
 		p.targets = append(p.targets, registrar.Target{ID: fmt.Sprintf("i-%08x", i), Service: "s", Address: "127.0.0.1:9", Slots: i})
 	}
-	state.Apply(registrar.Change{Put: p.targets}, true)
-	addresses := map[string]string{"a": freeAddress(t), "b": freeAddress(t)}
-	resolver := messenger.ResolverFunc(func(name string) (string, bool) { return addresses[name], true })
-	for _, name := range []string{"a", "b"} {
-		clock := timekeeper.NewHybridClock(time.Now)
-		m := messenger.New(messenger.Identity{Instance: name, Incarnation: name + "1"}, addresses[name], resolver, clock, recorder.New(name, clock, 10))
-		c := concentrator.New(fixedPeer("b"), state, p.fakeSender, log.New(io.Discard), tally.NoopScope)
-		c.Attach(m)
-		assert.NilError(t, m.Start())
-		p.stop = sync.OnceFunc(func() {
-			ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
-			defer cancel()
-			_ = m.Close(ctx)
-		})
-		t.Cleanup(p.stop)
-		if name == "a" {
-			p.requester = c
-		}
-	}
+	p.state.Apply(registrar.Change{Put: p.targets}, true)
+	p.addresses = map[string]string{"a": freeAddress(t), "b": freeAddress(t)}
+	p.requester, _ = p.start(t, "a", "a1", p.addresses["a"])
+	_, p.stop = p.start(t, "b", "b1", p.addresses["b"])
 	return p
 }
 
+// start starts a process of an instance at the address.
+func (p *pair) start(t testing.TB, name, incarnation, address string) (c *concentrator.Concentrator, stop func()) {
+	t.Helper()
+	m := p.newMessenger(name, incarnation, address)
+	c = concentrator.New(fixedPeer("b"), p.state, p.fakeSender, log.New(io.Discard), tally.NoopScope)
+	c.Attach(m)
+	return c, run(t, m)
+}
+
+func (p *pair) newMessenger(name, incarnation, address string) *messenger.Messenger {
+	resolver := messenger.ResolverFunc(func(name string) (string, bool) { return p.addresses[name], true })
+	clock := timekeeper.NewHybridClock(time.Now)
+	return messenger.New(messenger.Identity{Instance: name, Incarnation: incarnation}, address, resolver, clock, recorder.New(name, clock, 10))
+}
+
+// run starts the messenger and returns a function that stops it, which the end of the test does too.
+func run(t testing.TB, m *messenger.Messenger) (stop func()) {
+	t.Helper()
+	assert.NilError(t, m.Start())
+	stop = sync.OnceFunc(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		_ = m.Close(ctx)
+	})
+	t.Cleanup(stop)
+	return stop
+}
+
 func freeAddress(t testing.TB) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -131,6 +148,8 @@
 }
 
 func (p *pair) send(ctx context.Context, batch concentrator.Batch) deliveredResults {
+	ctx, cancel := context.WithDeadline(ctx, batch.Deadline)
+	defer cancel()
 	delivered := deliveredResults{results: make(map[int]transporter.Result)}
 	p.requester.Send(ctx, batch, func(partial concentrator.PartialResults) {
 		delivered.deliveries++
@@ -307,3 +326,110 @@
 	p.send(t.Context(), p.batch(10*time.Millisecond))
 	assert.Assert(t, !usable())
 }
+
+// sendAs is like send, for a batch of another process and request.
+func (p *pair) sendAs(ctx context.Context, c *concentrator.Concentrator, id string, flush time.Duration) deliveredResults {
+	batch := p.batch(flush)
+	batch.Request = transporter.NewRequest(id, http.MethodGet, "/x", "a.example", nil, []byte("tail-000"))
+	other := &pair{requester: c}
+	return other.send(ctx, batch)
+}
+
+// Guards against a process that takes the late results of a batch of its predecessor, which had the same name and has lost
+// its power, for those of its own first batch. The serving instance keeps the connection to the predecessor for a while.
+func TestLateResultsOfPredecessorAreNotDelivered(t *testing.T) {
+	p := startPair(t, 3)
+	p.fakeSender.delays["i-00000002"] = 300 * time.Millisecond
+	go p.sendAs(t.Context(), p.requester, "old", 10*time.Millisecond)
+	time.Sleep(100 * time.Millisecond)
+	successor, _ := p.start(t, "a", "a2", freeAddress(t))
+	delivered := p.sendAs(t.Context(), successor, "new", 10*time.Millisecond)
+	assert.Equal(t, len(delivered.results), 3)
+	for i, r := range delivered.results {
+		assert.Equal(t, r.Reply.Signature, p.targets[i].ID+".new")
+	}
+}
+
+// lateSender serves batches like an instance that sends late results by the name of the sender and the number of the batch
+// alone, as instances up to bbfe0b9 do.
+type lateSender struct {
+	messenger *messenger.Messenger
+	// foreign is the batch id of the results that it sends first.
+	foreign string
+}
+
+func (l *lateSender) serve(_ context.Context, peer messenger.Peer, r encoder.PartsRequest) (encoder.PartsReply, error) {
+	go func() {
+		for _, late := range []struct{ batch, request string }{{l.foreign, "old"}, {r.Batch, r.RequestId}} {
+			parts := encoder.MergedParts{Records: base64.StdEncoding.EncodeToString([]byte(late.request + "-record-0000000")[:16])}
+			for i, id := range strings.Fields(r.Targets) {
+				parts.Answered += fmt.Sprintf("%d 100 %s.%s\n", i, id, late.request)
+			}
+			_ = messenger.Notify(context.Background(), l.messenger, peer.Instance, "late-parts", encoder.LateParts{Batch: late.batch, Parts: parts})
+			// Messages that arrive together are handled in any order.
+			time.Sleep(30 * time.Millisecond)
+		}
+	}()
+	return encoder.PartsReply{}, nil
+}
+
+// Guards against late results of another batch when the instance that sends them does not tell processes of the same name
+// apart.
+func TestLateResultsOfOtherBatchesAreDropped(t *testing.T) {
+	p := startPair(t, 3)
+	p.stop()
+	old := &lateSender{messenger: p.newMessenger("b", "b2", p.addresses["b"]), foreign: "1"}
+	messenger.Handle(old.messenger, "relay-parts", old.serve)
+	run(t, old.messenger)
+	delivered := p.sendAs(t.Context(), p.requester, "new", time.Second)
+	assert.Equal(t, len(delivered.results), 3)
+	for i, r := range delivered.results {
+		assert.Equal(t, r.Reply.Signature, p.targets[i].ID+".new")
+	}
+}
+
+// Guards against late results of an instance to which the batch was not sent.
+func TestLateResultsOfOtherInstancesAreDropped(t *testing.T) {
+	p := startPair(t, 3)
+	p.stop()
+	other := p.newMessenger("c", "c1", freeAddress(t))
+	run(t, other)
+	relayed := &lateSender{messenger: p.newMessenger("b", "b2", p.addresses["b"])}
+	messenger.Handle(relayed.messenger, "relay-parts", func(ctx context.Context, peer messenger.Peer, r encoder.PartsRequest) (encoder.PartsReply, error) {
+		parts := encoder.MergedParts{Answered: "0 100 foreign\n1 100 foreign\n2 100 foreign\n"}
+		assert.Check(t, messenger.Notify(ctx, other, peer.Instance, "late-parts", encoder.LateParts{Batch: r.Batch, Parts: parts}))
+		time.Sleep(50 * time.Millisecond)
+		return relayed.serve(ctx, peer, r)
+	})
+	run(t, relayed.messenger)
+	delivered := p.sendAs(t.Context(), p.requester, "new", time.Second)
+	for i, r := range delivered.results {
+		assert.Equal(t, r.Reply.Signature, p.targets[i].ID+".new")
+	}
+}
+
+// Guards against records of a part in an answer that does not name it, or names it once and holds them twice: the records of
+// one message cannot be told apart, so a message with results that were delivered before must not add any.
+func TestRecordsOfResultsDeliveredBeforeAreDropped(t *testing.T) {
+	p := startPair(t, 3)
+	p.stop()
+	copying := p.newMessenger("b", "b2", p.addresses["b"])
+	record := func(text string) string { return base64.StdEncoding.EncodeToString([]byte(text)) }
+	messenger.Handle(copying, "relay-parts", func(ctx context.Context, peer messenger.Peer, r encoder.PartsRequest) (encoder.PartsReply, error) {
+		reply := encoder.MergedParts{Answered: "0 100 s0\n", Records: record("record-of-part-0")}
+		for _, parts := range []encoder.MergedParts{
+			{Answered: "0 100 s0\n1 100 s1\n", Records: record("record-of-part-0record-of-part-1")},
+			{Answered: "x 100 s2\n", Records: record("record-of-part-2")},
+			{Answered: "2 100 s2\n", Records: record("record-of-part-2")},
+		} {
+			assert.Check(t, messenger.Notify(ctx, copying, peer.Instance, "late-parts", encoder.LateParts{Batch: r.Batch, Parts: parts}))
+		}
+		return encoder.PartsReply{Parts: reply}, nil
+	})
+	run(t, copying)
+	delivered := p.send(t.Context(), p.batch(time.Second))
+	assert.Equal(t, delivered.results[0].Reply.Signature, "s0")
+	assert.Equal(t, delivered.results[1].Outcome, transporter.Lost)
+	assert.Equal(t, delivered.results[2].Reply.Signature, "s2")
+	assert.Equal(t, strings.Join(delivered.records, ""), "record-of-part-0record-of-part-2")
+}
--- a/internal/target/concentrator/pending.go
+++ b/internal/target/concentrator/pending.go
@@ -40,8 +40,12 @@
 	return true
 }
 
+// errForeignRecords is the reason why the results of a message are lost whose records hold those of other results.
+var errForeignRecords = errors.New("concentrator: merged records of results that are delivered already or unknown")
+
 // decode decodes received results and marks them as delivered. Results in malformed lines stay undelivered, so they are
-// lost when the context of the batch ends.
+// lost when the context of the batch ends. The records of a message cannot be told apart, so if they include those of a
+// result that is unknown, malformed or delivered already, all results of the message that are merged into them are lost.
 func (p *undeliveredResults) decode(merged encoder.MergedParts) PartialResults {
 	partial := PartialResults{Results: make(map[int]transporter.Result, len(p.delivered))}
 	records, err := base64.StdEncoding.DecodeString(merged.Records)
@@ -50,10 +54,22 @@
 	}
 	partial.Records = records
 	limits, leaving, pauses := decodeLimits(merged.Limits), decodeLeaving(merged.Leaving), decodePauses(merged.Pauses)
+	var mergedIndexes []int
+	foreign := false
 	for line := range strings.Lines(merged.Answered) {
-		if i, result, ok := decodeMergeable(line); ok && p.markDelivered(i) {
-			result.RequestLimit, result.Leaving, result.PausedFor = limits[i], leaving[i], pauses[i]
-			partial.Results[i] = result
+		i, result, ok := decodeMergeable(line)
+		if !ok || !p.markDelivered(i) {
+			foreign = true
+			continue
+		}
+		result.RequestLimit, result.Leaving, result.PausedFor = limits[i], leaving[i], pauses[i]
+		partial.Results[i] = result
+		mergedIndexes = append(mergedIndexes, i)
+	}
+	if foreign {
+		partial.Records = nil
+		for _, i := range mergedIndexes {
+			partial.Results[i] = transporter.Result{Outcome: transporter.Lost, Err: errForeignRecords, Latency: partial.Results[i].Latency}
 		}
 	}
 	for line := range strings.Lines(merged.Failed) {
--- a/internal/target/concentrator/serve.go
+++ b/internal/target/concentrator/serve.go
@@ -42,7 +42,7 @@
 	}
 	r := transporter.RestoreRequest(message.RequestId, message.Method, []byte(message.Head), body)
 	deadline := time.Now().Add(time.Duration(message.LeftMs) * time.Millisecond)
-	// Each incarnation of a peer numbers its batches from 1.
+	// Each incarnation of a peer numbers its batches itself.
 	key := peer.Instance + " " + peer.Incarnation + " " + message.Batch
 	batchCtx, cancel := context.WithDeadline(ctx, deadline)
 	c.registerBatch(key, cancel)
@@ -71,7 +71,10 @@
 			continue
 		case <-timer.C:
 		}
-		go c.sendLateResults(peer.Instance, key, message, results, remaining)
+		go func() {
+			defer c.finishBatch(key)
+			c.sendLateResults(peer, message, results, remaining)
+		}()
 		return encoder.PartsReply{Parts: collector.encode()}, nil
 	}
 	c.finishBatch(key)
@@ -95,15 +98,23 @@
 	return c.local.SendForPeer(ctx, target, route, r, deadline)
 }
 
-// sendLateResults sends the results that arrived after the reply, several in one message.
-func (c *Concentrator) sendLateResults(peer, key string, message encoder.PartsRequest, results <-chan indexedResult, remaining int) {
-	defer c.finishBatch(key)
+// sendLateResults sends the results that arrived after the reply, several in one message. It ends when the process that
+// has sent the batch is gone: the next one of the same name may number its batches alike.
+func (c *Concentrator) sendLateResults(peer messenger.Peer, message encoder.PartsRequest, results <-chan indexedResult, remaining int) {
 	for remaining > 0 {
 		collector := newResultCollector(message.Top)
 		collector.add(<-results)
 		remaining--
 		remaining -= collector.addWithin(lateResultsInterval, results, remaining)
-		notify(c, peer, methodLateResults, encoder.LateParts{Batch: message.Batch, Parts: collector.encode()})
+		err := c.notify(peer.Instance, methodLateResults, func(ctx context.Context) error {
+			late := encoder.LateParts{Batch: message.Batch, Parts: collector.encode()}
+			return messenger.NotifyIncarnation(ctx, c.messenger, peer, methodLateResults, late)
+		})
+		var replaced *messenger.IncarnationError
+		if errors.As(err, &replaced) {
+			c.scope.Counter("concentrator-replaced").Inc(1)
+			return
+		}
 	}
 }
 
--- a/internal/wire/encoder/types.go
+++ b/internal/wire/encoder/types.go
@@ -752,7 +752,7 @@
 // domain and merge their replies. Lists are encoded as text, because a query has
 // many parts and each element of a JSON list costs processor time.
 type PartsRequest struct {
-	// Batch id, unique within the sender's incarnation.
+	// Batch id, unique over all incarnations of the sender.
 	Batch string `json:"batch"`
 
 	// Body of the request in base64; empty if there is none.
