Cancel batches at the other instance whenever their sender stops waiting

Leafs worked to the end on parts of queries whose callers had left.

Every batch whose call may have been sent and has failed is cancelled now. The cancellation can come right after the batch, and messages are handled in any order, so the new package canceler keeps one that comes first for a while; handed-over requests and the attempts of native mode, which lost such cancellations too, use it as well.

--- a/internal/query/delegator/delegator.go
+++ b/internal/query/delegator/delegator.go
@@ -16,6 +16,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/uber-go/tally/v4"
 
+	"apricotflow/internal/cluster/canceler"
 	"apricotflow/internal/cluster/messenger"
 	"apricotflow/internal/query/relayer"
 	"apricotflow/internal/wire/encoder"
@@ -76,11 +77,12 @@
 	// hasAble reports whether the latest round has found an able instance.
 	hasAble atomic.Bool
 
+	// served holds the requests that this instance serves for others.
+	served *canceler.Canceler
+
 	mu sync.Mutex
 	// round is the latest round of questions; nil before the first.
 	round *round
-	// cancelServed holds the functions that cancel the requests served for others, by delegation.
-	cancelServed map[string]context.CancelFunc
 }
 
 // round is a round of questions to other instances.
@@ -98,8 +100,7 @@
 // New returns a Delegator without a messenger and a server; see Attach and SetServer.
 func New(instances Instances, logger *log.Logger, scope tally.Scope) *Delegator {
 	return &Delegator{
-		instances: instances, ledger: NewLedger(), bodies: newHeldBodies(), logger: logger, scope: scope,
-		cancelServed: make(map[string]context.CancelFunc),
+		instances: instances, ledger: NewLedger(), bodies: newHeldBodies(), served: canceler.New(), logger: logger, scope: scope,
 	}
 }
 
--- a/internal/query/delegator/delegator_test.go
+++ b/internal/query/delegator/delegator_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/base64"
 	"io"
 	"net"
 	"net/http"
@@ -52,8 +53,9 @@
 // instance is an instance with its delegator.
 type instance struct {
 	*delegator.Delegator
-	server *fakeServer
-	stop   func()
+	server  *fakeServer
+	address string
+	stop    func()
 }
 
 type instanceNames []string
@@ -94,7 +96,7 @@
 			origin = d
 			continue
 		}
-		delegates[name] = &instance{Delegator: d, server: server, stop: stop}
+		delegates[name] = &instance{Delegator: d, server: server, address: address, stop: stop}
 	}
 	return origin, delegates
 }
@@ -265,3 +267,22 @@
 		}
 	})
 }
+
+// Guards against a request that is served although its caller has left, because its end was handled before it: messages are
+// handled in any order.
+func TestRequestIsNotServedWhenItsEndOvertakesIt(t *testing.T) {
+	_, delegates := startInstances(t, "b")
+	clock := timekeeper.NewHybridClock(time.Now)
+	resolver := messenger.ResolverFunc(func(string) (string, bool) { return delegates["b"].address, true })
+	raw := messenger.New(messenger.Identity{Instance: "c", Incarnation: "c1"}, "127.0.0.1:0", resolver, clock, recorder.New("c", clock, 10))
+	assert.NilError(t, raw.Start())
+	defer func() { _ = raw.Close(t.Context()) }()
+	assert.NilError(t, messenger.Notify(t.Context(), raw, "b", "relay-end", encoder.EndDelegation{Id: "1"}))
+	time.Sleep(50 * time.Millisecond)
+	head := base64.StdEncoding.EncodeToString([]byte("GET /x HTTP/1.1\r\nHost: a.example\r\n"))
+	message := encoder.DelegatedRequest{Id: "1", RequestId: "r1", Head: head, LeftMs: 1000}
+	answer, err := messenger.Call[encoder.DelegatedRequest, encoder.DelegatedAnswer](t.Context(), raw, "b", "relay-request", message)
+	assert.NilError(t, err)
+	assert.Assert(t, !answer.Accepted)
+	assert.Equal(t, delegates["b"].server.servedCount(), 0)
+}
--- a/internal/query/delegator/serve.go
+++ b/internal/query/delegator/serve.go
@@ -23,16 +23,11 @@
 		return encoder.DelegatedAnswer{Outcome: err.Error()}, nil
 	}
 	key := delegationKey(peer, message.Id)
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	d.mu.Lock()
-	d.cancelServed[key] = cancel
-	d.mu.Unlock()
-	defer func() {
-		d.mu.Lock()
-		delete(d.cancelServed, key)
-		d.mu.Unlock()
-	}()
+	ctx, end := d.served.Begin(ctx, key)
+	defer end()
+	if ctx.Err() != nil {
+		return encoder.DelegatedAnswer{Outcome: "canceled by the origin"}, nil
+	}
 	answer, err := d.server.ServeDelegated(ctx, delegation)
 	var notAccepted *relayer.NotAcceptedError
 	if errors.As(err, &notAccepted) {
@@ -48,6 +43,10 @@
 		d.scope.Counter("delegator-bodies-dropped").Inc(1)
 		encoded, body = encodeAnswer(relayer.Answer{Outcome: relayer.Failed, Decisions: answer.Decisions})
 	}
+	if ctx.Err() != nil {
+		// The origin no longer reads the body; its message may have come before the body was held.
+		d.bodies.drop(key)
+	}
 	encoded.BodyBytes = len(body)
 	encoded.Body = base64.StdEncoding.EncodeToString(body[:min(len(body), maxMessageBody)])
 	return encoded, nil
@@ -73,12 +72,7 @@
 // cancelRequest cancels a request whose caller has left or got another answer, and drops the rest of its answer.
 func (d *Delegator) cancelRequest(_ context.Context, peer messenger.Peer, message encoder.EndDelegation) (struct{}, error) {
 	key := delegationKey(peer, message.Id)
+	d.served.Cancel(key)
 	d.bodies.drop(key)
-	d.mu.Lock()
-	cancel, found := d.cancelServed[key]
-	d.mu.Unlock()
-	if found {
-		cancel()
-	}
 	return struct{}{}, nil
 }
--- a/internal/target/concentrator/concentrator.go
+++ b/internal/target/concentrator/concentrator.go
@@ -19,6 +19,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/uber-go/tally/v4"
 
+	"apricotflow/internal/cluster/canceler"
 	"apricotflow/internal/cluster/messenger"
 	"apricotflow/internal/cluster/registrar"
 	"apricotflow/internal/target/sender"
@@ -101,12 +102,12 @@
 	logger      *log.Logger
 	scope       tally.Scope
 	lastBatchID atomic.Int64
+	// served holds the batches that this instance serves for peers.
+	served *canceler.Canceler
 
 	mu sync.Mutex
 	// sent holds the batches that this instance has sent and waits for, by their ids.
 	sent map[string]sentBatch
-	// cancelServed holds the functions that cancel the batches served for peers.
-	cancelServed map[string]context.CancelFunc
 	// suspendedUntil holds the time until which a peer gets no batches.
 	suspendedUntil map[string]time.Time
 	// suspensionLoggedAt holds when the latest suspension of a peer was logged.
@@ -135,7 +136,7 @@
 // New returns a Concentrator without a messenger; see Attach.
 func New(peers Peers, r *registrar.Registrar, local LocalSender, logger *log.Logger, scope tally.Scope, opts ...Option) *Concentrator {
 	c := &Concentrator{
-		peers: peers, registrar: r, local: local, logger: logger, scope: scope, cancelServed: make(map[string]context.CancelFunc),
+		peers: peers, registrar: r, local: local, logger: logger, scope: scope, served: canceler.New(),
 		sent: make(map[string]sentBatch), suspendedUntil: make(map[string]time.Time), suspensionLoggedAt: make(map[string]time.Time), emptyReplies: make(map[string]int), justResumed: func() bool { return false },
 	}
 	for _, opt := range opts {
@@ -174,7 +175,8 @@
 }
 
 // Send sends the batch and delivers each result once. It returns when all results are delivered or the context has
-// ended. In the latter case the remaining results are delivered as lost, and the peer is told to cancel their requests.
+// ended. In the latter case, and if the call for the first results failed, the remaining results are delivered as lost, and
+// the peer is told to cancel their requests.
 func (c *Concentrator) Send(ctx context.Context, batch Batch, deliver func(PartialResults)) {
 	id, late, forget := c.recordSent(batch)
 	defer forget()
@@ -187,7 +189,11 @@
 	replyTimer.Stop()
 	if err != nil {
 		c.suspendUnlessCanceled(ctx, batch, err)
-		deliver(results.failRemaining(outcomeOf(err), err, time.Since(start)))
+		outcome := outcomeOf(err)
+		deliver(results.failRemaining(outcome, err, time.Since(start)))
+		if outcome != transporter.Unsent {
+			c.cancelAt(batch.Peer, id)
+		}
 		return
 	}
 	if reply.OutOfReach != nil && *reply.OutOfReach {
@@ -202,8 +208,8 @@
 		case parts := <-late:
 			deliver(results.decode(parts))
 		case <-ctx.Done():
-			c.cancelAt(batch.Peer, id)
 			deliver(results.failRemaining(transporter.Lost, ctx.Err(), time.Since(start)))
+			c.cancelAt(batch.Peer, id)
 			return
 		}
 	}
--- a/internal/target/concentrator/concentrator_test.go
+++ b/internal/target/concentrator/concentrator_test.go
@@ -45,6 +45,8 @@
 	leaving  map[string]bool
 	pauses   map[string]time.Duration
 	canceled int
+	// sent is the number of requests.
+	sent int
 	// outOfReach reports whether the instance does not reach the targets.
 	outOfReach bool
 }
@@ -53,6 +55,7 @@
 
 func (f *fakeSender) SendForPeer(ctx context.Context, target registrar.Target, _ string, r *transporter.Request, _ time.Time) transporter.Result {
 	f.mu.Lock()
+	f.sent++
 	delay, outcome := f.delays[target.ID], f.failures[target.ID]
 	var limit *float64
 	if perSecond, found := f.limits[target.ID]; found {
@@ -251,27 +254,43 @@
 	assert.Equal(t, delivered.results[0].Outcome, transporter.Unsent)
 }
 
-// Guards against wasted work at the targets: requests of a canceled batch must be canceled at the peer.
+// Guards against wasted work at the targets: requests of a canceled batch must be canceled at the peer, after the first
+// results have arrived and before.
 func TestRequestsAtPeerAreCanceledWhenBatchIsCanceled(t *testing.T) {
-	p := startPair(t, 3)
-	for _, target := range p.targets {
-		p.fakeSender.delays[target.ID] = time.Minute
-	}
-	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
-	defer cancel()
-	delivered := p.send(ctx, p.batch(20*time.Millisecond))
-	assert.Equal(t, delivered.results[0].Outcome, transporter.Lost)
-	for begin := time.Now(); ; time.Sleep(5 * time.Millisecond) {
-		p.fakeSender.mu.Lock()
-		canceled := p.fakeSender.canceled
-		p.fakeSender.mu.Unlock()
-		if canceled == 3 {
-			return
+	for _, flush := range []time.Duration{20 * time.Millisecond, time.Second} {
+		p := startPair(t, 3)
+		for _, target := range p.targets {
+			p.fakeSender.delays[target.ID] = time.Minute
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		delivered := p.send(ctx, p.batch(flush))
+		assert.Equal(t, delivered.results[0].Outcome, transporter.Lost)
+		for begin := time.Now(); ; time.Sleep(5 * time.Millisecond) {
+			p.fakeSender.mu.Lock()
+			canceled := p.fakeSender.canceled
+			p.fakeSender.mu.Unlock()
+			if canceled == 3 {
+				break
+			}
+			assert.Assert(t, time.Since(begin) < 300*time.Millisecond, "flush after %s: %d of 3 requests canceled", flush, canceled)
 		}
-		assert.Assert(t, time.Since(begin) < 300*time.Millisecond, "%d of 3 requests canceled", canceled)
 	}
 }
 
+// Guards against a batch that is served because its cancellation was handled before it: messages are handled in any order.
+func TestBatchIsNotSentWhenCancellationOvertakesIt(t *testing.T) {
+	p := startPair(t, 3)
+	raw := p.newMessenger("c", "c1", freeAddress(t))
+	run(t, raw)
+	assert.NilError(t, messenger.Notify(t.Context(), raw, "b", "end-parts", encoder.EndParts{Batch: "c1.1"}))
+	time.Sleep(50 * time.Millisecond)
+	message := encoder.PartsRequest{Batch: "c1.1", RequestId: "r1", Method: http.MethodGet, FlushUs: 1_000_000, LeftMs: 1000, Targets: p.targets[0].ID}
+	_, err := messenger.Call[encoder.PartsRequest, encoder.PartsReply](t.Context(), raw, "b", "relay-parts", message)
+	assert.ErrorContains(t, err, "canceled before its requests were sent")
+	assert.Equal(t, p.fakeSender.sent, 0)
+}
+
 // Guards against a batch that costs more than it saves: the replies of few targets are smaller than a merged reply.
 func TestChoosePeerReturnsNoneForFewTargets(t *testing.T) {
 	p := startPair(t, 1)
--- a/internal/target/concentrator/serve.go
+++ b/internal/target/concentrator/serve.go
@@ -42,16 +42,18 @@
 	}
 	r := transporter.RestoreRequest(message.RequestId, message.Method, []byte(message.Head), body)
 	deadline := time.Now().Add(time.Duration(message.LeftMs) * time.Millisecond)
-	// Each incarnation of a peer numbers its batches itself.
-	key := peer.Instance + " " + peer.Incarnation + " " + message.Batch
+	ctx, end := c.served.Begin(ctx, batchKey(peer, message.Batch))
 	batchCtx, cancel := context.WithDeadline(ctx, deadline)
-	c.registerBatch(key, cancel)
+	finish := func() {
+		cancel()
+		end()
+	}
 	if c.justResumed() {
-		timekeeper.Sleep(batchCtx, cancellationCheckTime)
-		if batchCtx.Err() != nil {
-			c.finishBatch(key)
-			return encoder.PartsReply{}, errCanceledBeforeSend
-		}
+		timekeeper.Sleep(ctx, cancellationCheckTime)
+	}
+	if ctx.Err() != nil {
+		finish()
+		return encoder.PartsReply{}, errCanceledBeforeSend
 	}
 	results := make(chan indexedResult, len(ids))
 	for i, id := range ids {
@@ -72,12 +74,12 @@
 		case <-timer.C:
 		}
 		go func() {
-			defer c.finishBatch(key)
+			defer finish()
 			c.sendLateResults(peer, message, results, remaining)
 		}()
 		return encoder.PartsReply{Parts: collector.encode()}, nil
 	}
-	c.finishBatch(key)
+	finish()
 	return encoder.PartsReply{Parts: collector.encode()}, nil
 }
 
@@ -98,6 +100,11 @@
 	return c.local.SendForPeer(ctx, target, route, r, deadline)
 }
 
+// batchKey is the key of a batch of a peer. Instances up to bbfe0b9 number their batches from 1 in each incarnation.
+func batchKey(peer messenger.Peer, batch string) string {
+	return peer.Instance + " " + peer.Incarnation + " " + batch
+}
+
 // sendLateResults sends the results that arrived after the reply, several in one message. It ends when the process that
 // has sent the batch is gone: the next one of the same name may number its batches alike.
 func (c *Concentrator) sendLateResults(peer messenger.Peer, message encoder.PartsRequest, results <-chan indexedResult, remaining int) {
@@ -118,31 +125,8 @@
 	}
 }
 
-func (c *Concentrator) registerBatch(key string, cancel context.CancelFunc) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.cancelServed[key] = cancel
-}
-
-// finishBatch removes the batch and cancels its remaining requests.
-func (c *Concentrator) finishBatch(key string) {
-	c.mu.Lock()
-	cancel, found := c.cancelServed[key]
-	delete(c.cancelServed, key)
-	c.mu.Unlock()
-	if found {
-		cancel()
-	}
-}
-
 // cancelBatch cancels a batch of a peer that no longer needs the results.
 func (c *Concentrator) cancelBatch(_ context.Context, peer messenger.Peer, message encoder.EndParts) (struct{}, error) {
-	key := peer.Instance + " " + peer.Incarnation + " " + message.Batch
-	c.mu.Lock()
-	cancel, found := c.cancelServed[key]
-	c.mu.Unlock()
-	if found {
-		cancel()
-	}
+	c.served.Cancel(batchKey(peer, message.Batch))
 	return struct{}{}, nil
 }
--- a/internal/target/router/incoming.go
+++ b/internal/target/router/incoming.go
@@ -29,7 +29,10 @@
 
 // runForPeer runs one item for a peer and reports whether its reply was sent.
 func (r *Router) runForPeer(ctx context.Context, peer, batch string, q encoder.SubQuery) bool {
-	reply := r.runLocally(ctx, incomingKey(peer, q.Attempt), q)
+	key := incomingKey(peer, q.Attempt)
+	work, end := r.served.Begin(ctx, key)
+	reply := r.runLocally(work, key, q)
+	end()
 	message := encoder.DeliverMessage{Batch: batch, Clock: r.clock.Now(), Reply: reply}
 	// The replies of a cancelled batch are sent too, so that the peer can finish their attempts.
 	if err := r.peers.Deliver(context.WithoutCancel(ctx), peer, message); err != nil {
@@ -39,7 +42,7 @@
 	return true
 }
 
-// incomingKey is the key of a peer's attempt in localAttempts. It includes the peer, so that only that peer can cancel
+// incomingKey is the key of a peer's attempt. It includes the peer, so that only that peer can cancel
 // the attempt.
 func incomingKey(peer, attempt string) string {
 	return peer + "/" + attempt
@@ -48,7 +51,7 @@
 // HandleCancel cancels attempts of a peer's batch.
 func (r *Router) HandleCancel(peer string, message encoder.CancelBatchMessage) {
 	for _, attempt := range message.Attempts {
-		r.cancelLocal(incomingKey(peer, attempt))
+		r.served.Cancel(incomingKey(peer, attempt))
 	}
 }
 
--- a/internal/target/router/router.go
+++ b/internal/target/router/router.go
@@ -16,6 +16,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"apricotflow/internal/cluster/canceler"
 	"apricotflow/internal/operator/checker"
 	"apricotflow/internal/operator/recorder"
 	"apricotflow/internal/target/connector"
@@ -98,6 +99,8 @@
 	// localAttempts holds the cancel function of every attempt that runs on the local dispatcher, by attempt or
 	// incomingKey.
 	localAttempts sync.Map
+	// served holds the attempts of peers, by incomingKey.
+	served *canceler.Canceler
 	// peerLoads holds a *peerLoad for every peer.
 	peerLoads sync.Map
 	// outstanding holds an *outstandingCounter for every ownerTarget.
@@ -110,7 +113,7 @@
 func New(instance, incarnation string, owners dispatcher.Owners, local Dispatcher, peers Peers, clock Clock, events Events, invariantChecker Checker, opts ...Option) *Router {
 	r := &Router{
 		instance: instance, prefix: instance + "." + incarnation + ".", owners: owners, dispatcher: local,
-		peers: peers, clock: clock, events: events, checker: invariantChecker, scope: tally.NoopScope,
+		peers: peers, clock: clock, events: events, checker: invariantChecker, scope: tally.NoopScope, served: canceler.New(),
 	}
 	for _, opt := range opts {
 		opt(r)
--- a/internal/target/router/router_test.go
+++ b/internal/target/router/router_test.go
@@ -407,3 +407,19 @@
 		assert.Equal(t, len(n.batches), 0)
 	})
 }
+
+// Guards against an attempt of a peer that runs although it was cancelled, because the cancellation was handled first.
+func TestAttemptIsCancelledWhenCancellationOvertakesIt(t *testing.T) {
+	n := newFakeNetwork()
+	cancelled := make(map[string]bool)
+	n.runLocally = func(ctx context.Context, q encoder.SubQuery) encoder.SubReply {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		cancelled[q.Attempt] = ctx.Err() != nil
+		return answeredReply(q)
+	}
+	n.HandleCancel("p", encoder.CancelBatchMessage{Attempts: []string{"1"}})
+	_, err := n.HandleExecute(t.Context(), "p", encoder.ExecuteRequest{Items: []encoder.SubQuery{query("1"), query("2")}})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, cancelled, map[string]bool{"1": true, "2": false})
+}
