Skip replies of targets that do not name their request

Callers got additional bytes of a faulty target as their answer: a reply without an id counted as the reply to whatever request was in flight on the connection. It is now skipped like a reply to another request, and the connection is not used again.

--- a/internal/target/transporter/connection.go
+++ b/internal/target/transporter/connection.go
@@ -184,7 +184,8 @@
 	return reusable
 }
 
-// receive reads the reply to the exchange and skips replies to other requests.
+// receive reads the reply to the exchange and skips replies to other requests. One without an id is among these: targets
+// return the id of the request with every reply, but a faulty one may send additional bytes that read like a reply.
 func (c *connection) receive(x *exchange) (result Result, reusable bool, idleLimit time.Duration, err error) {
 	for range maxForeignReplies + 1 {
 		reply, err := c.reader.Read(x.method)
@@ -196,7 +197,7 @@
 			return Result{}, false, 0, err
 		}
 		info := c.pool.transporter.codec.ParseReply(reply.Status, reply.Header)
-		if info.RequestID == "" || info.RequestID == x.id {
+		if info.RequestID == x.id {
 			return newResult(reply, info), !reply.Closes, info.IdleLimit, nil
 		}
 		c.markForeignReply()
--- a/internal/target/transporter/request.go
+++ b/internal/target/transporter/request.go
@@ -168,7 +168,7 @@
 
 // ReplyInfo is the interpretation of a reply's status and headers.
 type ReplyInfo struct {
-	// RequestID is the ID of the request that the reply answers. It may be empty.
+	// RequestID is the ID of the request that the reply answers; empty if the reply does not state it.
 	RequestID string
 	Signature string
 	// Refused reports whether the target has not run the request and will not run it.
--- a/internal/target/transporter/transporter_test.go
+++ b/internal/target/transporter/transporter_test.go
@@ -136,6 +136,20 @@
 	}
 }
 
+// Guards against passing on additional bytes of a target that read like a reply, but have no id, as the reply to the next
+// request of the connection.
+func TestReplyWithoutIDIsSkipped(t *testing.T) {
+	address, accepted := startLateSender(t, "", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nadditional")
+	tr := transporter.New(platform.TargetHeaders{})
+	for _, id := range []string{"r1", "r2", "r3"} {
+		result := tr.Send(t.Context(), "t1", address, 1, request(id), timeLeft)
+		assert.Equal(t, result.Outcome, transporter.Answered)
+		assert.Equal(t, result.Reply.Signature, "s1")
+	}
+	// The connection with the additional bytes is not used again.
+	assert.Equal(t, accepted.Load(), int32(2))
+}
+
 // startLateSender starts a target that gives the first answer to the first request of its first connection, or its usual one
 // if that is empty, and sends the late bytes before its answer to the next request of the connection.
 func startLateSender(t *testing.T, first, late string) (address string, accepted *atomic.Int32) {
