--- a/internal/standin/keeper/keeper.go
+++ b/internal/standin/keeper/keeper.go
@@ -8,6 +8,7 @@
 	"bytes"
 	"cmp"
 	"encoding/json"
+	"fmt"
 	"io"
 	"maps"
 	"net/http"
@@ -24,6 +25,9 @@
 // maxPageItems is the maximum number of items in one page of a range.
 const maxPageItems = 50
 
+// endlessPageItems is the number of items in one of the pages without end, which has about 1 MB.
+const endlessPageItems = 4000
+
 // Fault is a way in which the store fails.
 type Fault int
 
@@ -41,6 +45,10 @@
 	Endless
 	// WatchesMissChanges hides all changes from watches; ranges work.
 	WatchesMissChanges
+	// EndlessHead responds to every call with a header line without end.
+	EndlessHead
+	// EndlessPages responds to every range with a page of further targets after which there are more, and fails watches.
+	EndlessPages
 )
 
 // Store is a running store.
@@ -199,6 +207,10 @@
 			panic(http.ErrAbortHandler)
 		case Endless:
 			writeEndlessly(w)
+		case EndlessHead:
+			writeHeadEndlessly(w)
+		case EndlessPages:
+			writePage(w, r)
 		default:
 			handler(w, r)
 		}
@@ -215,6 +227,34 @@
 	}
 }
 
+// writeHeadEndlessly writes a header line until the caller closes the connection.
+func writeHeadEndlessly(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "HTTP/1.1 200 OK\r\nX-Line: ")
+	for line := strings.Repeat("x", 64<<10); err == nil; {
+		_, err = io.WriteString(conn, line)
+	}
+}
+
+// writePage writes a page of targets after the last one of the page before. There is always another page.
+func writePage(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != platform.PathRange {
+		w.WriteHeader(http.StatusGone)
+		return
+	}
+	page := platform.Page{Revision: 1, More: true}
+	first, _ := strconv.Atoi(strings.TrimPrefix(r.FormValue(platform.ParameterAfter), platform.PrefixTargets+"i-"))
+	for n := range endlessPageItems {
+		value := fmt.Sprintf(`{"service":"more","address":"127.0.0.1:9","zone":"east","version":"v1","slots":4,"state":"ready","warmup_left_ms":0,"seq":1,"born":%d}`, n)
+		page.Items = append(page.Items, platform.Item{Key: fmt.Sprintf("%si-%012d", platform.PrefixTargets, first+n+1), Value: []byte(value), Revision: 1})
+	}
+	writeJSON(w, page)
+}
+
 func (s *Store) serveRange(w http.ResponseWriter, r *http.Request) {
 	prefix, afterKey := r.FormValue(platform.ParameterPrefix), r.FormValue(platform.ParameterAfter)
 	s.mu.Lock()
