Limit the first message of a connection between instances

Room for a message of 8 MB was made as soon as any connection announced it. The first message is hello, which is small: it is limited to 64 KB.

TestLargeFirstMessageIsRefused fails before.

--- a/internal/cluster/messenger/messenger_test.go
+++ b/internal/cluster/messenger/messenger_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"errors"
 	"io"
 	"net"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -371,3 +373,17 @@
 	assert.NilError(t, b.Close(context.Background()))
 	assert.NilError(t, <-done)
 }
+
+// Guards against memory that is kept for connections of which nobody knows where they lead: their first message is hello,
+// which is small. A silent connection is closed after 800 ms.
+func TestLargeFirstMessageIsRefused(t *testing.T) {
+	n := start(t, &addressBook{}, "a")
+	conn, err := net.Dial("tcp", n.Address())
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = conn.Write(binary.AppendUvarint(nil, 1<<20))
+	assert.NilError(t, err)
+	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(500 * time.Millisecond)))
+	_, err = io.Copy(io.Discard, conn)
+	assert.Assert(t, !errors.Is(err, os.ErrDeadlineExceeded), "connection was not closed")
+}
--- a/internal/cluster/messenger/stream.go
+++ b/internal/cluster/messenger/stream.go
@@ -16,6 +16,9 @@
 	maxQueuedBytes = 16 << 20
 	// maxReusedBatch is the maximum size in bytes of a write buffer that is kept for reuse.
 	maxReusedBatch = 256 << 10
+	// maxFirstBytes is the maximum size in bytes of the first message of a connection, which is hello: until then, the other
+	// end may be anyone.
+	maxFirstBytes = 64 << 10
 	// readBufferSize is the size of the read buffer in bytes.
 	readBufferSize = 64 << 10
 )
@@ -27,7 +30,9 @@
 	reader *bufio.Reader
 	// sizeLimit is the maximum size of a message in bytes.
 	sizeLimit int
-	traffic   *traffic
+	// hasRead reports whether an object was read. Only the reader uses it.
+	hasRead bool
+	traffic *traffic
 	// epoch is the reference time of lastReceived and lastQueued.
 	epoch time.Time
 	// lastReceived is the time of the last bytes read, in nanoseconds since epoch.
@@ -101,9 +106,14 @@
 	if err != nil {
 		return err
 	}
-	if size > uint64(s.sizeLimit) {
-		return &SizeError{Bytes: int(min(size, 1<<62)), Limit: s.sizeLimit}
+	limit := s.sizeLimit
+	if !s.hasRead {
+		limit = min(limit, maxFirstBytes)
 	}
+	if size > uint64(limit) {
+		return &SizeError{Bytes: int(min(size, 1<<62)), Limit: limit}
+	}
+	s.hasRead = true
 	data := make([]byte, size)
 	if _, err := io.ReadFull(s.reader, data); err != nil {
 		return err
