Reduce large parts of a query to their greatest records at once

A query over shards kept the whole reply to each part until its answer. The stand-in for targets sends such replies, and trailers and chunk extensions without end, which hold.

--- a/internal/query/relayer/results.go
+++ b/internal/query/relayer/results.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 
+	"apricotflow/internal/target/combiner"
 	"apricotflow/internal/target/sender"
 	"apricotflow/internal/target/transporter"
 )
@@ -40,7 +41,9 @@
 		if f.acceptReply(p, r) {
 			return
 		}
-		p.failure = r.result.Reply
+		if !f.request.Route.IsSharded() {
+			p.failure = r.result.Reply
+		}
 		f.addDecision(p, r.target.ID, fmt.Sprintf("status %d", r.result.Reply.Status))
 	case transporter.Unsent:
 		p.sentRequests--
@@ -78,6 +81,7 @@
 		if !r.result.CanBeMerged() {
 			return false
 		}
+		reply = f.withGreatestRecords(reply)
 	} else if !reply.Success() && reply.Status >= minServerErrorStatus {
 		return false
 	}
@@ -87,6 +91,22 @@
 	return true
 }
 
+// largePartBytes is the size in bytes above which a part is reduced to its greatest records as soon as it has arrived, so
+// that a query does not keep a large reply of each shard until it is answered.
+const largePartBytes = 64 << 10
+
+// withGreatestRecords returns the reply to a part, with only its greatest records if it is large.
+func (f *forwarder) withGreatestRecords(reply *transporter.Reply) *transporter.Reply {
+	if len(reply.Body) <= largePartBytes {
+		return reply
+	}
+	greatest := combiner.New(f.request.Route.TopRecords)
+	greatest.Add(reply.Body)
+	reduced := *reply
+	reduced.Body = greatest.Bytes()
+	return &reduced
+}
+
 // sendAgainOrGiveUp sends the next request for the part after a failure, lets the part wait if all targets were tried,
 // or gives it up if the request may not be repeated. It does nothing while another request is in flight.
 func (f *forwarder) sendAgainOrGiveUp(i int) {
--- a/internal/query/relayer/scatter_test.go
+++ b/internal/query/relayer/scatter_test.go
@@ -39,6 +39,21 @@
 	})
 }
 
+// Guards against a large part whose records are lost, or hide those of others, because it is reduced when it arrives.
+func TestScatterMergesGreatestRecordsOfLargeParts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 2, "s0", "s1", "s2")
+		f.setBehaviour("s0", httpresponder.Large)
+		answer, _ := f.relay(shardedRoute(1, "s0", "s1", "s2"), "r1")
+		assert.Equal(t, answer.Outcome, relayer.Merged)
+		assert.Equal(t, len(answer.Signatures), 3)
+		assert.Equal(t, len(answer.Records), 5*16)
+		for i := range 5 {
+			assert.Equal(t, int(binary.BigEndian.Uint64(answer.Records[16*i:])), 209-i)
+		}
+	})
+}
+
 // A shard that does not answer must not delay the answer beyond the objective: the query is answered from the other
 // parts.
 func TestScatterAnswersWithinObjectiveWhenShardIsSilent(t *testing.T) {
@@ -114,7 +129,7 @@
 // Bytes without end from one target must cost a query neither its parts nor its time, nor leave the target in use for the
 // queries that follow.
 func TestScatterIsServedWhenTargetSendsWithoutEnd(t *testing.T) {
-	for behaviour := httpresponder.EndlessLine; behaviour <= httpresponder.LastBehaviour; behaviour++ {
+	for _, behaviour := range httpresponder.EndlessBehaviours() {
 		synctest.Test(t, func(t *testing.T) {
 			f := newFixture(t, 2, "s0", "s1")
 			troubled := f.targets["s0"][0]
--- a/internal/standin/httpresponder/httpresponder.go
+++ b/internal/standin/httpresponder/httpresponder.go
@@ -66,8 +66,28 @@
 // LastBehaviour is the highest value of Behaviour after which the target goes on.
 const LastBehaviour = EndlessBody
 
-// End closes the listener and all connections, as a process does that ends.
-const End Behaviour = LastBehaviour + 1
+// Values of Behaviour that no soak draws.
+const (
+	// End closes the listener and all connections, as a process does that ends.
+	End Behaviour = LastBehaviour + 1 + iota
+	// EndlessTrailer sends a chunked body with a trailer line without end.
+	EndlessTrailer
+	// EndlessExtension sends a chunk with an extension without end.
+	EndlessExtension
+	// Large sends a complete response with a body of largeBodyBytes.
+	Large
+)
+
+// largeBodyBytes is the size of a large body, below the limit for one reply.
+const largeBodyBytes = 8<<20 - 1
+
+// EndlessBehaviours returns the behaviours that send bytes without end, by what has no end.
+func EndlessBehaviours() map[string]Behaviour {
+	return map[string]Behaviour{
+		"line": EndlessLine, "head": EndlessHead, "informational replies": EndlessInformation, "bytes after the reply": EndlessTail,
+		"chunks": EndlessChunks, "body": EndlessBody, "trailer": EndlessTrailer, "chunk extension": EndlessExtension,
+	}
+}
 
 // ReceivedRequest is a request that reached the target.
 type ReceivedRequest struct {
@@ -315,9 +335,11 @@
 		if _, err := conn.Write(t.encodeResponse("another", http.StatusOK, []byte("another"), false, true)); err != nil {
 			return false
 		}
-	case EndlessLine, EndlessHead, EndlessInformation, EndlessTail, EndlessChunks, EndlessBody:
+	case EndlessLine, EndlessHead, EndlessInformation, EndlessTail, EndlessChunks, EndlessBody, EndlessTrailer, EndlessExtension:
 		t.writeEndlessly(conn, request, behaviour)
 		return false
+	case Large:
+		return t.writeResponse(conn, request, http.StatusOK, make([]byte, largeBodyBytes), false)
 	case Unframed:
 		_, _ = conn.Write(t.encodeResponse(request.Header.Get(platform.HeaderRequestID), http.StatusOK, t.body, false, false))
 		return false
@@ -332,6 +354,8 @@
 	EndlessInformation: {"", "HTTP/1.1 102 Processing\r\n\r\n"},
 	EndlessChunks:      {"Transfer-Encoding: chunked\r\n\r\n", "400\r\n" + strings.Repeat("x", 1024) + "\r\n"},
 	EndlessBody:        {"Connection: close\r\n\r\n", strings.Repeat("x", 1024)},
+	EndlessTrailer:     {"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\nX-Trailer: ", strings.Repeat("x", 1024)},
+	EndlessExtension:   {"Transfer-Encoding: chunked\r\n\r\n400;", strings.Repeat("x", 1024)},
 }
 
 // writeEndlessly writes until the caller closes the connection.
@@ -341,7 +365,7 @@
 	switch behaviour {
 	case EndlessTail:
 		parts.start, parts.repeated = string(t.encodeResponse(id, http.StatusOK, t.body, false, true)), strings.Repeat("x", 1024)
-	case EndlessChunks, EndlessBody:
+	case EndlessChunks, EndlessBody, EndlessTrailer, EndlessExtension:
 		parts.start = fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\n", platform.HeaderRequestID, id, platform.HeaderSignature, t.Signature(id)) + parts.start
 	}
 	if _, err := io.WriteString(conn, parts.start); err != nil {
