Show the memory of processes to which others send without end

The soak can start instances with the executable of another version and replace them one after the other, and back, beside its other faults (-previous).

--- a/internal/standin/rehearser/deployment.go
+++ b/internal/standin/rehearser/deployment.go
@@ -5,6 +5,7 @@
 package rehearser
 
 import (
+	"cmp"
 	"encoding/binary"
 	"encoding/json"
 	"fmt"
@@ -52,7 +53,11 @@
 	pauseInterval = 3 * time.Second
 	// graceSeconds is the time in seconds that an instance has to stop gracefully before it is killed.
 	graceSeconds = 6
-	readyTimeout = 15 * time.Second
+	// MaxBodyBytes is the maximum size of the body of a caller's request in bytes.
+	MaxBodyBytes = 256 << 10
+	// SmallestMemoryMB is the memory of the smallest instance of the deployments in MB.
+	SmallestMemoryMB = 284
+	readyTimeout     = 15 * time.Second
 	// balancerTimeout limits a readiness check of the load balancer, which a paused instance does not answer.
 	balancerTimeout = 300 * time.Millisecond
 )
@@ -71,7 +76,9 @@
 
 // instance is an instance with the addresses and the settings file that it keeps over restarts.
 type instance struct {
-	name          string
+	name string
+	// path is the executable that the next start runs.
+	path          string
 	callerAddress string
 	adminAddress  string
 	readyAddress  string
@@ -81,7 +88,9 @@
 
 // Deployment holds the store, the targets and the instances of a rehearsal.
 type Deployment struct {
-	program   string
+	program string
+	// previous is the executable of the version that runs before an upgrade; empty if there is none.
+	previous  string
 	directory string
 	store     *keeper.Store
 
@@ -131,6 +140,12 @@
 	}
 }
 
+// WithPreviousVersion makes the instances start with the executable of another version, and a soak replace them one after
+// the other by the program, and back.
+func WithPreviousVersion(program string) Option {
+	return func(d *Deployment) { d.previous = program }
+}
+
 // NewDeployment starts the store, the targets and the instances.
 func NewDeployment(program, directory string, opts ...Option) (*Deployment, error) {
 	d := &Deployment{program: program, directory: directory, placements: slices.Clone(instancePlacements), store: keeper.New(), targets: make(map[string]*httpresponder.Target), services: make(map[string][]string)}
@@ -247,6 +262,24 @@
 	d.targets[id].SetBehaviour(d.healthy[id])
 }
 
+// MisbehaveAll makes all targets handle every request with the behaviour, until RecoverAll.
+func (d *Deployment) MisbehaveAll(behaviour httpresponder.Behaviour) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, target := range d.targets {
+		target.SetFixedBehaviour(behaviour, 0)
+	}
+}
+
+// RecoverAll ends the misbehaviour of all targets.
+func (d *Deployment) RecoverAll() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id, target := range d.targets {
+		target.SetBehaviour(d.healthy[id])
+	}
+}
+
 // SetRequestLimit makes a target state a request limit, in requests per second, until EndRequestLimit.
 func (d *Deployment) SetRequestLimit(id string, perSecond float64) {
 	d.mu.Lock()
@@ -290,7 +323,7 @@
 	defer d.mu.Unlock()
 	d.configVersion += 2
 	config := platform.RoutingConfig{Version: d.configVersion}
-	config.Limits.BodyBytes, config.Limits.IdleMs = 1<<16, 15_000
+	config.Limits.BodyBytes, config.Limits.IdleMs = MaxBodyBytes, 15_000
 	search := platform.Route{
 		Name: "search", Host: searchHost, Prefix: searchPrefix, Kind: platform.KindIdempotent, TimeoutMs: searchTimeout,
 		ObjectiveMs: searchObjective, MaxAttempts: 2, TopRecords: answerRecords, MinShardShare: minCoverage,
@@ -316,7 +349,7 @@
 	for i, e := range d.placements {
 		d.storeLinks = append(d.storeLinks, startLink(d.store.Address()))
 		n := &instance{
-			name: e.name, callerAddress: launcher.FreeAddress(), adminAddress: launcher.FreeAddress(), readyAddress: launcher.FreeAddress(),
+			name: e.name, path: cmp.Or(d.previous, d.program), callerAddress: launcher.FreeAddress(), adminAddress: launcher.FreeAddress(), readyAddress: launcher.FreeAddress(),
 			settingsPath: filepath.Join(d.directory, e.name+".json"),
 		}
 		settings, err := json.Marshal(map[string]any{
@@ -324,6 +357,7 @@
 			"admin-address": n.adminAddress, "platform-address": d.storeLinks[i].Address(), "seeds": peers[:3],
 			"relay": map[string]any{
 				"ready-address": n.readyAddress, "grace-seconds": graceSeconds, "extra-load-ratio": 0.2, "extra-load-slack": 60, "cold-factor": 1.5, "cold-slack": 5,
+				"memory-mb": SmallestMemoryMB,
 			},
 		})
 		if err != nil {
@@ -350,7 +384,7 @@
 // Start starts the process of an instance.
 func (d *Deployment) Start(i int) error {
 	n := d.instances[i]
-	p, err := launcher.StartProgram(n.name, filepath.Join(d.directory, n.name+".log"), d.program, "serve", "--settings", n.settingsPath)
+	p, err := launcher.StartProgram(n.name, filepath.Join(d.directory, n.name+".log"), n.path, "serve", "--settings", n.settingsPath)
 	n.program = p
 	if err == nil {
 		d.pids.Store(n.name, p.PID())
@@ -423,6 +457,12 @@
 // Program returns the process of an instance.
 func (d *Deployment) Program(i int) *launcher.Program { return d.instances[i].program }
 
+// InstanceCount returns the number of instances.
+func (d *Deployment) InstanceCount() int { return len(d.instances) }
+
+// CallerAddress returns the address of an instance for callers.
+func (d *Deployment) CallerAddress(i int) string { return d.instances[i].callerAddress }
+
 // Store returns the store.
 func (d *Deployment) Store() *keeper.Store { return d.store }
 
--- a/internal/standin/rehearser/soak.go
+++ b/internal/standin/rehearser/soak.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"syscall"
 	"time"
 
@@ -84,6 +85,8 @@
 	leaving map[string]time.Time
 	// impaired holds the targets whose replies were spoiled or lost at some time, so that instances may not have read them.
 	impaired map[string]bool
+	// downgrading reports whether instances are replaced by the previous version.
+	downgrading bool
 	// failures describes what did not go as expected while faults were injected.
 	failures []string
 }
@@ -103,6 +106,7 @@
 	until := time.Now().Add(duration - maxFaultDuration)
 	endFatalRequests := s.sendFatalRequests(ctx, until)
 	s.injectFaults(ctx, until)
+	s.finishUpgrade()
 	report := <-reports
 	violations = append(s.failures, report.Violations...)
 	violations = append(violations, s.endLimits(limited, limitedAt.Add(limitNoticeTime))...)
@@ -118,6 +122,15 @@
 	return violations, s.faultLog, nil
 }
 
+// drawFault returns the next fault. In an upgrade, every second one replaces an instance.
+func (s *soak) drawFault() fault {
+	f := faults[s.random.IntN(len(faults))]
+	if s.deployment.previous != "" && s.random.IntN(2) == 0 {
+		return fault{"upgrade", (*soak).replaceInstance}
+	}
+	return f
+}
+
 // injectFaults starts faults until the given time and then waits until all of them have ended.
 func (s *soak) injectFaults(ctx context.Context, until time.Time) {
 	type ending struct {
@@ -128,7 +141,7 @@
 	var endings []ending
 	startedAt := time.Now()
 	for time.Now().Before(until) && ctx.Err() == nil {
-		f := faults[s.random.IntN(len(faults))]
+		f := s.drawFault()
 		length := minFaultDuration + time.Duration(s.random.Int64N(int64(maxFaultDuration-minFaultDuration)))
 		s.faultLog = append(s.faultLog, fmt.Sprintf("%s %s for %s", time.Since(startedAt).Round(time.Millisecond), f.name, length.Round(time.Millisecond)))
 		if end := f.start(s); end != nil {
@@ -198,12 +211,17 @@
 	return nil
 }
 
-// restartInstance sends a signal that ends an instance. The returned function waits for its exit and starts it again.
+// restartInstance restarts a random instance with a signal.
 func (s *soak) restartInstance(signal syscall.Signal) func() {
 	i, found := s.takeInstance()
 	if !found {
 		return nil
 	}
+	return s.restart(i, signal)
+}
+
+// restart sends a signal that ends an instance. The returned function waits for its exit and starts it again.
+func (s *soak) restart(i int, signal syscall.Signal) func() {
 	_ = s.deployment.Program(i).Signal(signal)
 	return func() {
 		if _, err := s.deployment.Program(i).Wait((graceSeconds + 1) * time.Second); err != nil {
@@ -217,6 +235,36 @@
 	}
 }
 
+// replaceInstance terminates the next instance that runs the version to be replaced, and starts it with the other one. Once
+// all run the same version, they are replaced by the version before.
+func (s *soak) replaceInstance() func() {
+	if len(s.unavailable) > 0 {
+		return nil
+	}
+	from, to := s.deployment.previous, s.deployment.program
+	if s.downgrading {
+		from, to = to, from
+	}
+	instances := s.deployment.instances
+	i := slices.IndexFunc(instances, func(n *instance) bool { return n.path == from })
+	if i < 0 {
+		s.downgrading = !s.downgrading
+		return nil
+	}
+	s.unavailable[i] = true
+	instances[i].path = to
+	s.faultLog = append(s.faultLog, fmt.Sprintf("%s is replaced by %s", instances[i].name, to))
+	return s.restart(i, syscall.SIGTERM)
+}
+
+// finishUpgrade replaces the instances that still run the previous version.
+func (s *soak) finishUpgrade() {
+	s.downgrading = false
+	for s.deployment.previous != "" && slices.ContainsFunc(s.deployment.instances, func(n *instance) bool { return n.path == s.deployment.previous }) {
+		s.replaceInstance()()
+	}
+}
+
 func (s *soak) pauseInstance() func() {
 	i, found := s.takeInstance()
 	if !found {
