--- a/internal/cluster/messenger/messenger_test.go
+++ b/internal/cluster/messenger/messenger_test.go
@@ -383,7 +383,7 @@
 	defer func() { _ = conn.Close() }()
 	_, err = conn.Write(binary.AppendUvarint(nil, 1<<20))
 	assert.NilError(t, err)
-	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(500 * time.Millisecond)))
+	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(500*time.Millisecond)))
 	_, err = io.Copy(io.Discard, conn)
 	assert.Assert(t, !errors.Is(err, os.ErrDeadlineExceeded), "connection was not closed")
 }
--- a/internal/target/concentrator/concentrator.go
+++ b/internal/target/concentrator/concentrator.go
@@ -106,7 +106,8 @@
 	served *canceler.Canceler
 
 	mu sync.Mutex
-	// sent holds the batches that this instance has sent and waits for, by their ids.
+	// sent holds the batches that this instance has sent and waits for, by their ids. An id is never used again, also not by
+	// another process of the same name.
 	sent map[string]sentBatch
 	// suspendedUntil holds the time until which a peer gets no batches.
 	suspendedUntil map[string]time.Time
@@ -121,7 +122,9 @@
 
 // sentBatch is a batch that waits for late results.
 type sentBatch struct {
+	// peer is the instance that serves the batch, the only one whose results count.
 	peer string
+	// late has room for one message for each target, so that the receiver of messages never waits.
 	late chan encoder.MergedParts
 }
 
@@ -137,7 +140,8 @@
 func New(peers Peers, r *registrar.Registrar, local LocalSender, logger *log.Logger, scope tally.Scope, opts ...Option) *Concentrator {
 	c := &Concentrator{
 		peers: peers, registrar: r, local: local, logger: logger, scope: scope, served: canceler.New(),
-		sent: make(map[string]sentBatch), suspendedUntil: make(map[string]time.Time), suspensionLoggedAt: make(map[string]time.Time), emptyReplies: make(map[string]int), justResumed: func() bool { return false },
+		sent: make(map[string]sentBatch), suspendedUntil: make(map[string]time.Time), suspensionLoggedAt: make(map[string]time.Time),
+		emptyReplies: make(map[string]int), justResumed: func() bool { return false },
 	}
 	for _, opt := range opts {
 		opt(c)
@@ -216,8 +220,8 @@
 }
 
 // recordSent records a batch that is about to be sent. It returns the id of the batch, the channel of its late results and
-// a function that ends the wait for them. The id holds the incarnation of this instance: a peer sends late results to the
-// process that has the name of the sender, which may have been started after the batch was sent.
+// a function that ends the wait for them. The id holds the incarnation of this instance, because peers up to bbfe0b9 send
+// late results to any process with the name of the sender, also to one that was started after the batch was sent.
 func (c *Concentrator) recordSent(batch Batch) (id string, late <-chan encoder.MergedParts, forget func()) {
 	id = c.messenger.Incarnation() + "." + strconv.FormatInt(c.lastBatchID.Add(1), 36)
 	sent := sentBatch{peer: batch.Peer, late: make(chan encoder.MergedParts, len(batch.Targets))}
--- a/internal/target/router/incoming.go
+++ b/internal/target/router/incoming.go
@@ -31,8 +31,8 @@
 func (r *Router) runForPeer(ctx context.Context, peer, batch string, q encoder.SubQuery) bool {
 	key := incomingKey(peer, q.Attempt)
 	work, end := r.served.Begin(ctx, key)
+	defer end()
 	reply := r.runLocally(work, key, q)
-	end()
 	message := encoder.DeliverMessage{Batch: batch, Clock: r.clock.Now(), Reply: reply}
 	// The replies of a cancelled batch are sent too, so that the peer can finish their attempts.
 	if err := r.peers.Deliver(context.WithoutCancel(ctx), peer, message); err != nil {
@@ -42,8 +42,7 @@
 	return true
 }
 
-// incomingKey is the key of a peer's attempt. It includes the peer, so that only that peer can cancel
-// the attempt.
+// incomingKey is the key of a peer's attempt. It includes the peer, so that only that peer can cancel the attempt.
 func incomingKey(peer, attempt string) string {
 	return peer + "/" + attempt
 }
