Let the slack of the retry budget grow over the first window of a process

Targets got more repeated requests than the budget allows while one instance restarted in quick succession beside slow targets: each process had a whole share of the slack and knew nothing of the process before. The share now grows from nothing over the first window, so that all processes of an instance within a window use one share together.

--- a/internal/caller/assembler/relay.go
+++ b/internal/caller/assembler/relay.go
@@ -173,7 +173,7 @@
 }
 
 func newBudgeter(settings loader.Settings, d *discoverer.Discoverer) *budgeter.Budgeter {
-	return budgeter.New(extraLoadLimits(settings), d.InstanceEstimate)
+	return budgeter.New(extraLoadLimits(settings), d.InstanceEstimate, budgeter.WithGrowingSlack())
 }
 
 func newThrottler(d *discoverer.Discoverer) *throttler.Throttler {
--- a/internal/target/budgeter/budgeter.go
+++ b/internal/target/budgeter/budgeter.go
@@ -1,7 +1,8 @@
 // Package budgeter limits the extra requests (hedges and retries) to each service over all instances within a sliding
 // window, in relay mode. An instance may send extra requests in the ratio to its own needed requests, and an equal
 // share of the slack, so that the instances together stay within the limit without any communication between
-// them. The sender uses it.
+// them. The share of an instance grows from nothing over the first window of its process if it may have been started again:
+// the process before has used up to a whole share, of which the next one knows nothing. The sender uses it.
 package budgeter
 
 import (
@@ -36,6 +37,8 @@
 	instances func() int
 	now       func() time.Time
 	start     time.Time
+	// growingSlack reports whether the slack grows over the first window.
+	growingSlack bool
 	// usages holds a *usage for each service.
 	usages sync.Map
 }
@@ -48,6 +51,12 @@
 	return func(b *Budgeter) { b.now = now }
 }
 
+// WithGrowingSlack makes the slack grow from nothing over the first window. However often a process is started again, its
+// starts within a window then use at most one share of the slack.
+func WithGrowingSlack() Option {
+	return func(b *Budgeter) { b.growingSlack = true }
+}
+
 // New returns a Budgeter. The function instances returns the number of instances that share the slack.
 func New(limits Limits, instances func() int, opts ...Option) *Budgeter {
 	b := &Budgeter{instances: instances, now: time.Now}
@@ -85,7 +94,7 @@
 // refused once the given fraction of the budget is used.
 func (b *Budgeter) TakeExtra(service string, fraction float64) bool {
 	u, bucket, limits := b.currentUsage(service)
-	slack := limits.Slack / float64(max(b.instances(), 1))
+	slack := b.slackShare(limits)
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.advance(bucket, limits.Window)
@@ -101,6 +110,15 @@
 	return true
 }
 
+// slackShare returns the part of the slack that this instance may use now.
+func (b *Budgeter) slackShare(limits Limits) float64 {
+	share := limits.Slack / float64(max(b.instances(), 1))
+	if age := b.now().Sub(b.start); b.growingSlack && age < limits.Window {
+		share *= float64(age) / float64(limits.Window)
+	}
+	return share
+}
+
 // currentUsage returns the usage of the service, the number of the current bucket and the limits. It adds the usage if
 // there is none.
 func (b *Budgeter) currentUsage(service string) (*usage, int, Limits) {
--- a/internal/target/budgeter/budgeter_test.go
+++ b/internal/target/budgeter/budgeter_test.go
@@ -84,6 +84,31 @@
 	assert.Assert(t, take() > 0)
 }
 
+// Guards against an instance that is started again and again and uses a whole share of the slack each time.
+func TestStartsOfInstanceShareItsSlack(t *testing.T) {
+	limits := budgeter.Limits{Slack: 40, Window: 10 * time.Second}
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(0, 0)
+		taken := 0
+		for until := now.Add(limits.Window); now.Before(until); {
+			b := budgeter.New(limits, func() int { return 1 }, budgeter.WithClock(func() time.Time { return now }), budgeter.WithGrowingSlack())
+			for range rapid.IntRange(1, 5).Draw(t, "steps") {
+				now = now.Add(time.Duration(rapid.IntRange(50, 700).Draw(t, "ms")) * time.Millisecond)
+				if now.Before(until) {
+					taken += takeAll(b)
+				}
+			}
+		}
+		if float64(taken) > limits.Slack {
+			t.Fatalf("%d extra requests, the slack is %g", taken, limits.Slack)
+		}
+	})
+	now := time.Unix(0, 0)
+	b := budgeter.New(limits, func() int { return 1 }, budgeter.WithClock(func() time.Time { return now }), budgeter.WithGrowingSlack())
+	now = now.Add(limits.Window)
+	assert.Equal(t, takeAll(b), 34, "the whole slack after the first window, less the margin")
+}
+
 // Guards against counts that stay for good, or are forgotten at once, when a reload of the settings changes the window.
 func TestExtraRequestsCountForOneWindowAfterChangeOfWindow(t *testing.T) {
 	for _, window := range []time.Duration{5 * time.Second, 20 * time.Second} {
