--- a/internal/cluster/messenger/link.go
+++ b/internal/cluster/messenger/link.go
@@ -48,7 +48,7 @@
 }
 
 func newLink(m *Messenger, conn net.Conn, dialled bool) *link {
-	l := &link{messenger: m, stream: newStream(conn, m.sizeLimit, m.traffic), dialled: dialled, createdAt: time.Now(), helloDone: make(chan struct{})}
+	l := &link{messenger: m, stream: newStream(conn, m.sizeLimit, !dialled, m.traffic), dialled: dialled, createdAt: time.Now(), helloDone: make(chan struct{})}
 	l.rpc = jsonrpc2.NewConn(m.ctx, l.stream, l, jsonrpc2.SetLogger(discardLogger{}))
 	m.background.Go(l.monitor)
 	return l
--- a/internal/cluster/messenger/stream.go
+++ b/internal/cluster/messenger/stream.go
@@ -16,9 +16,9 @@
 	maxQueuedBytes = 16 << 20
 	// maxReusedBatch is the maximum size in bytes of a write buffer that is kept for reuse.
 	maxReusedBatch = 256 << 10
-	// maxFirstBytes is the maximum size in bytes of the first message of a connection, which is hello: until then, the other
-	// end may be anyone.
-	maxFirstBytes = 64 << 10
+	// maxHelloBytes is the maximum size in bytes of the first message of an accepted connection, which is hello: until then,
+	// the other end may be anyone.
+	maxHelloBytes = 64 << 10
 	// readBufferSize is the size of the read buffer in bytes.
 	readBufferSize = 64 << 10
 )
@@ -30,8 +30,8 @@
 	reader *bufio.Reader
 	// sizeLimit is the maximum size of a message in bytes.
 	sizeLimit int
-	// hasRead reports whether an object was read. Only the reader uses it.
-	hasRead bool
+	// awaitsHello reports whether the next object must be hello. Only the reader uses it after the start.
+	awaitsHello bool
 	traffic *traffic
 	// epoch is the reference time of lastReceived and lastQueued.
 	epoch time.Time
@@ -51,9 +51,9 @@
 	writerDone chan struct{}
 }
 
-func newStream(conn net.Conn, sizeLimit int, t *traffic) *stream {
+func newStream(conn net.Conn, sizeLimit int, awaitsHello bool, t *traffic) *stream {
 	s := &stream{
-		conn: conn, sizeLimit: sizeLimit, traffic: t, epoch: time.Now(),
+		conn: conn, sizeLimit: sizeLimit, awaitsHello: awaitsHello, traffic: t, epoch: time.Now(),
 		wake: make(chan struct{}, 1), writerDone: make(chan struct{}),
 	}
 	s.reader = bufio.NewReaderSize(s, readBufferSize)
@@ -107,13 +107,13 @@
 		return err
 	}
 	limit := s.sizeLimit
-	if !s.hasRead {
-		limit = min(limit, maxFirstBytes)
+	if s.awaitsHello {
+		limit = min(limit, maxHelloBytes)
 	}
 	if size > uint64(limit) {
 		return &SizeError{Bytes: int(min(size, 1<<62)), Limit: limit}
 	}
-	s.hasRead = true
+	s.awaitsHello = false
 	data := make([]byte, size)
 	if _, err := io.ReadFull(s.reader, data); err != nil {
 		return err
