Test the limit of a load beside the follower

The stand-in for the store sends pages of few large items, since a page of many small ones takes the test seconds.

--- a/internal/cluster/follower/follower_test.go
+++ b/internal/cluster/follower/follower_test.go
@@ -201,6 +201,18 @@
 	assert.Assert(t, time.Since(start) < 2*time.Second, time.Since(start))
 }
 
+// Guards against a load that never ends and keeps everything, because after each page there is another one.
+func TestLoadFailsWhenPagesHaveNoEnd(t *testing.T) {
+	store := keeper.New()
+	t.Cleanup(store.Close)
+	store.SetFault(keeper.EndlessPages)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	_, err := platform.NewStore(store.Address(), log.New(io.Discard)).Load(ctx, propagationLimit)
+	var size *platform.SizeError
+	assert.Assert(t, errors.As(err, &size), "%v", err)
+}
+
 // staticPeers is a peer with a fixed state that cannot be followed.
 type staticPeers struct{ change registrar.Change }
 
--- a/internal/cluster/messenger/stream.go
+++ b/internal/cluster/messenger/stream.go
@@ -32,7 +32,7 @@
 	sizeLimit int
 	// awaitsHello reports whether the next object must be hello. Only the reader uses it after the start.
 	awaitsHello bool
-	traffic *traffic
+	traffic     *traffic
 	// epoch is the reference time of lastReceived and lastQueued.
 	epoch time.Time
 	// lastReceived is the time of the last bytes read, in nanoseconds since epoch.
--- a/internal/standin/keeper/keeper.go
+++ b/internal/standin/keeper/keeper.go
@@ -25,8 +25,12 @@
 // maxPageItems is the maximum number of items in one page of a range.
 const maxPageItems = 50
 
-// endlessPageItems is the number of items in one of the pages without end, which has about 1 MB.
-const endlessPageItems = 4000
+// endlessPageItems is the number of items in one of the pages without end, which has about 1 MB, and endlessItemBytes the
+// length of the version of a target there.
+const (
+	endlessPageItems = 8
+	endlessItemBytes = 100 << 10
+)
 
 // Fault is a way in which the store fails.
 type Fault int
@@ -248,8 +252,9 @@
 	}
 	page := platform.Page{Revision: 1, More: true}
 	first, _ := strconv.Atoi(strings.TrimPrefix(r.FormValue(platform.ParameterAfter), platform.PrefixTargets+"i-"))
+	version := strings.Repeat("v", endlessItemBytes)
 	for n := range endlessPageItems {
-		value := fmt.Sprintf(`{"service":"more","address":"127.0.0.1:9","zone":"east","version":"v1","slots":4,"state":"ready","warmup_left_ms":0,"seq":1,"born":%d}`, n)
+		value := fmt.Sprintf(`{"service":"more","address":"127.0.0.1:9","zone":"east","version":"%s","slots":4,"state":"ready","warmup_left_ms":0,"seq":1,"born":%d}`, version, n)
 		page.Items = append(page.Items, platform.Item{Key: fmt.Sprintf("%si-%012d", platform.PrefixTargets, first+n+1), Value: []byte(value), Revision: 1})
 	}
 	writeJSON(w, page)
