Read tenants from the configuration

A routing table now holds the tenants with the digests of their API keys, and whether a route allows requests without a key. Keys themselves stay in the adapter. Nothing enforces them yet. A table states whether it knows tenants, since instances of earlier versions drop them when they pass a table on.

--- a/internal/manifest/mapper/mapper.go
+++ b/internal/manifest/mapper/mapper.go
@@ -13,6 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"apricotflow/internal/manifest/authenticator"
 	"apricotflow/internal/manifest/resolver"
 	"apricotflow/internal/wire/encoder"
 )
@@ -50,6 +51,8 @@
 	TopRecords int
 	// MinShardShare is the minimum share of the shards that must reply; a query fails below it.
 	MinShardShare float64
+	// AllowsAnonymous reports whether requests without an API key are allowed although tenants are configured.
+	AllowsAnonymous bool
 }
 
 // IsSharded reports whether a request is sent to several shards and its answer merged from their replies.
@@ -113,6 +116,8 @@
 	// hosts holds the routes by host in lower case, those with the longest prefix first.
 	hosts  map[string][]*Route
 	limits Limits
+	// tenants is nil if none are configured.
+	tenants *authenticator.Tenants
 }
 
 // New creates a table from its encoded form, or returns every problem of its routes.
@@ -131,6 +136,11 @@
 		}
 		t.hosts[r.Host] = append(t.hosts[r.Host], r)
 	}
+	if list := encoded.Tenants; list != nil && list.Configured {
+		t.tenants = authenticator.New(list.Entries, func(path, message string) {
+			problems = append(problems, resolver.Problem{Path: "$.tenants.entries" + path, Message: message})
+		})
+	}
 	if len(problems) > 0 {
 		return nil, problems
 	}
@@ -146,6 +156,7 @@
 		Timeout: milliseconds(w.TimeoutMs), Objective: milliseconds(w.ObjectiveMs), MaxRuns: max(w.MaxTargets, 1),
 		Priority: w.Priority, Shards: w.Shards,
 	}
+	r.AllowsAnonymous = w.AllowAnonymous != nil && *w.AllowAnonymous
 	if w.TopRecords != nil {
 		r.TopRecords = *w.TopRecords
 	}
@@ -196,6 +207,13 @@
 // Limits returns the limits on what a caller may send.
 func (t *Table) Limits() Limits { return t.limits }
 
+// Tenants returns the tenants; nil if none are configured, so that requests need no API key.
+func (t *Table) Tenants() *authenticator.Tenants { return t.tenants }
+
+// KnowsTenants reports whether the table states whether tenants are configured. One that an instance of an earlier
+// version has passed on does not.
+func (t *Table) KnowsTenants() bool { return t.encoded.Tenants != nil }
+
 // Service returns the limits of a service. A service that is unknown has none; t may be nil, and then no service has
 // any.
 func (t *Table) Service(name string) Service {
--- a/internal/query/relayer/relayer.go
+++ b/internal/query/relayer/relayer.go
@@ -13,6 +13,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"apricotflow/internal/manifest/authenticator"
 	"apricotflow/internal/manifest/mapper"
 	"apricotflow/internal/operator/timekeeper"
 	"apricotflow/internal/query/quarantiner"
@@ -108,6 +109,10 @@
 	// PriorRuns is the number of targets of each service that may have run the request before it was handed over. Each
 	// request to a target is then a repetition.
 	PriorRuns int
+	// Tenant is the tenant that holds the caller's key; nil if tenants are not configured or the caller is anonymous.
+	Tenant *authenticator.Tenant
+	// KeyDigest is the digest of the caller's key; zero without a tenant.
+	KeyDigest authenticator.Digest
 }
 
 // WithPriorRuns returns a copy of the request that targets may have run already.
--- a/internal/wire/encoder/types.go
+++ b/internal/wire/encoder/types.go
@@ -1064,6 +1064,10 @@
 
 // Selects requests by host and path prefix, and sets how they are served.
 type Route struct {
+	// Whether requests without an API key are allowed although tenants are
+	// configured. Default false.
+	AllowAnonymous *bool `json:"allow-anonymous,omitempty,omitzero"`
+
 	// Services among which the requests are divided by weight; empty for a query over
 	// shards.
 	Destinations []RouteDestination `json:"destinations,omitempty,omitzero"`
@@ -1145,6 +1149,9 @@
 	// Services that the routes use.
 	Services []RouteService `json:"services"`
 
+	// Tenants corresponds to the JSON schema field "tenants".
+	Tenants *TenantList `json:"tenants,omitempty,omitzero"`
+
 	// Increases with every change.
 	Version int `json:"version"`
 }
@@ -1476,6 +1483,36 @@
 	Target string `json:"target"`
 }
 
+// A customer whose requests are limited and ordered together.
+type Tenant struct {
+	// Number of requests that are allowed in addition to the rate.
+	Burst float64 `json:"burst"`
+
+	// Digests of the API keys: the first 16 bytes of their SHA-256 hashes in
+	// hexadecimal form.
+	KeyDigests []string `json:"key-digests"`
+
+	// Name of the tenant.
+	Name string `json:"name"`
+
+	// Priority of the requests, before that of the route; 0 is the highest.
+	Priority int `json:"priority"`
+
+	// Maximum number of requests per second over all instances; 0 if it is not
+	// limited.
+	Rate float64 `json:"rate"`
+}
+
+// Tenants of the configuration. Absent in a table from an instance that does not
+// know tenants.
+type TenantList struct {
+	// Whether the configuration names tenants, so that requests need an API key.
+	Configured bool `json:"configured"`
+
+	// All tenants.
+	Entries []Tenant `json:"entries"`
+}
+
 // Reply to POST /v1/tickets.
 type TicketReply struct {
 	// Time for which the ticket is valid.
