Rank requests by the priority of their tenant

The priority of a tenant precedes that of the route. Requests without a tenant use the route's priority for both, so that without tenants the order is as before. The queue for targets and the gate of request limits use it.

--- a/internal/query/relayer/forwarder.go
+++ b/internal/query/relayer/forwarder.go
@@ -224,7 +224,7 @@
 
 // rank returns the rank of the request among those that wait for a target.
 func (f *forwarder) rank() queuer.Rank {
-	rank := queuer.Rank{Priority: f.request.Route.Priority, Deadline: f.request.Deadline}
+	rank := queuer.Rank{TenantPriority: f.request.tenantPriority(), Priority: f.request.Route.Priority, Deadline: f.request.Deadline}
 	switch {
 	case !f.cutoff.IsZero():
 		rank.LatestStart = f.cutoff.Add(-f.latency.Median)
--- a/internal/query/relayer/gate.go
+++ b/internal/query/relayer/gate.go
@@ -21,10 +21,25 @@
 	refusals map[string]refusal
 }
 
+// urgency orders requests by the priority of the tenant, then by that of the route; 0 is the highest.
+type urgency struct{ tenant, route int }
+
+func (u urgency) precedes(other urgency) bool {
+	if u.tenant != other.tenant {
+		return u.tenant < other.tenant
+	}
+	return u.route < other.route
+}
+
+// urgency returns the urgency of the request.
+func (r Request) urgency() urgency {
+	return urgency{tenant: r.tenantPriority(), route: r.Route.Priority}
+}
+
 // refusal is the refusal of one query.
 type refusal struct {
-	at       time.Time
-	priority int
+	at      time.Time
+	urgency urgency
 	// parts is the number of parts that the query needed.
 	parts int
 }
@@ -35,7 +50,7 @@
 func (g *limitGate) recordRefusal(service string, r refusal) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if last, found := g.refusals[service]; found && last.priority < r.priority && r.at.Sub(last.at) < shortageTime {
+	if last, found := g.refusals[service]; found && last.urgency.precedes(r.urgency) && r.at.Sub(last.at) < shortageTime {
 		return
 	}
 	g.refusals[service] = r
@@ -43,11 +58,11 @@
 
 // partsRefused returns the number of parts that a more urgent query needed that was refused within shortageTime; 0 if
 // there was none.
-func (g *limitGate) partsRefused(service string, priority int, now time.Time) int {
+func (g *limitGate) partsRefused(service string, u urgency, now time.Time) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	last, found := g.refusals[service]
-	if !found || last.priority >= priority || now.Sub(last.at) >= shortageTime {
+	if !found || !last.urgency.precedes(u) || now.Sub(last.at) >= shortageTime {
 		return 0
 	}
 	return last.parts
--- a/internal/query/relayer/limits.go
+++ b/internal/query/relayer/limits.go
@@ -20,7 +20,7 @@
 		case wait == 0:
 			return Answer{}, false
 		case time.Now().Add(wait).After(f.targetWaitDeadline()):
-			f.gate.recordRefusal(f.parts[0].service.Name, refusal{at: time.Now(), priority: f.request.Route.Priority, parts: f.minParts()})
+			f.gate.recordRefusal(f.parts[0].service.Name, refusal{at: time.Now(), urgency: f.request.urgency(), parts: f.minParts()})
 			return f.answerLimited(wait), true
 		}
 		timekeeper.Sleep(ctx, wait)
@@ -57,7 +57,7 @@
 // partsToStart returns the number of parts that the request limits must allow: as many as an answer needs, and not fewer
 // than a more urgent query needed that has just been refused.
 func (f *forwarder) partsToStart() int {
-	parts := f.gate.partsRefused(f.parts[0].service.Name, f.request.Route.Priority, time.Now())
+	parts := f.gate.partsRefused(f.parts[0].service.Name, f.request.urgency(), time.Now())
 	return max(f.minParts(), min(parts, len(f.parts)))
 }
 
--- a/internal/query/relayer/relayer.go
+++ b/internal/query/relayer/relayer.go
@@ -121,6 +121,14 @@
 	return r
 }
 
+// tenantPriority returns the priority of the tenant, or that of the route for a request without one.
+func (r Request) tenantPriority() int {
+	if r.Tenant == nil {
+		return r.Route.Priority
+	}
+	return r.Tenant.Priority
+}
+
 // maxRuns returns the maximum number of targets of each service that may still run the request.
 func (r Request) maxRuns() int { return r.Route.MaxRuns - r.PriorRuns }
 
--- a/internal/target/queuer/queuer.go
+++ b/internal/target/queuer/queuer.go
@@ -17,6 +17,9 @@
 
 // Rank decides the position of a waiting request.
 type Rank struct {
+	// TenantPriority precedes Priority: it is the priority of the tenant, or that of the route for a request without one; 0
+	// is the highest.
+	TenantPriority int
 	// Priority is the priority of the route; 0 is the highest.
 	Priority int
 	// LatestStart is the latest time to take a target for an answer in time; zero for a request without an objective. A
@@ -31,6 +34,9 @@
 	if r.late(now) != other.late(now) {
 		return other.late(now)
 	}
+	if r.TenantPriority != other.TenantPriority {
+		return r.TenantPriority < other.TenantPriority
+	}
 	if r.Priority != other.Priority {
 		return r.Priority < other.Priority
 	}
