Refuse routing tables that do not know tenants where they are required

An instance of an earlier version drops the tenants from the table that it passes on, which would allow requests without a key. With WithTenantsRequired such a table is not used, and the instance reads the store. The option is not set yet.

--- a/internal/cluster/feeder/feeder.go
+++ b/internal/cluster/feeder/feeder.go
@@ -48,6 +48,9 @@
 var (
 	errOlderState = errors.New("feeder: upstream has an older state")
 	errTooOld     = errors.New("feeder: state of upstream is too old")
+	// errWithoutTenants is returned for a routing table that an instance of an earlier version has passed on. It would allow
+	// requests without a key.
+	errWithoutTenants = errors.New("feeder: routing table of an earlier version, without tenants")
 )
 
 // Instances lists the known instances.
@@ -102,14 +105,32 @@
 	// receivedState identifies the state that was received last from the upstream.
 	receivedState stateID
 	backoffs      map[string]backoff
+	// tenantsRequired reports whether a routing table that does not know tenants is refused.
+	tenantsRequired bool
+	// withoutTenants holds the instances whose latest routing table was refused because it does not know tenants.
+	withoutTenants map[string]bool
+}
+
+// Option configures a Feeder.
+type Option func(*Feeder)
+
+// WithTenantsRequired sets whether a routing table that does not know tenants is refused. An instance of an earlier
+// version drops them from the table that it passes on, so only the receiver can tell.
+func WithTenantsRequired(required bool) Option {
+	return func(f *Feeder) { f.tenantsRequired = required }
 }
 
 // New creates a feeder. The propagation limit is the maximum time until a change of the store is in force.
-func New(identity messenger.Identity, instances Instances, r *registrar.Registrar, propagationLimit time.Duration, logger *log.Logger) *Feeder {
-	return &Feeder{
+func New(identity messenger.Identity, instances Instances, r *registrar.Registrar, propagationLimit time.Duration, logger *log.Logger, opts ...Option) *Feeder {
+	f := &Feeder{
 		maxAge:   time.Duration(maxAgeShare * float64(propagationLimit)),
 		identity: identity, instances: instances, registrar: r, logger: logger, start: time.Now(), nextConfirmation: make(chan struct{}), backoffs: make(map[string]backoff),
+		withoutTenants: make(map[string]bool),
+	}
+	for _, opt := range opts {
+		opt(f)
 	}
+	return f
 }
 
 // Attach sets the messenger and registers the feeder's method on it. It must be called before the messenger starts.
@@ -206,6 +227,9 @@
 	}
 	now := time.Now()
 	change, err := decodeChange(reply, view.ClosedDomains(), now)
+	if err == nil {
+		err = f.checkTenants(upstream, change.Table)
+	}
 	if err != nil {
 		return follower.Update{}, receivedState, err
 	}
@@ -247,6 +271,10 @@
 		return registrar.Change{}, false
 	}
 	change, err := decodeChange(reply, f.registrar.View().ClosedDomains(), time.Now())
+	if err == nil && f.checkTenants(name, change.Table) != nil {
+		// The targets are left out too: after their position the store would not tell the table again.
+		return registrar.Change{}, false
+	}
 	if err != nil {
 		f.logger.Warn("state of another instance refused", "peer", name, "error", err)
 		return registrar.Change{}, false
@@ -254,6 +282,29 @@
 	return change, true
 }
 
+// checkTenants returns an error if the routing table of another instance must not be used, because tenants are required
+// and it does not know them. It logs the first such table of an instance. The table may be nil.
+func (f *Feeder) checkTenants(name string, table *mapper.Table) error {
+	if !f.tenantsRequired || table == nil {
+		return nil
+	}
+	f.mu.Lock()
+	known := f.withoutTenants[name]
+	if table.KnowsTenants() {
+		delete(f.withoutTenants, name)
+	} else {
+		f.withoutTenants[name] = true
+	}
+	f.mu.Unlock()
+	if table.KnowsTenants() {
+		return nil
+	}
+	if !known {
+		f.logger.Warn("routing tables of an instance are not used", "peer", name, "version", table.Version(), "error", errWithoutTenants)
+	}
+	return errWithoutTenants
+}
+
 // handleFollow replies to a downstream instance as soon as the state here differs from the one that it has, was
 // confirmed again, or is too old.
 func (f *Feeder) handleFollow(ctx context.Context, _ messenger.Peer, request encoder.FollowRequest) (encoder.FollowReply, error) {
