Authenticate callers by API keys in relay mode

Where the configuration has tenants, a request needs a key and gets 401 before its body is read if it has none or an unknown one, and 429 above the limit of its tenant. Targets and other instances get the name of the tenant in place of the key. Delegated requests and batches carry the tenant, the digest of the key and the version of the table; a head with a key, which an instance of an earlier version sends, is refused.

--- a/internal/caller/assembler/relay.go
+++ b/internal/caller/assembler/relay.go
@@ -132,10 +132,11 @@
 }
 
 func newConcentrator(
-	d *discoverer.Discoverer, m *messenger.Messenger, r *registrar.Registrar, s *sender.Sender, standstills *timekeeper.StandstillDetector,
+	platform PlatformAdapters, d *discoverer.Discoverer, m *messenger.Messenger, r *registrar.Registrar, s *sender.Sender, standstills *timekeeper.StandstillDetector,
 	l *log.Logger, scope tally.Scope,
 ) relayer.Concentrator {
-	c := concentrator.New(d, r, s, l, scope, concentrator.WithStandstills(standstills.JustResumed))
+	c := concentrator.New(d, r, s, l, scope, concentrator.WithStandstills(standstills.JustResumed),
+		concentrator.WithTenantHeader(platform.CallerHeaders.TenantHeader()))
 	c.Attach(m)
 	return c
 }
--- a/internal/caller/receiver/delegation.go
+++ b/internal/caller/receiver/delegation.go
@@ -14,8 +14,8 @@
 	return rc.Ready() && rc.inFlight.Load() < rc.maxInFlight
 }
 
-// ServeDelegated serves a request that another instance has handed over, by the routing table that is in force here. It
-// returns a *relayer.NotAcceptedError if the request was not sent to any target.
+// ServeDelegated serves a request that another instance has handed over, by the routing table that is in force here. The
+// origin has taken it off the limit of its tenant. It returns a *relayer.NotAcceptedError if the request was not sent to any target.
 func (rc *Receiver) ServeDelegated(ctx context.Context, d relayer.Delegation) (relayer.Answer, error) {
 	arrived := time.Now()
 	refuse := func(reason string) (relayer.Answer, error) {
@@ -36,17 +36,24 @@
 	}
 	path, _, _ := strings.Cut(d.Outbound.URI(), "?")
 	route, found := table.Match(d.Outbound.Host(), path)
-	switch {
-	case !found:
+	if !found {
 		return refuse("no route")
+	}
+	sender, reason := identifyDelegated(table, route, d, rc.codec.TenantHeader())
+	switch {
+	case reason != "":
+		return refuse(reason)
 	case !rc.relay.CanServeRoute(route, d.Outbound.ID):
 		return refuse("too few serving and reachable targets")
 	case d.PriorRuns >= route.MaxRuns:
 		return refuse("no further run allowed")
 	}
 	d.Outbound.RequireFreshConnection = !route.Idempotent
+	if d.Tenant != "" {
+		d.Outbound = d.Outbound.WithCredentials(d.KeyDigest.String())
+	}
 	request := relayer.Request{
-		Route: route, Table: table, Outbound: d.Outbound, Arrived: arrived, Delegated: true, PriorRuns: d.PriorRuns,
+		Route: route, Table: table, Outbound: d.Outbound, Tenant: sender.tenant, KeyDigest: sender.digest, Arrived: arrived, Delegated: true, PriorRuns: d.PriorRuns,
 		Deadline: rc.limitToService(arrived.Add(d.TimeLeft)),
 	}
 	if d.DueIn != nil {
--- a/internal/caller/receiver/receiver.go
+++ b/internal/caller/receiver/receiver.go
@@ -1,7 +1,7 @@
-// Package receiver serves the HTTP interface for callers in relay mode. It matches each request to a route, limits
-// size, concurrency and time, and writes the answer with the status of its outcome. Package relayer sends the requests
-// to targets, and a HeaderCodec, which package platform implements, reads and writes the headers of the platform. In
-// native mode, package server serves callers.
+// Package receiver serves the HTTP interface for callers in relay mode. It matches each request to a route, determines
+// its tenant, limits size, concurrency and time, and writes the answer with the status of its outcome. Package relayer
+// sends the requests to targets, a HeaderCodec, which package platform implements, reads and writes the headers of the
+// platform, and Quotas counts the requests of tenants. In native mode, package server serves callers.
 package receiver
 
 import (
@@ -63,9 +63,15 @@
 type HeaderCodec interface {
 	// ReadCaller returns what the headers of a request state about its caller.
 	ReadCaller(header http.Header) Caller
-	// IsReserved reports whether a request header is set by the system itself, so that it is not forwarded from the
-	// caller.
-	IsReserved(name string) bool
+	// IsReserved reports whether a request header is set by the system itself, or read only by it, so that it is not
+	// forwarded from the caller. While tenants are in force, more headers are.
+	IsReserved(name string, tenantsInForce bool) bool
+	// ReadKey returns the API key that a request states, which is empty if it is malformed; false if it states none.
+	ReadKey(header http.Header) (key string, stated bool)
+	// TenantHeader returns the name of the header that tells targets the tenant.
+	TenantHeader() string
+	// WriteChallenge sets the headers of a response with 401.
+	WriteChallenge(header http.Header)
 	// WriteMerged sets the headers of a response that is merged from the replies of several targets.
 	WriteMerged(header http.Header, signatures []string, missing int)
 }
@@ -101,6 +107,8 @@
 	http      *http.Server
 	idle      *idleConnections
 	stateAge  func() time.Duration
+	quotas    Quotas
+	refusals  *refusalPeriods
 	// inFlight is the number of requests in flight, and maxInFlight its limit.
 	inFlight    atomic.Int64
 	maxInFlight int64
@@ -116,7 +124,7 @@
 	rc := &Receiver{
 		codec: codec, registrar: r, relay: relay, logger: logger, scope: scope, maxInFlight: int64(maxInFlight),
 		latency: scope.Histogram("receiver-latency", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)),
-		idle:    newIdleConnections(), stateAge: func() time.Duration { return 0 },
+		idle:    newIdleConnections(), stateAge: func() time.Duration { return 0 }, quotas: unlimited{}, refusals: newRefusalPeriods(),
 	}
 	for _, opt := range opts {
 		opt(rc)
@@ -179,6 +187,15 @@
 
 // serve handles one request.
 func (rc *Receiver) serve(w http.ResponseWriter, r *http.Request) {
+	if refused := rc.serveCounted(w, r); refused {
+		// The request no longer counts as in flight, so that callers without a valid key cannot use up the limit.
+		rc.discardBody(w, r)
+	}
+}
+
+// serveCounted handles one request, which counts as in flight. It reports whether the request was refused before its body
+// was read, with a response that is written already.
+func (rc *Receiver) serveCounted(w http.ResponseWriter, r *http.Request) (refused bool) {
 	arrived := time.Now()
 	started := requestStart(r.Context(), arrived)
 	if !rc.Ready() {
@@ -189,20 +206,20 @@
 		rc.scope.Counter("receiver-stopping").Inc(1)
 		rc.logger.Info("request", "id", rc.codec.ReadCaller(r.Header).RequestID, "outcome", relayer.NotRun, "reason", "instance stopping")
 		rc.writeUnavailable(w, stoppingRetryAfter)
-		return
+		return false
 	}
 	if rc.inFlight.Add(1) > rc.maxInFlight {
 		rc.inFlight.Add(-1)
 		rc.scope.Counter("receiver-overload").Inc(1)
 		rc.writeUnavailable(w, overloadRetryAfter)
-		return
+		return false
 	}
 	defer rc.inFlight.Add(-1)
 	table := rc.registrar.View().Table()
 	if table == nil {
 		rc.logger.Info("request", "id", rc.codec.ReadCaller(r.Header).RequestID, "outcome", relayer.NotRun, "reason", "no configuration")
 		rc.writeUnavailable(w, unconfiguredRetryAfter)
-		return
+		return false
 	}
 	path, _, _ := strings.Cut(requestURI(r), "?")
 	route, found := table.Match(r.Host, path)
@@ -211,7 +228,11 @@
 		rc.logger.Info("request", "id", rc.codec.ReadCaller(r.Header).RequestID, "outcome", "no-route", "host", r.Host, "path", path,
 			"version", table.Version(), "age-ms", rc.stateAge().Milliseconds())
 		rc.writeEmpty(w, http.StatusNotFound)
-		return
+		return false
+	}
+	sender, admitted := rc.authenticate(w, r, table, route)
+	if !admitted {
+		return true
 	}
 	caller := rc.codec.ReadCaller(r.Header)
 	deadline := rc.limitToService(requestDeadline(arrived, caller.TimeLeft, route.Timeout))
@@ -219,18 +240,27 @@
 	if status != 0 {
 		rc.logger.Info("request", "id", caller.RequestID, "outcome", "body-refused", "status", status)
 		rc.writeEmpty(w, status)
-		return
+		return false
+	}
+	header := rc.forwardedHeaders(r.Header, table.Tenants() != nil)
+	if sender.tenant != nil {
+		header.Set(rc.codec.TenantHeader(), sender.tenant.Name)
+	}
+	outbound := transporter.NewRequest(caller.RequestID, r.Method, requestURI(r), r.Host, header, body)
+	if sender.tenant != nil {
+		outbound = outbound.WithCredentials(sender.digest.String())
 	}
-	outbound := transporter.NewRequest(caller.RequestID, r.Method, requestURI(r), r.Host, rc.forwardedHeaders(r.Header), body)
 	outbound.RequireFreshConnection = !route.Idempotent
 	request := relayer.Request{
 		Route: route, Table: table, Outbound: outbound, Arrived: arrived,
 		Due: answerDue(started, route.Objective), Deadline: deadline,
+		Tenant: sender.tenant, KeyDigest: sender.digest,
 	}
 	answer := rc.relay.Relay(r.Context(), request)
 	rc.latency.RecordDuration(time.Since(arrived))
 	rc.logIfNotable(rc.logger, request, answer)
 	rc.writeAnswer(w, r.Method, answer)
+	return false
 }
 
 // requestURI returns the request target in origin form, as the caller sent it.
@@ -315,12 +345,12 @@
 	return names
 }
 
-// forwardedHeaders returns the end-to-end headers of a request, except those that the system sets itself.
-func (rc *Receiver) forwardedHeaders(header http.Header) http.Header {
+// forwardedHeaders returns the end-to-end headers of a request, except those that are reserved.
+func (rc *Receiver) forwardedHeaders(header http.Header, tenantsInForce bool) http.Header {
 	listed := connectionHeaders(header)
 	forwardedHeaders := make(http.Header, len(header))
 	for name, values := range header {
-		if !fixedHopByHopHeaders[name] && !listed[name] && !rc.codec.IsReserved(name) {
+		if !fixedHopByHopHeaders[name] && !listed[name] && !rc.codec.IsReserved(name, tenantsInForce) {
 			forwardedHeaders[name] = values
 		}
 	}
@@ -384,7 +414,7 @@
 
 // writeUnavailable writes a 503 response with a Retry-After header. It states that the request has not run.
 func (rc *Receiver) writeUnavailable(w http.ResponseWriter, retryAfter time.Duration) {
-	w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', -1, 64))
+	w.Header().Set("Retry-After", formatSeconds(retryAfter))
 	rc.writeEmpty(w, http.StatusServiceUnavailable)
 }
 
--- a/internal/query/delegator/codec.go
+++ b/internal/query/delegator/codec.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"apricotflow/internal/manifest/authenticator"
 	"apricotflow/internal/query/relayer"
 	"apricotflow/internal/target/transporter"
 	"apricotflow/internal/wire/encoder"
@@ -35,6 +36,10 @@
 		Body: base64.StdEncoding.EncodeToString(request.Outbound.Body()), Version: request.Table.Version(),
 		LeftMs: int(max(time.Until(request.Deadline)-hopTime, 0).Milliseconds()),
 	}
+	if request.Tenant != nil {
+		digest := request.KeyDigest.String()
+		message.Tenant, message.KeyDigest = &request.Tenant.Name, &digest
+	}
 	if request.PriorRuns > 0 {
 		message.Runs = &request.PriorRuns
 	}
@@ -58,6 +63,12 @@
 	d := relayer.Delegation{
 		Origin: origin, Outbound: outbound, Version: message.Version, TimeLeft: time.Duration(message.LeftMs) * time.Millisecond,
 	}
+	if message.Tenant != nil && message.KeyDigest != nil {
+		d.Tenant = *message.Tenant
+		if d.KeyDigest, err = authenticator.ParseDigest(*message.KeyDigest); err != nil {
+			return relayer.Delegation{}, fmt.Errorf("%w: %w", errMalformed, err)
+		}
+	}
 	if message.Runs != nil {
 		d.PriorRuns = max(*message.Runs, 0)
 	}
--- a/internal/query/relayer/delegation.go
+++ b/internal/query/relayer/delegation.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"apricotflow/internal/manifest/authenticator"
 	"apricotflow/internal/manifest/mapper"
 	"apricotflow/internal/target/sender"
 	"apricotflow/internal/target/transporter"
@@ -29,6 +30,10 @@
 	Outbound *transporter.Request
 	// Version is the version of the routing table that the origin has in force.
 	Version int
+	// Tenant is the name of the tenant that the origin has determined by this table, and KeyDigest the digest of the key;
+	// empty and zero if it has none.
+	Tenant    string
+	KeyDigest authenticator.Digest
 	// DueIn is the time until the answer is due, negative if it is late; nil if the route has no objective.
 	DueIn *time.Duration
 	// TimeLeft is the time until the deadline.
--- a/internal/query/relayer/results.go
+++ b/internal/query/relayer/results.go
@@ -48,7 +48,7 @@
 	case transporter.Unsent:
 		p.sentRequests--
 		p.possibleRuns--
-		if errors.Is(r.result.Err, sender.ErrPeerOutOfReach) {
+		if errors.Is(r.result.Err, sender.ErrPeerOutOfReach) || errors.Is(r.result.Err, sender.ErrPeerRefused) {
 			// The target may still be reached from here.
 			p.triedTargets = slices.DeleteFunc(p.triedTargets, func(id string) bool { return id == r.target.ID })
 		}
--- a/internal/query/relayer/start.go
+++ b/internal/query/relayer/start.go
@@ -100,6 +100,9 @@
 		Peer: peer, Request: f.request.Outbound, Route: f.request.Route.Name, MaxRecords: f.request.Route.TopRecords,
 		FlushAfter: f.flushAfter(), Deadline: f.request.Deadline,
 	}
+	if f.request.Tenant != nil {
+		batch.Tenant, batch.KeyDigest, batch.Version = f.request.Tenant.Name, f.request.KeyDigest, f.request.Table.Version()
+	}
 	ends := make([]func(transporter.Result), len(choices))
 	for n, c := range choices {
 		p := f.parts[c.part]
--- a/internal/target/concentrator/concentrator.go
+++ b/internal/target/concentrator/concentrator.go
@@ -9,6 +9,7 @@
 	"context"
 	"encoding/base64"
 	"errors"
+	"fmt"
 	"strconv"
 	"strings"
 	"sync"
@@ -22,6 +23,7 @@
 	"apricotflow/internal/cluster/canceler"
 	"apricotflow/internal/cluster/messenger"
 	"apricotflow/internal/cluster/registrar"
+	"apricotflow/internal/manifest/authenticator"
 	"apricotflow/internal/target/sender"
 	"apricotflow/internal/target/transporter"
 	"apricotflow/internal/wire/encoder"
@@ -84,6 +86,11 @@
 	FlushAfter time.Duration
 	Deadline   time.Time
 	Targets    []registrar.Target
+	// Tenant is the name of the tenant of the request, KeyDigest the digest of its key and Version that of the routing table
+	// by which they were determined; zero if the request has no tenant.
+	Tenant    string
+	KeyDigest authenticator.Digest
+	Version   int
 }
 
 // PartialResults holds some results of a batch. The records are merged from the replies of the mergeable results.
@@ -118,6 +125,8 @@
 	nextPeer     int
 	// justResumed reports whether a standstill of the process has ended within the last moments.
 	justResumed func() bool
+	// tenantHeader is the name of the header that tells targets the tenant; empty if it is not checked.
+	tenantHeader string
 }
 
 // sentBatch is a batch that waits for late results.
@@ -136,6 +145,12 @@
 	return func(c *Concentrator) { c.justResumed = justResumed }
 }
 
+// WithTenantHeader sets the name of the header that tells targets the tenant. While tenants are in force, batches must
+// state the tenant that they carry in it.
+func WithTenantHeader(name string) Option {
+	return func(c *Concentrator) { c.tenantHeader = name }
+}
+
 // New returns a Concentrator without a messenger; see Attach.
 func New(peers Peers, r *registrar.Registrar, local LocalSender, logger *log.Logger, scope tally.Scope, opts ...Option) *Concentrator {
 	c := &Concentrator{
@@ -205,6 +220,11 @@
 		deliver(results.failRemaining(transporter.Unsent, sender.ErrPeerOutOfReach, time.Since(start)))
 		return
 	}
+	if reply.Refused != nil {
+		c.scope.Counter("concentrator-not-accepted").Inc(1)
+		deliver(results.failRemaining(transporter.Unsent, fmt.Errorf("%w: %s", sender.ErrPeerRefused, *reply.Refused), time.Since(start)))
+		return
+	}
 	deliver(results.decode(reply.Parts))
 	c.countEmptyReply(batch.Peer, results.remaining == len(batch.Targets))
 	for results.remaining > 0 {
@@ -246,6 +266,10 @@
 		ids = append(ids, t.ID)
 	}
 	message.Targets = strings.Join(ids, " ")
+	if batch.Tenant != "" {
+		digest := batch.KeyDigest.String()
+		message.Tenant, message.KeyDigest, message.Version = &batch.Tenant, &digest, &batch.Version
+	}
 	return message
 }
 
--- a/internal/target/concentrator/serve.go
+++ b/internal/target/concentrator/serve.go
@@ -9,11 +9,19 @@
 	"time"
 
 	"apricotflow/internal/cluster/messenger"
+	"apricotflow/internal/manifest/authenticator"
 	"apricotflow/internal/operator/timekeeper"
 	"apricotflow/internal/target/transporter"
 	"apricotflow/internal/wire/encoder"
 )
 
+// Reasons why nothing is sent for a batch.
+var (
+	errKeyInHead   = errors.New("concentrator: head of an earlier version, with a key")
+	errOtherTenant = errors.New("concentrator: head of an earlier version, with another tenant")
+	errRevokedKey  = errors.New("concentrator: key no longer belongs to the tenant")
+)
+
 // errUnknownTarget is returned for a target that is not in the registrar of this instance.
 var errUnknownTarget = errors.New("concentrator: unknown target")
 
@@ -35,12 +43,16 @@
 	}
 	c.scope.Counter("concentrator-served").Inc(1)
 	ids := strings.Fields(message.Targets)
+	r := transporter.RestoreRequest(message.RequestId, message.Method, []byte(message.Head), body)
+	if refusal := c.checkTenant(message, r); refusal != nil {
+		c.scope.Counter("concentrator-refused").Inc(1)
+		return refusedReply(refusal, len(ids)), nil
+	}
 	if !c.reachesAll(ids) {
 		c.scope.Counter("concentrator-out-of-reach").Inc(1)
 		outOfReach := true
 		return encoder.PartsReply{OutOfReach: &outOfReach}, nil
 	}
-	r := transporter.RestoreRequest(message.RequestId, message.Method, []byte(message.Head), body)
 	deadline := time.Now().Add(time.Duration(message.LeftMs) * time.Millisecond)
 	ctx, end := c.served.Begin(ctx, batchKey(peer, message.Batch))
 	batchCtx, cancel := context.WithDeadline(ctx, deadline)
@@ -83,6 +95,56 @@
 	return encoder.PartsReply{Parts: collector.encode()}, nil
 }
 
+// checkTenant returns why nothing may be sent for a batch by the routing table in force here: its head comes from an
+// instance of an earlier version, which forwards keys, or its key no longer belongs to its tenant. It does not check keys
+// against a table that is not newer than that of the sender.
+func (c *Concentrator) checkTenant(message encoder.PartsRequest, r *transporter.Request) error {
+	table := c.registrar.View().Table()
+	if table == nil || table.Tenants() == nil {
+		return nil
+	}
+	hasTenant := message.Tenant != nil && message.KeyDigest != nil && message.Version != nil
+	switch {
+	case r.HasCredentials():
+		return errKeyInHead
+	case !c.statesTenant(r, message.Tenant, hasTenant):
+		return errOtherTenant
+	case !hasTenant || *message.Version >= table.Version():
+		return nil
+	}
+	digest, err := authenticator.ParseDigest(*message.KeyDigest)
+	if err != nil {
+		return err
+	}
+	if tenant, found := table.Tenants().Find(digest); !found || tenant.Name != *message.Tenant {
+		return errRevokedKey
+	}
+	return nil
+}
+
+// statesTenant reports whether the head states the tenant of the batch, and none if the batch has none.
+func (c *Concentrator) statesTenant(r *transporter.Request, tenant *string, hasTenant bool) bool {
+	if c.tenantHeader == "" {
+		return true
+	}
+	stated := r.HeaderValues(c.tenantHeader)
+	if !hasTenant {
+		return len(stated) == 0
+	}
+	return len(stated) == 1 && stated[0] == strings.TrimSpace(*tenant)
+}
+
+// refusedReply returns the reply to a batch of which nothing was sent. It states this in a form that instances of earlier
+// versions know too.
+func refusedReply(reason error, targets int) encoder.PartsReply {
+	collector := newResultCollector(0)
+	for i := range targets {
+		collector.add(indexedResult{index: i, result: transporter.Result{Outcome: transporter.Unsent, Err: reason}})
+	}
+	text := reason.Error()
+	return encoder.PartsReply{Parts: collector.encode(), Refused: &text}
+}
+
 // reachesAll reports whether this instance reaches the failure domains of all known targets.
 func (c *Concentrator) reachesAll(ids []string) bool {
 	view := c.registrar.View()
--- a/internal/target/sender/sender.go
+++ b/internal/target/sender/sender.go
@@ -430,12 +430,15 @@
 // ErrPeerOutOfReach is returned for a request through a peer that does not reach the target at present.
 var ErrPeerOutOfReach = errors.New("sender: peer does not reach the target")
 
+// ErrPeerRefused is returned for a request through a peer that sends nothing on behalf of its tenant.
+var ErrPeerRefused = errors.New("sender: peer has refused the request")
+
 // givenUpHere reports whether the request was not tried, because all connections were in use, the target was no longer
-// serving or took no requests, or the peer to send it did not reach the target.
+// serving or took no requests, or the peer to send it did not reach the target or refused the request.
 func givenUpHere(result transporter.Result) bool {
 	var busy *transporter.BusyError
 	return errors.As(result.Err, &busy) || errors.Is(result.Err, errNotServing) || errors.Is(result.Err, errPaused) ||
-		errors.Is(result.Err, ErrPeerOutOfReach)
+		errors.Is(result.Err, ErrPeerOutOfReach) || errors.Is(result.Err, ErrPeerRefused)
 }
 
 func (s *Sender) send(ctx context.Context, target registrar.Target, limit int, r *transporter.Request, deadline time.Time) transporter.Result {
--- a/internal/target/transporter/request.go
+++ b/internal/target/transporter/request.go
@@ -28,6 +28,9 @@
 	body []byte
 }
 
+// credentialsHeader is the header with the credentials of the caller.
+const credentialsHeader = "Authorization"
+
 // NewRequest serializes what is the same for all targets. The header must contain end-to-end headers only.
 func NewRequest(id, method, uri, host string, header http.Header, body []byte) *Request {
 	var head bytes.Buffer
@@ -38,7 +41,7 @@
 		head.WriteString("Content-Length: " + strconv.Itoa(len(body)) + "\r\n")
 	}
 	return &Request{
-		ID: id, Method: method, uri: uri, host: host, credentials: header.Get("Authorization"), head: head.Bytes(), body: body,
+		ID: id, Method: method, uri: uri, host: host, credentials: header.Get(credentialsHeader), head: head.Bytes(), body: body,
 	}
 }
 
@@ -47,14 +50,38 @@
 func ParseRequest(id string, head, body []byte) (*Request, error) {
 	parsed, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(append(bytes.Clone(head), "\r\n"...))))
 	if err != nil {
-		return nil, fmt.Errorf("transporter: parse head of request %s: %w", id, err)
+		// The cause is left out, because it may quote a line with credentials.
+		return nil, fmt.Errorf("transporter: head of request %s is malformed", id)
 	}
 	return &Request{
-		ID: id, Method: parsed.Method, uri: parsed.RequestURI, host: parsed.Host, credentials: parsed.Header.Get("Authorization"),
+		ID: id, Method: parsed.Method, uri: parsed.RequestURI, host: parsed.Host, credentials: parsed.Header.Get(credentialsHeader),
 		head: head, body: body,
 	}, nil
 }
 
+// WithCredentials returns a copy of the request whose properties have the given credentials. They are not sent: they
+// replace those that the head lacks because targets must not get them.
+func (r *Request) WithCredentials(credentials string) *Request {
+	replaced := *r
+	replaced.credentials = credentials
+	return &replaced
+}
+
+// HasCredentials reports whether the head has a line with credentials.
+func (r *Request) HasCredentials() bool { return len(r.HeaderValues(credentialsHeader)) > 0 }
+
+// HeaderValues returns the values of the lines of the head with the header.
+func (r *Request) HeaderValues(name string) []string {
+	var values []string
+	for line := range bytes.Lines(r.head) {
+		field, value, found := bytes.Cut(line, []byte(":"))
+		if found && bytes.EqualFold(bytes.TrimSpace(field), []byte(name)) {
+			values = append(values, string(bytes.TrimSpace(value)))
+		}
+	}
+	return values
+}
+
 // Host returns the host that the caller has named.
 func (r *Request) Host() string { return r.host }
 
--- a/internal/wire/encoder/types.go
+++ b/internal/wire/encoder/types.go
@@ -130,6 +130,10 @@
 	// Id of the delegation, unique within the sender's incarnation.
 	Id string `json:"id"`
 
+	// Digest of the API key of the tenant, in hexadecimal form; present with the
+	// tenant.
+	KeyDigest *string `json:"key-digest,omitempty,omitzero"`
+
 	// Time left until the deadline of the request.
 	LeftMs int `json:"left-ms"`
 
@@ -140,6 +144,9 @@
 	// if it was not sent to any.
 	Runs *int `json:"runs,omitempty,omitzero"`
 
+	// Name of the tenant that the sender has determined; absent if it has none.
+	Tenant *string `json:"tenant,omitempty,omitzero"`
+
 	// Version of the routing table that the sender has in force.
 	Version int `json:"version"`
 }
@@ -616,6 +623,30 @@
 
 	// All services with their targets.
 	Services []Service `json:"services"`
+
+	// Tenants whose callers need an API key. If it is absent, no keys are needed.
+	Tenants []ManifestTenant `json:"tenants,omitempty,omitzero"`
+}
+
+// A customer whose queries are limited and ordered together.
+type ManifestTenant struct {
+	// Number of queries that are allowed in addition to the rate. Default 0.
+	Burst *float64 `json:"burst,omitempty,omitzero"`
+
+	// Digests of the API keys: the first 16 bytes of their SHA-256 hashes in
+	// hexadecimal form.
+	KeyDigests []string `json:"key-digests"`
+
+	// Unique name.
+	Name string `json:"name"`
+
+	// Priority of the queries, before that of the query class; 0 is the highest.
+	// Default 0.
+	Priority *int `json:"priority,omitempty,omitzero"`
+
+	// Maximum number of queries per second over all instances; 0 if it is not
+	// limited. Default 0.
+	Rate *float64 `json:"rate,omitempty,omitzero"`
 }
 
 // One instance of the query tier.
@@ -746,6 +777,10 @@
 
 	// Parts corresponds to the JSON schema field "parts".
 	Parts MergedParts `json:"parts"`
+
+	// Why the instance has sent nothing on behalf of the tenant; absent if it has.
+	// The parts then state the same for each target.
+	Refused *string `json:"refused,omitempty,omitzero"`
 }
 
 // Requests that an instance send one request to several targets in its failure
@@ -767,6 +802,10 @@
 	// Request line and headers that are the same for all targets.
 	Head string `json:"head"`
 
+	// Digest of the API key of the tenant, in hexadecimal form; present with the
+	// tenant.
+	KeyDigest *string `json:"key-digest,omitempty,omitzero"`
+
 	// Kind of request, for which latencies are recorded separately.
 	Kind string `json:"kind"`
 
@@ -782,8 +821,15 @@
 	// Ids of the targets, separated by spaces.
 	Targets string `json:"targets"`
 
+	// Name of the tenant that the sender has determined; absent if it has none.
+	Tenant *string `json:"tenant,omitempty,omitzero"`
+
 	// Maximum number of records to keep from all parts.
 	Top int `json:"top"`
+
+	// Version of the routing table by which the sender has determined the tenant;
+	// present with the tenant.
+	Version *int `json:"version,omitempty,omitzero"`
 }
 
 // Selects the algorithms of the query path. The values other than the defaults
@@ -859,6 +905,10 @@
 
 // A class of queries with the same index, priority, routing and deadline.
 type QueryClass struct {
+	// Whether queries without an API key are allowed although the manifest has
+	// tenants. Default false.
+	AllowAnonymous *bool `json:"allow-anonymous,omitempty,omitzero"`
+
 	// Default and maximum deadline of a query.
 	DeadlineMs int `json:"deadline-ms"`
 
@@ -1181,6 +1231,9 @@
 
 	// Request corresponds to the JSON schema field "request".
 	Request QueryRequest `json:"request"`
+
+	// Name of the tenant that the sender has determined; absent if it has none.
+	Tenant *string `json:"tenant,omitempty,omitzero"`
 }
 
 // A set of targets that serve the same shards.
