Authenticate callers by API keys in native mode

The manifest may list tenants with digests of their keys, and query classes that need none. apricotflow check reports each problem with its path. A ticketed query counts against the limit of its tenant when it starts, so that one sent again is not refused as not run.

--- a/internal/caller/assembler/caller.go
+++ b/internal/caller/assembler/caller.go
@@ -12,6 +12,7 @@
 	"apricotflow/internal/cluster/gossiper"
 	"apricotflow/internal/cluster/messenger"
 	"apricotflow/internal/cluster/watcher"
+	"apricotflow/internal/manifest/authenticator"
 	"apricotflow/internal/operator/checker"
 	"apricotflow/internal/operator/loader"
 	"apricotflow/internal/operator/recorder"
@@ -34,10 +35,11 @@
 
 func newCallerServer(
 	settings loader.Settings, e *executor.Executor, t *ticketer.Ticketer, check *checker.Checker, m *messenger.Messenger,
-	clock *timekeeper.HybridClock, logger *log.Logger, scope tally.Scope,
+	configuration *configurer.Configurer, clock *timekeeper.HybridClock, logger *log.Logger, scope tally.Scope,
 ) *server.Server {
 	s := server.New(e, t, check, callerLogger{logger}, scope,
-		server.WithBalancerDelay(settings.BalancerDelay()), server.WithShutdownTimeout(settings.ShutdownTimeout()))
+		server.WithBalancerDelay(settings.BalancerDelay()), server.WithShutdownTimeout(settings.ShutdownTimeout()),
+		server.WithTenants(func() *authenticator.Tenants { return configuration.Manifest().Tenants() }))
 	messenger.Handle(m, methodRunTicket, func(ctx context.Context, _ messenger.Peer, request encoder.RunTicketRequest) (encoder.RunTicketReply, error) {
 		reply := s.RunForwardedTicket(ctx, request)
 		reply.Clock = clock.Now()
--- a/internal/caller/assembler/query.go
+++ b/internal/caller/assembler/query.go
@@ -7,6 +7,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/fx"
 
+	"apricotflow/internal/caller/server"
 	"apricotflow/internal/cluster/configurer"
 	"apricotflow/internal/cluster/messenger"
 	"apricotflow/internal/operator/checker"
@@ -51,6 +52,9 @@
 
 // RunTicket runs a ticketed query on the instance that issued its ticket.
 func (t ticketForwarder) RunTicket(ctx context.Context, instance string, request encoder.RunTicketRequest) (encoder.RunTicketReply, error) {
+	if tenant := server.TenantOf(ctx); tenant != nil {
+		request.Tenant = &tenant.Name
+	}
 	return messenger.Call[encoder.RunTicketRequest, encoder.RunTicketReply](ctx, t.messenger, instance, methodRunTicket, request)
 }
 
--- a/internal/caller/server/handlers.go
+++ b/internal/caller/server/handlers.go
@@ -10,31 +10,47 @@
 )
 
 func (s *Server) postQuery(w http.ResponseWriter, r *http.Request) {
+	ctx, rejection := s.authenticate(r, encoder.QueryOutcomeUnknown)
+	if rejection != nil {
+		s.write(w, *rejection)
+		return
+	}
 	raw, rejection := readBody(w, r)
 	if rejection != nil {
 		s.write(w, *rejection)
 		return
 	}
 	request, rejection := s.queryValidator.decode(raw)
+	if rejection == nil {
+		rejection = s.checkAnonymous(ctx, request.QueryClass, encoder.QueryOutcomeUnknown)
+	}
 	if rejection != nil {
 		s.write(w, *rejection)
 		return
 	}
 	if request.Ticket == nil {
-		s.write(w, s.execute(r.Context(), request))
+		s.write(w, s.execute(ctx, request))
 		return
 	}
 	// 0: a query that comes from its caller has no remaining time of another instance.
-	s.write(w, s.runTicket(r.Context(), request, 0, s.tickets.Run))
+	s.write(w, s.runTicket(ctx, request, 0, s.tickets.Run))
 }
 
 func (s *Server) postTicket(w http.ResponseWriter, r *http.Request) {
+	ctx, rejection := s.authenticate(r, encoder.QueryOutcomeNotRun)
+	if rejection != nil {
+		s.write(w, *rejection)
+		return
+	}
 	raw, rejection := readBody(w, r)
 	if rejection != nil {
 		s.write(w, *rejection)
 		return
 	}
 	request, rejection := s.ticketValidator.decode(raw)
+	if rejection == nil {
+		rejection = s.checkAnonymous(ctx, request.QueryClass, encoder.QueryOutcomeNotRun)
+	}
 	if rejection != nil {
 		s.write(w, *rejection)
 		return
@@ -75,11 +91,19 @@
 	if message.Request.Ticket == nil {
 		return toRunTicketReply(kindTicketRequired.response("$.ticket", "server: run ticket: no ticket"))
 	}
+	if message.Tenant != nil {
+		// A tenant that the manifest in force here does not list has no limit here.
+		tenant, _ := s.tenants().ByName(*message.Tenant)
+		ctx = withIdentity(ctx, identity{needsKey: true, tenant: tenant})
+	}
 	// DeadlineMs of this message is the time left, not a deadline of the query class.
 	return toRunTicketReply(s.runTicket(ctx, message.Request, message.DeadlineMs, s.tickets.RunForwarded))
 }
 
 func (s *Server) execute(ctx context.Context, request encoder.QueryRequest) response {
+	if refused := s.admit(ctx); refused != nil {
+		return *refused
+	}
 	reply, err := s.executor.Execute(ctx, request)
 	if err != nil {
 		return responseForExecuteError(err)
--- a/internal/caller/server/middleware.go
+++ b/internal/caller/server/middleware.go
@@ -71,6 +71,9 @@
 	if resp.retryAfter > 0 {
 		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(resp.retryAfter.Seconds()))))
 	}
+	if resp.status == http.StatusUnauthorized {
+		w.Header().Set(headerChallenge, keyScheme)
+	}
 	w.WriteHeader(resp.status)
 	if _, err := w.Write(resp.body); err != nil {
 		s.unsentResponses.Inc(1)
--- a/internal/caller/server/responses.go
+++ b/internal/caller/server/responses.go
@@ -24,6 +24,8 @@
 	kindInvalidRequest       = errorKind{"invalid-request", http.StatusBadRequest, encoder.QueryOutcomeNotRun}
 	kindUnreadableBody       = errorKind{"unreadable-body", http.StatusBadRequest, encoder.QueryOutcomeNotRun}
 	kindBodyTooLarge         = errorKind{"body-too-large", http.StatusRequestEntityTooLarge, encoder.QueryOutcomeNotRun}
+	kindUnauthorized         = errorKind{"unauthorized", http.StatusUnauthorized, encoder.QueryOutcomeNotRun}
+	kindOverLimit            = errorKind{"over-limit", http.StatusTooManyRequests, encoder.QueryOutcomeNotRun}
 	kindNotFound             = errorKind{"not-found", http.StatusNotFound, encoder.QueryOutcomeNotRun}
 	kindMethodNotAllowed     = errorKind{"method-not-allowed", http.StatusMethodNotAllowed, encoder.QueryOutcomeNotRun}
 	kindUnknownClass         = errorKind{"unknown-query-class", http.StatusBadRequest, encoder.QueryOutcomeNotRun}
--- a/internal/caller/server/server.go
+++ b/internal/caller/server/server.go
@@ -1,5 +1,5 @@
 // Package server serves the HTTP interface for callers in native mode: queries, tickets and the readiness check of the
-// load balancer. It validates requests and maps results and errors to HTTP statuses. Package executor runs the queries,
+// load balancer. It determines the tenants of requests by their API keys, validates requests and maps results and errors to HTTP statuses. Package executor runs the queries,
 // and package ticketer ensures that a ticketed query runs at most once. In relay mode, package receiver serves callers.
 package server
 
@@ -17,6 +17,7 @@
 	"github.com/gorilla/mux"
 	"github.com/uber-go/tally/v4"
 
+	"apricotflow/internal/manifest/authenticator"
 	"apricotflow/internal/operator/checker"
 	"apricotflow/internal/query/ticketer"
 	"apricotflow/internal/wire/encoder"
@@ -99,10 +100,16 @@
 	ticketValidator validator[encoder.TicketRequest]
 	http            *http.Server
 
+	// tenants returns the tenants of the manifest in force; nil if it has none, so that requests need no key.
+	tenants func() *authenticator.Tenants
+	quotas  Quotas
+
 	ready atomic.Bool
 	// inFlight is the number of requests that have been accepted and not yet answered.
 	inFlight                atomic.Int64
 	panics, unsentResponses tally.Counter
+	// Requests without a valid key by cause, those of query classes that need none, and those above a tenant's limit.
+	missingKeys, unknownKeys, anonymous, overLimit tally.Counter
 }
 
 // Option configures a Server.
@@ -131,6 +138,9 @@
 		queryValidator:  newValidator[encoder.QueryRequest]("QueryRequest"),
 		ticketValidator: newValidator[encoder.TicketRequest]("TicketRequest"),
 		panics:          scope.Counter("requests-panicked"), unsentResponses: scope.Counter("answers-unsent"),
+		tenants: func() *authenticator.Tenants { return nil }, quotas: unlimited{},
+		missingKeys: scope.Counter("requests-missing-key"), unknownKeys: scope.Counter("requests-unknown-key"),
+		anonymous: scope.Counter("requests-anonymous"), overLimit: scope.Counter("requests-over-limit"),
 	}
 	for _, apply := range opts {
 		apply(s)
--- a/internal/manifest/parser/parser.go
+++ b/internal/manifest/parser/parser.go
@@ -20,8 +20,10 @@
 const digestBytes = 16
 
 var (
-	manifestSchema = sync.OnceValue(func() *Schema { return MustCompile("manifest.json") })
-	membersSchema  = sync.OnceValue(func() *Schema { return MustCompile("platform.json#/$defs/MemberList") })
+	manifestSchema = sync.OnceValue(func() *Schema {
+		return MustCompile("manifest.json", WithFractionPaths("$.tenants[].rate", "$.tenants[].burst"))
+	})
+	membersSchema = sync.OnceValue(func() *Schema { return MustCompile("platform.json#/$defs/MemberList") })
 )
 
 // InvalidError reports a manifest or member list with at least one problem.
--- a/internal/manifest/parser/schema.go
+++ b/internal/manifest/parser/schema.go
@@ -34,7 +34,8 @@
 // Option configures a schema.
 type Option func(*Schema)
 
-// WithFractionPaths allows fractions in the numbers at these paths. All other numbers must be integers.
+// WithFractionPaths allows fractions in the numbers at these paths, in which [] stands for any index of an array. All other
+// numbers must be integers.
 func WithFractionPaths(paths ...string) Option {
 	return func(s *Schema) {
 		for _, p := range paths {
--- a/internal/manifest/parser/walker.go
+++ b/internal/manifest/parser/walker.go
@@ -77,21 +77,34 @@
 
 // checkNumber reports values such as 1.0 and 1e3, which are integers to the schema but not to the JSON decoder.
 func (w *walker) checkNumber(n json.Number) {
-	if _, err := strconv.ParseInt(n.String(), 10, 64); err != nil && !w.fractionPaths[w.currentPath()] {
+	if _, err := strconv.ParseInt(n.String(), 10, 64); err == nil {
+		return
+	}
+	if !w.fractionPaths[w.formatPath(func(int) string { return anyIndex })] {
 		w.addProblem("must be an integer without fraction or exponent that fits in 64 bits, not %s", truncate(n.String()))
+		return
+	}
+	if _, err := n.Float64(); err != nil {
+		w.addProblem("must be a finite number, not %s", truncate(n.String()))
 	}
 }
 
+// anyIndex stands for any index of an array in a path of WithFractionPaths.
+const anyIndex = "[]"
+
 func (w *walker) addProblem(format string, arguments ...any) {
 	w.problems = append(w.problems, resolver.Problem{Path: w.currentPath(), Message: fmt.Sprintf(format, arguments...)})
 }
 
 // currentPath formats the path to the current value.
-func (w *walker) currentPath() string {
+func (w *walker) currentPath() string { return w.formatPath(indexStep) }
+
+// formatPath formats the path to the current value with the given form of the indexes of arrays.
+func (w *walker) formatPath(formatIndex func(int) string) string {
 	path := "$"
 	for _, s := range w.path {
 		if s.isIndex {
-			path += indexStep(s.index)
+			path += formatIndex(s.index)
 			continue
 		}
 		path += keyStep(s.key)
--- a/internal/manifest/resolver/manifest.go
+++ b/internal/manifest/resolver/manifest.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"apricotflow/internal/manifest/authenticator"
 	"apricotflow/internal/wire/encoder"
 )
 
@@ -45,6 +46,8 @@
 	serving map[string]bool
 	// groups is sorted by name.
 	groups []TargetGroup
+	// tenants is nil if the manifest has none.
+	tenants *authenticator.Tenants
 }
 
 // New validates the rules across the fields of a manifest, and returns the manifest or every problem found.
@@ -73,9 +76,40 @@
 		m.indexes[x.Name] = x
 	}
 	m.addTargets()
+	m.tenants = newTenants(wire.Tenants, func(string, string) {})
 	return m, nil
 }
 
+// newTenants creates the tenants of a manifest and reports their problems; it returns nil if the manifest has no list.
+func newTenants(listed []encoder.ManifestTenant, report func(path, message string)) *authenticator.Tenants {
+	if listed == nil {
+		return nil
+	}
+	tenants := make([]encoder.Tenant, 0, len(listed))
+	for _, t := range listed {
+		tenants = append(tenants, encoder.Tenant{
+			Name: t.Name, KeyDigests: t.KeyDigests, Priority: valueOrZero(t.Priority), Rate: valueOrZero(t.Rate), Burst: valueOrZero(t.Burst),
+		})
+	}
+	return authenticator.New(tenants, report)
+}
+
+func valueOrZero[T any](value *T) T {
+	if value == nil {
+		var zero T
+		return zero
+	}
+	return *value
+}
+
+// Tenants returns the tenants; nil if the manifest has none, so that requests need no API key. m may be nil.
+func (m *Manifest) Tenants() *authenticator.Tenants {
+	if m == nil {
+		return nil
+	}
+	return m.tenants
+}
+
 // Generation returns the generation, which rises with every manifest.
 func (m *Manifest) Generation() int {
 	return m.wire.Generation
--- a/internal/manifest/resolver/rules.go
+++ b/internal/manifest/resolver/rules.go
@@ -50,6 +50,7 @@
 	indexes := r.checkIndexes(wire.Indexes, targets)
 	r.checkClasses(wire.QueryClasses, indexes)
 	r.checkTicketLifetimes(wire.QueryClasses, wire.Limits)
+	newTenants(wire.Tenants, func(path, message string) { r.addProblem("$.tenants"+path, "%s", message) })
 	return r.problems
 }
 
