Test tenants and keys from the caller to the target

Guards against keys that reach targets, other instances or the log, work without a valid key, refusals after the body, forged tenants, and tables, heads and batches of instances of earlier versions. Counters of refusals share a prefix.

--- a/internal/caller/receiver/authentication.go
+++ b/internal/caller/receiver/authentication.go
@@ -137,7 +137,7 @@
 
 // recordRefusal counts a refused request, and logs the first one of its cause after refusalQuietTime without any.
 func (rc *Receiver) recordRefusal(c cause, route *mapper.Route) {
-	rc.scope.Counter("receiver-" + string(c)).Inc(1)
+	rc.scope.Counter("receiver-refused-" + string(c)).Inc(1)
 	if before, begins := rc.refusals.record(c, time.Now()); begins {
 		rc.logger.Info("callers are refused", "cause", c, "route", route.Name, "refused-before", before)
 	}
--- a/internal/caller/server/server_test.go
+++ b/internal/caller/server/server_test.go
@@ -44,7 +44,8 @@
 	if name == "none" || f.classesRemoved.Load() {
 		return encoder.QueryClass{}, &executor.UnknownClassError{Class: name}
 	}
-	return encoder.QueryClass{Name: name, DeadlineMs: 5000, Idempotent: name != "order"}, nil
+	anonymous := name == "open"
+	return encoder.QueryClass{Name: name, DeadlineMs: 5000, Idempotent: name != "order", AllowAnonymous: &anonymous}, nil
 }
 
 func (f *fakes) Execute(ctx context.Context, request encoder.QueryRequest) (encoder.QueryReply, error) {
--- a/internal/cluster/feeder/feeder_test.go
+++ b/internal/cluster/feeder/feeder_test.go
@@ -67,6 +67,7 @@
 	registrar *registrar.Registrar
 	feeder    *feeder.Feeder
 	domain    *domain
+	options   []feeder.Option
 	stop      func()
 }
 
@@ -144,7 +145,7 @@
 		return n.domain.instances[i].address, true
 	})
 	m := messenger.New(identity, n.address, addresses, clock, recorder.New(n.name, clock, 10))
-	n.feeder = feeder.New(identity, n, n.registrar, propagationLimit, quiet)
+	n.feeder = feeder.New(identity, n, n.registrar, propagationLimit, quiet, n.options...)
 	n.feeder.Attach(m)
 	assert.NilError(n.domain.t, m.Start())
 	n.storeLink = &storeLink{Source: platform.NewStore(n.domain.store.Address(), quiet)}
--- a/internal/manifest/parser/parser_test.go
+++ b/internal/manifest/parser/parser_test.go
@@ -109,6 +109,44 @@
 	}
 }
 
+const (
+	digestOfA = `"00112233445566778899aabbccddeeff"`
+	digestOfB = `"ffeeddccbbaa99887766554433221100"`
+)
+
+// Guards against tenants with which instances would not do what operators meant, against problems without the path of the
+// value, and against a key that is printed because it was entered in place of its digest.
+func TestParseReportsPathOfInvalidTenant(t *testing.T) {
+	const first, second = `{"name": "acme", "key-digests": [` + digestOfA + `]`, `{"name": "globex", "key-digests": [` + digestOfB + `]`
+	for _, c := range []struct{ name, tenants, path string }{
+		{"digest of two tenants", first + `}, {"name": "globex", "key-digests": [` + digestOfB + `, ` + digestOfA + `]}`, "$.tenants[1].key-digests[1]"},
+		{"empty name", `{"name": "", "key-digests": []}`, "$.tenants[0].name"},
+		{"no name", `{"key-digests": []}`, "$.tenants[0].name"},
+		{"duplicate name", first + `}, {"name": "acme", "key-digests": []}`, "$.tenants[1].name"},
+		{"empty digest", `{"name": "acme", "key-digests": [` + digestOfA + `, ""]}`, "$.tenants[0].key-digests[1]"},
+		{"key in place of a digest", `{"name": "acme", "key-digests": ["secret-key"]}`, "$.tenants[0].key-digests[0]"},
+		{"number in place of a digest", `{"name": "acme", "key-digests": [7777]}`, "$.tenants[0].key-digests[0]"},
+		{"negative rate", first + `, "rate": -0.5}`, "$.tenants[0].rate"},
+		{"negative burst", first + `}, ` + second + `, "burst": -1}`, "$.tenants[1].burst"},
+		{"negative priority", first + `, "priority": -1}`, "$.tenants[0].priority"},
+		{"fraction of a priority", first + `, "priority": 1.5}`, "$.tenants[0].priority"},
+		{"infinite rate", first + `}, ` + second + `, "rate": 1e999}`, "$.tenants[1].rate"},
+		{"not a number", first + `, "rate": "NaN"}`, "$.tenants[0].rate"},
+		{"unknown field", first + `, "limit": 1}`, "$.tenants[0].limit"},
+	} {
+		_, err := parser.Parse(replaceOnce(t, validManifest, `"deployment"`, `"tenants": [`+c.tenants+`], "deployment"`))
+		assert.Assert(t, slices.Contains(paths(t, err), c.path), "%s: %v", c.name, err)
+		assert.Assert(t, !strings.Contains(err.Error(), "secret") && !strings.Contains(err.Error(), "7777"), "%s: %v", c.name, err)
+	}
+	m, err := parser.Parse(replaceOnce(t, validManifest, `"deployment"`, `"tenants": [`+first+`, "rate": 2.5, "burst": 1e1}, `+second+`}], "deployment"`))
+	assert.NilError(t, err)
+	tenant, found := m.Tenants().ByName("acme")
+	assert.Assert(t, found && tenant.Rate == 2.5 && tenant.Burst == 10, "%+v", tenant)
+	empty, err := parser.Parse(replaceOnce(t, validManifest, `"deployment"`, `"tenants": [], "deployment"`))
+	assert.NilError(t, err)
+	assert.Assert(t, empty.Tenants() != nil, "an empty list allows requests without a key")
+}
+
 // Guards against a size limit that is off by one from that of the configuration service: a value at the limit is valid,
 // and one byte more is refused.
 func TestParseRefusesManifestAboveMaxBytes(t *testing.T) {
--- a/internal/query/delegator/delegator_test.go
+++ b/internal/query/delegator/delegator_test.go
@@ -17,6 +17,7 @@
 	"gotest.tools/v3/assert"
 
 	"apricotflow/internal/cluster/messenger"
+	"apricotflow/internal/manifest/authenticator"
 	"apricotflow/internal/manifest/mapper"
 	"apricotflow/internal/operator/recorder"
 	"apricotflow/internal/operator/timekeeper"
@@ -286,3 +287,16 @@
 	assert.Assert(t, !answer.Accepted)
 	assert.Equal(t, delegates["b"].server.servedCount(), 0)
 }
+
+// Guards against a delegated request that loses its tenant on the way, so that it is refused or runs for nobody.
+func TestTenantArrivesWithDelegatedRequest(t *testing.T) {
+	origin, delegates := startInstances(t, "b")
+	request := newRequest(t, 10*time.Second)
+	assert.Equal(t, delegate(t.Context(), t, origin, request).Outcome, relayer.Merged)
+	request.Tenant, request.KeyDigest = &authenticator.Tenant{Name: "acme"}, authenticator.NewDigest("k")
+	assert.Equal(t, delegate(t.Context(), t, origin, request).Outcome, relayer.Merged)
+	served := delegates["b"].server.served
+	assert.Equal(t, served[0].Tenant, "")
+	assert.Equal(t, served[1].Tenant, "acme")
+	assert.Equal(t, served[1].KeyDigest, authenticator.NewDigest("k"))
+}
--- a/internal/target/concentrator/concentrator_test.go
+++ b/internal/target/concentrator/concentrator_test.go
@@ -85,13 +85,14 @@
 	targets    []registrar.Target
 	state      *registrar.Registrar
 	addresses  map[string]string
+	opts       []concentrator.Option
 	// stop stops the serving instance.
 	stop func()
 }
 
-func startPair(t testing.TB, targets int) *pair {
+func startPair(t testing.TB, targets int, opts ...concentrator.Option) *pair {
 	t.Helper()
-	p := &pair{fakeSender: &fakeSender{delays: make(map[string]time.Duration), failures: make(map[string]transporter.Outcome)}, state: registrar.New()}
+	p := &pair{opts: opts, fakeSender: &fakeSender{delays: make(map[string]time.Duration), failures: make(map[string]transporter.Outcome)}, state: registrar.New()}
 	for i := range targets {
 		p.targets = append(p.targets, registrar.Target{ID: fmt.Sprintf("i-%08x", i), Service: "s", Address: "127.0.0.1:9", Slots: i})
 	}
@@ -106,11 +107,26 @@
 func (p *pair) start(t testing.TB, name, incarnation, address string) (c *concentrator.Concentrator, stop func()) {
 	t.Helper()
 	m := p.newMessenger(name, incarnation, address)
-	c = concentrator.New(fixedPeer("b"), p.state, p.fakeSender, log.New(io.Discard), tally.NoopScope)
+	c = concentrator.New(fixedPeer("b"), p.state, p.fakeSender, log.New(io.Discard), tally.NoopScope, p.opts...)
 	c.Attach(m)
 	return c, run(t, m)
 }
 
+// callAsEarlierVersion sends a batch with the head and the fields of earlier versions, and returns the reply.
+func (p *pair) callAsEarlierVersion(t testing.TB, head string) encoder.PartsReply {
+	t.Helper()
+	address := freeAddress(t)
+	m := p.newMessenger("c", "c1", address)
+	run(t, m)
+	message := encoder.PartsRequest{Batch: "1", RequestId: "r1", Method: http.MethodGet, Head: head, Kind: "search", FlushUs: 1_000_000, LeftMs: 2000}
+	for _, target := range p.targets {
+		message.Targets += target.ID + " "
+	}
+	reply, err := messenger.Call[encoder.PartsRequest, encoder.PartsReply](t.Context(), m, "b", "relay-parts", message)
+	assert.NilError(t, err)
+	return reply
+}
+
 func (p *pair) newMessenger(name, incarnation, address string) *messenger.Messenger {
 	resolver := messenger.ResolverFunc(func(name string) (string, bool) { return p.addresses[name], true })
 	clock := timekeeper.NewHybridClock(time.Now)
--- a/internal/target/queuer/queuer_test.go
+++ b/internal/target/queuer/queuer_test.go
@@ -21,6 +21,11 @@
 	return r
 }
 
+func withTenant(priority int, r queuer.Rank) queuer.Rank {
+	r.TenantPriority = priority
+	return r
+}
+
 // Guards against targets taken by requests that are late anyway, against a less urgent request before a more urgent one,
 // and against overload in which every request is served just too late.
 func TestRequestsInTimeGoFirstThenUrgentThenNewest(t *testing.T) {
@@ -31,6 +36,9 @@
 	}{
 		{"in time before late, although less urgent", rank(2, 100, 600), rank(1, 40, 400), 50},
 		{"urgent before less urgent", rank(1, 100, 600), rank(2, 120, 600), 50},
+		{"urgent tenant before less urgent one, although on a less urgent route", withTenant(1, rank(2, 100, 600)), withTenant(2, rank(1, 120, 600)), 50},
+		{"in time before late, although of a less urgent tenant", withTenant(2, rank(1, 100, 600)), withTenant(1, rank(1, 40, 400)), 50},
+		{"urgent route before less urgent one for equal tenants", withTenant(1, rank(1, 100, 600)), withTenant(1, rank(2, 120, 600)), 50},
 		{"newest of those in time", rank(1, 120, 600), rank(1, 100, 500), 50},
 		{"oldest of the late ones", rank(1, 30, 500), rank(1, 40, 600), 50},
 		{"with objective before those without", rank(1, 100, 600), rank(1, 0, 500), 50},
@@ -49,7 +57,8 @@
 func TestRanksAreOrdered(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		draw := func() queuer.Rank {
-			return rank(rapid.IntRange(0, 2).Draw(t, "priority"), rapid.IntRange(0, 4).Draw(t, "latest start"), rapid.IntRange(3, 6).Draw(t, "deadline"))
+			r := rank(rapid.IntRange(0, 2).Draw(t, "priority"), rapid.IntRange(0, 4).Draw(t, "latest start"), rapid.IntRange(3, 6).Draw(t, "deadline"))
+			return withTenant(rapid.IntRange(0, 1).Draw(t, "tenant priority"), r)
 		}
 		a, b, c := draw(), draw(), draw()
 		now := start.Add(2 * time.Millisecond)
--- a/internal/target/transporter/transporter_test.go
+++ b/internal/target/transporter/transporter_test.go
@@ -357,3 +357,18 @@
 		}
 	}
 }
+
+// Guards against header lines of a head that are overlooked because of their case or place, against properties that do not
+// depend on replaced credentials, and against an error that quotes credentials.
+func TestHeadIsCheckedForHeaders(t *testing.T) {
+	r := transporter.RestoreRequest("r1", http.MethodGet, []byte("GET /Authorization: HTTP/1.1\r\nHost: a\r\nX-Tenant-Id: one\r\nx-tenant-id : two\r\n"), nil)
+	assert.DeepEqual(t, r.HeaderValues("X-Tenant-Id"), []string{"one", "two"})
+	assert.Assert(t, !r.HasCredentials())
+	assert.Assert(t, transporter.RestoreRequest("r1", http.MethodGet, []byte("GET / HTTP/1.1\r\nauthorization:k\r\n"), nil).HasCredentials())
+	one, other := request("r1").WithCredentials("one"), request("r1").WithCredentials("other")
+	assert.Equal(t, string(one.Properties()[3])+string(other.Properties()[3]), "oneother")
+	assert.Equal(t, string(one.Head()), string(request("r1").Head()))
+	_, err := transporter.ParseRequest("r1", []byte("GET / HTTP/1.1\r\nAuthorization Token secret\r\n"), nil)
+	assert.ErrorContains(t, err, "r1")
+	assert.Assert(t, !strings.Contains(err.Error(), "secret"), err.Error())
+}
