--- a/internal/caller/receiver/authentication_test.go
+++ b/internal/caller/receiver/authentication_test.go
@@ -80,8 +80,14 @@
 	n.state.Apply(registrar.Change{Position: registrar.Position{Revision: table.Version()}, Table: table}, true)
 }
 
-// get sends a request with the header lines and returns the response.
-func (n *tenantReceiver) get(t *testing.T, path string, header http.Header) *http.Response {
+// refusalOrReply is a response without its body.
+type refusalOrReply struct {
+	StatusCode int
+	Header     http.Header
+}
+
+// get sends a request with the header lines.
+func (n *tenantReceiver) get(t *testing.T, path string, header http.Header) refusalOrReply {
 	t.Helper()
 	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, n.server.URL+path, nil)
 	assert.NilError(t, err)
@@ -89,7 +95,7 @@
 	response, err := http.DefaultTransport.RoundTrip(request)
 	assert.NilError(t, err)
 	assert.NilError(t, response.Body.Close())
-	return response
+	return refusalOrReply{StatusCode: response.StatusCode, Header: response.Header}
 }
 
 func withKey(key string) http.Header { return http.Header{"Authorization": {"Token " + key}} }
