Test the ranking of tenants where request limits are used up

Without the priority of the tenant in the gate, and without another try of targets whose batch a peer has refused, the tests passed.

--- a/internal/query/relayer/fixture_test.go
+++ b/internal/query/relayer/fixture_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"apricotflow/internal/cluster/registrar"
+	"apricotflow/internal/manifest/authenticator"
 	"apricotflow/internal/manifest/mapper"
 	"apricotflow/internal/query/quarantiner"
 	"apricotflow/internal/query/relayer"
@@ -73,6 +74,8 @@
 	quarantine  *quarantiner.Quarantiner
 	// delegator hands requests over to other instances.
 	delegator *fakeDelegator
+	// tenants holds the tenants of the requests, by the name of their route.
+	tenants map[string]*authenticator.Tenant
 }
 
 // fakeDelegator records the requests that are handed over, and answers them if takes is set.
@@ -170,6 +173,7 @@
 	header := http.Header{platform.HeaderRequestID: {id}}
 	return relayer.Request{
 		Route: route, Table: f.registrar.View().Table(), Arrived: now, Due: now.Add(objective - 10*time.Millisecond), Deadline: now.Add(route.Timeout),
+		Tenant:   f.tenants[route.Name],
 		Outbound: transporter.NewRequest(id, http.MethodGet, "/"+route.Name, "shop.example", header, nil),
 	}
 }
--- a/internal/query/relayer/tenants_test.go
+++ b/internal/query/relayer/tenants_test.go
@@ -145,7 +145,9 @@
 		}
 		f.registrar.Apply(change, true)
 		handler, _ := f.startTenantReceiver()
+		start := time.Now()
 		assert.Equal(t, serveWithKey(t, handler, "/search/x"), http.StatusOK)
+		assert.Equal(t, time.Since(start), time.Duration(0), "the targets count as tried")
 		f.assertNoKey(3)
 		assert.Equal(t, len(peers.batches), 1)
 		batch := peers.batches[0]
@@ -226,3 +228,27 @@
 		})
 	}
 }
+
+// Load pattern: the shards take about half of what comes, and the queries of the less urgent tenant need fewer parts.
+// Guards against these being served more often than those of the more urgent tenant, because their route is more urgent.
+func TestQueriesOfUrgentTenantAreServedAsOftenWhenRequestLimitsAreUsedUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		services := make([]string, 20)
+		for i := range services {
+			services[i] = fmt.Sprint("s", i)
+		}
+		f := newFixture(t, 2, services...)
+		for i, service := range services {
+			f.setRequestLimit(15+float64(i*7%20), service)
+		}
+		search, peek := shardedRoute(0.89, services...), shardedRoute(0.75, services...)
+		search.Priority = 2
+		peek.Name, peek.Priority = "peek", 1
+		f.tenants = map[string]*authenticator.Tenant{"search": {Name: "urgent", Priority: 1}, "peek": {Name: "other", Priority: 2}}
+		results := f.replay(10*time.Second, map[*mapper.Route]float64{search: 67, peek: 22})
+		urgent, other := *results["search"], *results["peek"]
+		t.Logf("search %+v, peek %+v", urgent, other)
+		urgentShare, otherShare := float64(urgent.inTime)/float64(urgent.sent), float64(other.inTime)/float64(other.sent)
+		assert.Assert(t, otherShare <= urgentShare+0.05, "in time: %.2f of the urgent queries, %.2f of the others", urgentShare, otherShare)
+	})
+}
