--- a/internal/standin/rehearser/deployment.go
+++ b/internal/standin/rehearser/deployment.go
@@ -110,9 +110,11 @@
 	// healthy holds the behaviour of each target while it does not misbehave.
 	healthy map[string]func(*http.Request) (httpresponder.Behaviour, time.Duration)
 	// started holds the start of each target in Unix milliseconds, entryWrites the number of writes of its entry.
-	started          map[string]int64
-	entryWrites      map[string]int
-	configVersion    int
+	started       map[string]int64
+	entryWrites   map[string]int
+	configVersion int
+	// tenants are the tenants of the configuration.
+	tenants          []platform.Tenant
 	lastTargetNumber int
 	// ends holds the times at which targets ended under requests.
 	ends []time.Time
@@ -322,7 +324,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.configVersion += 2
-	config := platform.RoutingConfig{Version: d.configVersion}
+	config := platform.RoutingConfig{Version: d.configVersion, Tenants: d.tenants}
 	config.Limits.BodyBytes, config.Limits.IdleMs = MaxBodyBytes, 15_000
 	search := platform.Route{
 		Name: "search", Host: searchHost, Prefix: searchPrefix, Kind: platform.KindIdempotent, TimeoutMs: searchTimeout,
@@ -335,6 +337,7 @@
 	config.Services = append(config.Services, platform.Service{Name: "orders", MaxConnections: 40})
 	orders := platform.Route{
 		Name: "orders", Host: searchHost, Prefix: orderPrefix, Kind: "non_idempotent", TimeoutMs: orderTimeout, ObjectiveMs: orderObjective, MaxAttempts: 2, Service: "orders",
+		AllowsAnonymous: len(d.tenants) > 0,
 	}
 	config.Routes = []platform.Route{search, orders}
 	d.store.Put(platform.KeyRoutingConfig, config)
