--- a/internal/cluster/feeder/tenants_test.go
+++ b/internal/cluster/feeder/tenants_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"slices"
 	"testing"
@@ -13,6 +14,7 @@
 	"apricotflow/internal/cluster/feeder"
 	"apricotflow/internal/cluster/messenger"
 	"apricotflow/internal/cluster/registrar"
+	"apricotflow/internal/manifest/authenticator"
 	"apricotflow/internal/operator/recorder"
 	"apricotflow/internal/operator/timekeeper"
 	"apricotflow/internal/standin/keeper"
@@ -110,3 +112,26 @@
 		}
 	}
 }
+
+// Guards against a list of tenants that is too large for the store's responses or the messages between instances. The
+// limit on the time is ten times that of a change, because the race detector slows decoding down.
+func TestManyKeysReachAllInstances(t *testing.T) {
+	const tenants, keysPerTenant = 10_000, 10
+	d := newDomain(t, 3)
+	time.Sleep(settleTime)
+	config := platform.RoutingConfig{Version: 2, Tenants: make([]platform.Tenant, tenants)}
+	for i := range config.Tenants {
+		config.Tenants[i] = platform.Tenant{Name: fmt.Sprintf("tenant-%d", i), Rate: 10}
+		for k := range keysPerTenant {
+			config.Tenants[i].Keys = append(config.Tenants[i].Keys, fmt.Sprintf("%064d", i*keysPerTenant+k))
+		}
+	}
+	start := time.Now()
+	d.store.Put(platform.KeyRoutingConfig, config)
+	d.waitFor(10*propagationLimit, "table", func(n *instance) bool { return n.version() == 2 })
+	t.Logf("in force after %s", time.Since(start))
+	for _, n := range d.instances {
+		tenant, found := n.registrar.View().Table().Tenants().Find(authenticator.NewDigest(fmt.Sprintf("%064d", tenants*keysPerTenant-1)))
+		assert.Assert(t, found && tenant.Name == fmt.Sprintf("tenant-%d", tenants-1))
+	}
+}
