Refuse replies with a status below 100

A target in trouble may send the status 000. The reader took every status below 200 for an informational reply, so the request waited for another reply until its deadline.

The reader now fails at once, in both modes; 1xx stays informational.

--- a/internal/query/delegator/codec.go
+++ b/internal/query/delegator/codec.go
@@ -24,6 +24,8 @@
 	maxEncodedDecisions = 16
 	// decisionFields is the number of fields of an encoded decision.
 	decisionFields = 4
+	// maxStatus is the highest status that can be written to a caller.
+	maxStatus = 999
 )
 
 // errMalformed is returned for a message that cannot be decoded.
@@ -106,6 +108,10 @@
 	case relayer.Merged:
 		answer.Records, answer.Signatures = body, strings.Split(message.Signatures, "\n")
 	case relayer.Relayed:
+		if message.Status < http.StatusOK || message.Status > maxStatus {
+			// No reply has such a status, and it cannot be written to the caller as a final one.
+			return relayer.Answer{}, fmt.Errorf("%w: status %d", errMalformed, message.Status)
+		}
 		header, err := decodeHeader(message.Header)
 		if err != nil {
 			return relayer.Answer{}, err
--- a/internal/query/delegator/delegator_test.go
+++ b/internal/query/delegator/delegator_test.go
@@ -251,7 +251,7 @@
 	f.Add("relayed", "WDogMQ0K", "sig", "", 0, "")
 	f.Add("relayed", "!", "sig", "MDEyMw==", 9<<20, "x\t\t")
 	f.Fuzz(func(t *testing.T, outcome, header, signatures, body string, bodyBytes int, decisions string) {
-		message := encoder.DelegatedAnswer{Accepted: true, Outcome: outcome, Header: header, Signatures: signatures, Body: body, BodyBytes: bodyBytes, Decisions: decisions}
+		message := encoder.DelegatedAnswer{Accepted: true, Outcome: outcome, Status: http.StatusOK, Header: header, Signatures: signatures, Body: body, BodyBytes: bodyBytes, Decisions: decisions}
 		answer, err := delegator.DecodeAnswer(message, func(int) (string, error) { return body, nil })
 		if err != nil {
 			return
@@ -268,6 +268,16 @@
 	})
 }
 
+// Guards against a status that is passed on to a caller although no reply has it, such as 000, which ends the connection of
+// the caller.
+func TestAnswerWithInvalidStatusIsMalformed(t *testing.T) {
+	for status, valid := range map[int]bool{-1: false, 0: false, 99: false, 100: false, 200: true, 503: true, 999: true, 1000: false} {
+		message := encoder.DelegatedAnswer{Accepted: true, Outcome: string(relayer.Relayed), Status: status}
+		_, err := delegator.DecodeAnswer(message, func(int) (string, error) { return "", nil })
+		assert.Equal(t, err == nil, valid, "status %d: %v", status, err)
+	}
+}
+
 // Guards against a request that is served although its caller has left, because its end was handled before it: messages are
 // handled in any order.
 func TestRequestIsNotServedWhenItsEndOvertakesIt(t *testing.T) {
--- a/internal/target/concentrator/concentrator_test.go
+++ b/internal/target/concentrator/concentrator_test.go
@@ -452,3 +452,23 @@
 	assert.Equal(t, delivered.results[2].Reply.Signature, "s2")
 	assert.Equal(t, strings.Join(delivered.records, ""), "record-of-part-0record-of-part-2")
 }
+
+// Guards against a result with the status 000 that counts as an answer of the target, or that is waited for until the
+// deadline.
+func TestResultWithInvalidStatusIsLost(t *testing.T) {
+	p := startPair(t, 4)
+	p.stop()
+	faulty := p.newMessenger("b", "b2", p.addresses["b"])
+	messenger.Handle(faulty, "relay-parts", func(context.Context, messenger.Peer, encoder.PartsRequest) (encoder.PartsReply, error) {
+		answered := int(transporter.Answered)
+		failed := fmt.Sprintf("0 100 %d 0 \n1 100 %d 99 \n2 100 %d -5 \n3 100 %d 500 \n", answered, answered, answered, answered)
+		return encoder.PartsReply{Parts: encoder.MergedParts{Failed: failed}}, nil
+	})
+	run(t, faulty)
+	delivered := p.send(t.Context(), p.batch(time.Second))
+	for i := range 3 {
+		assert.Equal(t, delivered.results[i].Outcome, transporter.Lost)
+		assert.Equal(t, delivered.results[i].Latency, 100*time.Microsecond)
+	}
+	assert.Equal(t, delivered.results[3].Reply.Status, http.StatusInternalServerError)
+}
--- a/internal/target/concentrator/pending.go
+++ b/internal/target/concentrator/pending.go
@@ -43,6 +43,9 @@
 // errForeignRecords is the reason why the results of a message are lost whose records hold those of other results.
 var errForeignRecords = errors.New("concentrator: merged records of results that are delivered already or unknown")
 
+// errInvalidStatus is the reason why a result with a status below 100 is lost.
+var errInvalidStatus = errors.New("concentrator: result has an invalid status")
+
 // decode decodes received results and marks them as delivered. Results in malformed lines stay undelivered, so they are
 // lost when the context of the batch ends. The records of a message cannot be told apart, so if they include those of a
 // result that is unknown, malformed or delivered already, all results of the message that are merged into them are lost.
@@ -167,6 +170,10 @@
 	}
 	result := transporter.Result{Outcome: transporter.Outcome(numbers[2]), Latency: time.Duration(numbers[1]) * time.Microsecond}
 	if result.Outcome == transporter.Answered {
+		if numbers[3] < http.StatusContinue {
+			// The request may have run. Waiting for another line about it would only delay its retry.
+			return numbers[0], transporter.Result{Outcome: transporter.Lost, Err: errInvalidStatus, Latency: result.Latency}, true
+		}
 		result.Reply = &transporter.Reply{Status: numbers[3]}
 	}
 	if fields[4] != "" {
--- a/internal/wire/reader/reader.go
+++ b/internal/wire/reader/reader.go
@@ -36,6 +36,15 @@
 	return fmt.Sprintf("reader: reply exceeds the limit of %d %s", e.Limit, e.Unit)
 }
 
+// StatusError reports a reply whose status is no HTTP status. Its connection cannot be used any more.
+type StatusError struct {
+	Status int
+}
+
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("reader: reply has the status %03d, which is below %d", e.Status, http.StatusContinue)
+}
+
 // Budget limits the memory for large bodies that are being read at the same time on several connections.
 type Budget struct {
 	limit int64
@@ -109,7 +118,8 @@
 // HasUnread reports whether bytes were received that belong to no reply read so far.
 func (r *Reader) HasUnread() bool { return r.buffer.Buffered() > 0 }
 
-// Read reads the next final reply to a request with the method, and skips informational ones.
+// Read reads the next final reply to a request with the method, and skips informational ones (1xx). A status below 100 is
+// an error at once.
 func (r *Reader) Read(method string) (Reply, error) {
 	for range maxInformationalReplies + 1 {
 		reply, err := r.readOne(method)
@@ -129,6 +139,11 @@
 		}
 		return Reply{}, fmt.Errorf("reader: read head: %w", err)
 	}
+	if response.StatusCode < http.StatusContinue {
+		// A target in trouble may send the status 000. It is no informational reply, so no other one follows, and its body may
+		// be without end.
+		return Reply{}, &StatusError{Status: response.StatusCode}
+	}
 	r.source.left = r.maxBody + MaxHeadBytes
 	body, err := r.readBody(response)
 	var limit *LimitError
--- a/internal/wire/reader/reader_test.go
+++ b/internal/wire/reader/reader_test.go
@@ -148,3 +148,30 @@
 		assert.Assert(t, err != nil, "%q is taken for a reply with status %d and body %q", head[:n], reply.Status, reply.Body)
 	}
 }
+
+// Guards against a reply with the status 000 that counts as informational, so that its request waits for another one until
+// its deadline, and against one whose body without end is awaited first.
+func TestStatusBelow100IsAnErrorAtOnce(t *testing.T) {
+	for _, raw := range []string{
+		"HTTP/1.1 000 \r\nX-Request-Id: r1\r\n\r\n", "HTTP/1.1 099 Odd\r\nContent-Length: 5\r\n\r\n",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 \r\n\r\n",
+	} {
+		near, far := net.Pipe()
+		// The sender keeps the connection open.
+		go func() { _, _ = io.WriteString(far, raw) }()
+		failed := make(chan error, 1)
+		go func() {
+			_, err := reader.New(near, maxBody, reader.NewBudget(1<<20)).Read(http.MethodGet)
+			failed <- err
+		}()
+		select {
+		case err := <-failed:
+			var status *reader.StatusError
+			assert.Assert(t, errors.As(err, &status), "%v", err)
+		case <-time.After(time.Second):
+			t.Errorf("%q is still waited for after 1 s", raw)
+		}
+		assert.NilError(t, near.Close())
+		assert.NilError(t, far.Close())
+	}
+}
