Read the duration of work that targets report as fourth figure of their load

Some deployments report the duration of work on the target's machine as a fourth field of X-Server-Load, and the decoder dropped such headers.

Loads with that figure also come with the results of batches, in the optional field "loads" that earlier versions ignore. Loads of three fields do not, since they would change how requests are placed today.

--- a/internal/target/concentrator/collector.go
+++ b/internal/target/concentrator/collector.go
@@ -18,6 +18,7 @@
 	limits    strings.Builder
 	leaving   strings.Builder
 	pauses    strings.Builder
+	loads     strings.Builder
 	combiner  *combiner.Combiner
 }
 
@@ -36,6 +37,10 @@
 	if r.result.PausedFor > 0 {
 		fmt.Fprintf(&rc.pauses, "%d %d\n", r.index, r.result.PausedFor.Milliseconds())
 	}
+	if l := r.result.Load; l != nil && l.WorkFactor > 0 {
+		// A load without the work factor is not used by the instance that has chosen the target; see package appraiser.
+		fmt.Fprintf(&rc.loads, "%d %d %d %d %d\n", r.index, l.Running, l.Waiting, l.Slots, l.WorkPercent())
+	}
 	if r.result.CanBeMerged() {
 		fmt.Fprintf(&rc.mergeable, "%d %d %s\n", r.index, latency, r.result.Reply.Signature)
 		rc.combiner.Add(r.result.Reply.Body)
@@ -79,5 +84,8 @@
 	if pauses := rc.pauses.String(); pauses != "" {
 		merged.Pauses = &pauses
 	}
+	if loads := rc.loads.String(); loads != "" {
+		merged.Loads = &loads
+	}
 	return merged
 }
--- a/internal/target/concentrator/pending.go
+++ b/internal/target/concentrator/pending.go
@@ -18,6 +18,10 @@
 const (
 	mergeableFields = 3
 	otherFields     = 5
+	// loadFields is the number of fields in the line of a load.
+	loadFields = 5
+	// maxLoad limits the numbers of a load.
+	maxLoad = 1 << 20
 )
 
 // undeliveredResults tracks which results of a batch have not been delivered.
@@ -57,6 +61,7 @@
 	}
 	partial.Records = records
 	limits, leaving, pauses := decodeLimits(merged.Limits), decodeLeaving(merged.Leaving), decodePauses(merged.Pauses)
+	loads := decodeLoads(merged.Loads)
 	var mergedIndexes []int
 	foreign := false
 	for line := range strings.Lines(merged.Answered) {
@@ -65,7 +70,7 @@
 			foreign = true
 			continue
 		}
-		result.RequestLimit, result.Leaving, result.PausedFor = limits[i], leaving[i], pauses[i]
+		result.RequestLimit, result.Leaving, result.PausedFor, result.Load = limits[i], leaving[i], pauses[i], loads[i]
 		partial.Results[i] = result
 		mergedIndexes = append(mergedIndexes, i)
 	}
@@ -77,7 +82,7 @@
 	}
 	for line := range strings.Lines(merged.Failed) {
 		if i, result, ok := decodeOther(line); ok && p.markDelivered(i) {
-			result.RequestLimit, result.Leaving, result.PausedFor = limits[i], leaving[i], pauses[i]
+			result.RequestLimit, result.Leaving, result.PausedFor, result.Load = limits[i], leaving[i], pauses[i], loads[i]
 			partial.Results[i] = result
 		}
 	}
@@ -144,6 +149,35 @@
 	return pauses
 }
 
+// decodeLoads returns the loads by the index of the target in the batch. It skips malformed lines.
+func decodeLoads(encoded *string) map[int]*transporter.Load {
+	if encoded == nil {
+		return nil
+	}
+	loads := make(map[int]*transporter.Load)
+	for line := range strings.Lines(*encoded) {
+		if index, load, ok := decodeLoad(strings.Fields(line)); ok {
+			loads[index] = &load
+		}
+	}
+	return loads
+}
+
+func decodeLoad(fields []string) (index int, load transporter.Load, ok bool) {
+	if len(fields) != loadFields {
+		return 0, transporter.Load{}, false
+	}
+	var numbers [loadFields]int
+	for n, field := range fields {
+		var err error
+		if numbers[n], err = strconv.Atoi(field); err != nil || numbers[n] < 0 || numbers[n] > maxLoad {
+			return 0, transporter.Load{}, false
+		}
+	}
+	load = transporter.Load{Running: numbers[1], Waiting: numbers[2], Slots: numbers[3], WorkFactor: transporter.NewWorkFactor(float64(numbers[4]))}
+	return numbers[0], load, load.WorkFactor > 0
+}
+
 func decodeMergeable(line string) (int, transporter.Result, bool) {
 	fields := strings.SplitN(strings.TrimSuffix(line, "\n"), " ", mergeableFields)
 	if len(fields) != mergeableFields {
--- a/internal/target/transporter/request.go
+++ b/internal/target/transporter/request.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"bytes"
 	"fmt"
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -131,8 +132,32 @@
 	Running int
 	Waiting int
 	Slots   int
+	// WorkFactor is the duration of work on the target's machine relative to the usual one, as of NewWorkFactor; 0 if the
+	// target does not report it.
+	WorkFactor float64
 }
 
+const (
+	// minWorkFactor and maxWorkFactor limit what a target can state. Machines are up to 2.5 times as slow as usual; a factor
+	// near 0 or far above that would outweigh everything that was measured.
+	minWorkFactor = 0.1
+	maxWorkFactor = 10
+)
+
+// NewWorkFactor returns the work factor for the duration of work on a target's machine in percent of the usual one, within
+// limits. It returns 0, as for a target that does not report it, if the percentage is not a positive finite number.
+func NewWorkFactor(percent float64) float64 {
+	if !(percent > 0) || math.IsInf(percent, 0) {
+		return 0
+	}
+	return min(max(percent/percentScale, minWorkFactor), maxWorkFactor)
+}
+
+// WorkPercent returns the work factor in percent, rounded.
+func (l Load) WorkPercent() int { return int(math.Round(l.WorkFactor * percentScale)) }
+
+const percentScale = 100
+
 // Result is the result of a request.
 type Result struct {
 	// Outcome must always be set: its zero value Unsent states that the request can be retried safely.
--- a/internal/wire/encoder/types.go
+++ b/internal/wire/encoder/types.go
@@ -707,6 +707,11 @@
 	// of all instances together.
 	Limits *string `json:"limits,omitempty,omitzero"`
 
+	// Loads of the targets that report the duration of work on their machines, one
+	// per line: position, running requests, waiting requests, slots, duration in
+	// percent of the usual one.
+	Loads *string `json:"loads,omitempty,omitzero"`
+
 	// Targets that want no requests for a while, one per line: position,
 	// milliseconds.
 	Pauses *string `json:"pauses,omitempty,omitzero"`
