--- a/internal/target/concentrator/concentrator_test.go
+++ b/internal/target/concentrator/concentrator_test.go
@@ -44,6 +44,7 @@
 	// leaving holds the targets that state that they leave.
 	leaving  map[string]bool
 	pauses   map[string]time.Duration
+	loads    map[string]*transporter.Load
 	canceled int
 	// sent is the number of requests.
 	sent int
@@ -71,11 +72,11 @@
 		return transporter.Result{Outcome: transporter.Lost, Err: ctx.Err()}
 	}
 	if outcome != transporter.Unsent {
-		return transporter.Result{Outcome: outcome, RequestLimit: limit, Leaving: f.leaving[target.ID], PausedFor: f.pauses[target.ID]}
+		return transporter.Result{Outcome: outcome, RequestLimit: limit, Leaving: f.leaving[target.ID], PausedFor: f.pauses[target.ID], Load: f.loads[target.ID]}
 	}
 	body := binary.BigEndian.AppendUint64(nil, uint64(target.Slots))
 	reply := &transporter.Reply{Status: http.StatusOK, Body: append(body, r.Body()...), Signature: target.ID + "." + r.ID}
-	return transporter.Result{Outcome: transporter.Answered, Reply: reply, Latency: delay, RequestLimit: limit, Leaving: f.leaving[target.ID]}
+	return transporter.Result{Outcome: transporter.Answered, Reply: reply, Latency: delay, RequestLimit: limit, Leaving: f.leaving[target.ID], Load: f.loads[target.ID]}
 }
 
 // pair is an instance that sends batches and one that serves them.
--- a/internal/target/concentrator/pending.go
+++ b/internal/target/concentrator/pending.go
@@ -18,6 +18,10 @@
 const (
 	mergeableFields = 3
 	otherFields     = 5
+	// loadFields is the number of fields in the line of a load.
+	loadFields = 5
+	// maxLoad limits the numbers of a load.
+	maxLoad = 1 << 20
 )
 
 // undeliveredResults tracks which results of a batch have not been delivered.
@@ -43,6 +47,9 @@
 // errForeignRecords is the reason why the results of a message are lost whose records hold those of other results.
 var errForeignRecords = errors.New("concentrator: merged records of results that are delivered already or unknown")
 
+// errInvalidStatus is the reason why a result with a status below 100 is lost.
+var errInvalidStatus = errors.New("concentrator: result has an invalid status")
+
 // decode decodes received results and marks them as delivered. Results in malformed lines stay undelivered, so they are
 // lost when the context of the batch ends. The records of a message cannot be told apart, so if they include those of a
 // result that is unknown, malformed or delivered already, all results of the message that are merged into them are lost.
@@ -54,6 +61,7 @@
 	}
 	partial.Records = records
 	limits, leaving, pauses := decodeLimits(merged.Limits), decodeLeaving(merged.Leaving), decodePauses(merged.Pauses)
+	loads := decodeLoads(merged.Loads)
 	var mergedIndexes []int
 	foreign := false
 	for line := range strings.Lines(merged.Answered) {
@@ -63,6 +71,7 @@
 			continue
 		}
 		result.RequestLimit, result.Leaving, result.PausedFor = limits[i], leaving[i], pauses[i]
+		result.Load, result.ThroughPeer = loads[i], true
 		partial.Results[i] = result
 		mergedIndexes = append(mergedIndexes, i)
 	}
@@ -75,6 +84,7 @@
 	for line := range strings.Lines(merged.Failed) {
 		if i, result, ok := decodeOther(line); ok && p.markDelivered(i) {
 			result.RequestLimit, result.Leaving, result.PausedFor = limits[i], leaving[i], pauses[i]
+			result.Load, result.ThroughPeer = loads[i], true
 			partial.Results[i] = result
 		}
 	}
@@ -141,6 +151,35 @@
 	return pauses
 }
 
+// decodeLoads returns the loads by the index of the target in the batch. It skips malformed lines.
+func decodeLoads(encoded *string) map[int]*transporter.Load {
+	if encoded == nil {
+		return nil
+	}
+	loads := make(map[int]*transporter.Load)
+	for line := range strings.Lines(*encoded) {
+		if index, load, ok := decodeLoad(strings.Fields(line)); ok {
+			loads[index] = &load
+		}
+	}
+	return loads
+}
+
+func decodeLoad(fields []string) (index int, load transporter.Load, ok bool) {
+	if len(fields) != loadFields {
+		return 0, transporter.Load{}, false
+	}
+	var numbers [loadFields]int
+	for n, field := range fields {
+		var err error
+		if numbers[n], err = strconv.Atoi(field); err != nil || numbers[n] < 0 || numbers[n] > maxLoad {
+			return 0, transporter.Load{}, false
+		}
+	}
+	load = transporter.Load{Running: numbers[1], Waiting: numbers[2], Slots: numbers[3], WorkFactor: transporter.NewWorkFactor(float64(numbers[4]))}
+	return numbers[0], load, load.WorkFactor > 0
+}
+
 func decodeMergeable(line string) (int, transporter.Result, bool) {
 	fields := strings.SplitN(strings.TrimSuffix(line, "\n"), " ", mergeableFields)
 	if len(fields) != mergeableFields {
@@ -167,6 +206,10 @@
 	}
 	result := transporter.Result{Outcome: transporter.Outcome(numbers[2]), Latency: time.Duration(numbers[1]) * time.Microsecond}
 	if result.Outcome == transporter.Answered {
+		if numbers[3] < http.StatusContinue {
+			// The request may have run. Waiting for another line about it would only delay its retry.
+			return numbers[0], transporter.Result{Outcome: transporter.Lost, Err: errInvalidStatus, Latency: result.Latency}, true
+		}
 		result.Reply = &transporter.Reply{Status: numbers[3]}
 	}
 	if fields[4] != "" {
