Share targets and extra requests fairly among tenants

While one tenant sent many times its usual load, the order by times let its requests take the targets of a service, and its failures used up the budget for hedges and retries. A request without shards is refused as soon as it is certain that those before it take all targets that may become free. Without tenants nothing is counted, so that the order and the budget are as before.

--- a/internal/query/relayer/answers.go
+++ b/internal/query/relayer/answers.go
@@ -124,5 +124,5 @@
 
 func (f *forwarder) answerNotRun(reason string) Answer {
 	f.addDecision(f.parts[0], "", reason)
-	return Answer{Outcome: NotRun, RetryAfter: defaultRetryAfter}
+	return Answer{Outcome: NotRun, RetryAfter: max(f.roomAfter, defaultRetryAfter)}
 }
--- a/internal/query/relayer/forwarder.go
+++ b/internal/query/relayer/forwarder.go
@@ -109,6 +109,10 @@
 	// leaving holds the targets that have stated that they leave.
 	leaving []Departure
 	caution caution
+	// roomAfter is when there will be room for a request that was refused because of those before it; 0 if unknown.
+	roomAfter time.Duration
+	// nextOutlook is the earliest time at which the outlook of a waiting request is looked at again.
+	nextOutlook time.Time
 	// succeeded reports whether the answer is a success.
 	succeeded bool
 	// stranded reports whether the request ended without a success that another instance could have, and runsWhenStranded
@@ -224,7 +228,7 @@
 
 // rank returns the rank of the request among those that wait for a target.
 func (f *forwarder) rank() queuer.Rank {
-	rank := queuer.Rank{Priority: f.request.Route.Priority, Deadline: f.request.Deadline}
+	rank := queuer.Rank{Priority: f.request.Route.Priority, Deadline: f.request.Deadline, Tenant: f.request.tenantName()}
 	switch {
 	case !f.cutoff.IsZero():
 		rank.LatestStart = f.cutoff.Add(-f.latency.Median)
--- a/internal/query/relayer/relayer.go
+++ b/internal/query/relayer/relayer.go
@@ -121,6 +121,14 @@
 	return r
 }
 
+// tenantName returns the name of the tenant; empty without one.
+func (r Request) tenantName() string {
+	if r.Tenant == nil {
+		return ""
+	}
+	return r.Tenant.Name
+}
+
 // maxRuns returns the maximum number of targets of each service that may still run the request.
 func (r Request) maxRuns() int { return r.Route.MaxRuns - r.PriorRuns }
 
--- a/internal/query/relayer/start.go
+++ b/internal/query/relayer/start.go
@@ -28,7 +28,7 @@
 	for n := range f.parts {
 		i := (first + n) % len(f.parts)
 		p := f.parts[i]
-		f.sender.RecordNeeded(p.service.Name)
+		f.sender.RecordNeeded(p.service.Name, f.request.tenantName())
 		if !p.isPending() || f.caution.active && len(chosen) > 0 {
 			continue
 		}
@@ -104,7 +104,7 @@
 	for n, c := range choices {
 		p := f.parts[c.part]
 		p.recordRequest(c.target)
-		f.sender.CountRequest(c.target)
+		f.sender.CountRequest(c.target, f.request.tenantName())
 		// A reply through a peer takes longer, so the hedge delay starts later.
 		p.hedgeDelayStart = p.hedgeDelayStart.Add(peerHopTime)
 		batch.Targets = append(batch.Targets, c.target)
--- a/internal/query/relayer/steps.go
+++ b/internal/query/relayer/steps.go
@@ -76,9 +76,9 @@
 // takeBudget takes one unit of the retry or hedge budget, and reports whether there was one.
 func (f *forwarder) takeBudget(p *part, hedge bool) bool {
 	if hedge {
-		return f.sender.AllowHedge(p.service.Name)
+		return f.sender.AllowHedge(p.service.Name, f.request.tenantName())
 	}
-	return f.sender.AllowRetry(p.service.Name)
+	return f.sender.AllowRetry(p.service.Name, f.request.tenantName())
 }
 
 // sendTo sends a request for the part to the given target.
@@ -86,7 +86,7 @@
 	p := f.parts[i]
 	p.recordRequest(target)
 	f.caution.trial = f.caution.active
-	f.sender.CountRequest(target)
+	f.sender.CountRequest(target, f.request.tenantName())
 	service := p.service
 	go func() {
 		result := f.sender.Send(f.sendCtx, target, service, f.request.Route.Name, f.latency, f.request.Outbound, f.request.Deadline)
@@ -111,12 +111,17 @@
 // the wait has become too long.
 func (f *forwarder) waitForCapacity(i int) {
 	p := f.parts[i]
+	if f.refuseIfHopeless(p) {
+		return
+	}
 	if !f.waitOrGiveUp(p, capacityPollInterval) {
 		f.addDecision(p, "", "no target with capacity")
 		return
 	}
-	if p.waiter == nil {
-		p.waiter = f.sender.Wait(p.service.Name, f.rank(), func() {
+	if p.waiter != nil {
+		p.waiter.WaitUntil(f.certainWaitEnd())
+	} else {
+		p.waiter = f.sender.Wait(p.service.Name, f.rank(), f.certainWaitEnd(), func() {
 			select {
 			case f.wakeups <- i:
 			default:
--- a/internal/target/budgeter/budgeter.go
+++ b/internal/target/budgeter/budgeter.go
@@ -3,6 +3,9 @@
 // share of the slack, so that the instances together stay within the limit without any communication between
 // them. The share of an instance grows from nothing over the first window of its process if it may have been started again:
 // the process before has used up to a whole share, of which the next one knows nothing. The sender uses it.
+//
+// A part of what each tenant has earned by its needed requests is reserved for it, so that a tenant whose requests fail or
+// are slow does not use up the extra requests of the others. The rest is for whoever asks first.
 package budgeter
 
 import (
@@ -81,32 +84,39 @@
 	})
 }
 
-// RecordNeeded counts a needed request to the service, one that is neither a hedge nor a retry.
-func (b *Budgeter) RecordNeeded(service string) {
+// RecordNeeded counts a needed request of the tenant to the service, one that is neither a hedge nor a retry. The tenant is
+// empty without tenants and for anonymous requests.
+func (b *Budgeter) RecordNeeded(service, tenant string) {
 	u, bucket, limits := b.currentUsage(service)
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.advance(bucket, limits.Window)
-	u.needed[bucket%bucketCount]++
+	u.total.needed[bucket%bucketCount]++
+	if t := u.tenant(tenant); t != nil {
+		t.needed[bucket%bucketCount]++
+	}
 }
 
-// TakeExtra takes one extra request from the budget of the service and reports whether the budget allowed it. It is
-// refused once the given fraction of the budget is used.
-func (b *Budgeter) TakeExtra(service string, fraction float64) bool {
+// TakeExtra takes one extra request of the tenant from the budget of the service and reports whether the budget allowed
+// it. It is refused once the given fraction of the budget is used, or if it would use what is reserved for other tenants.
+func (b *Budgeter) TakeExtra(service, tenant string, fraction float64) bool {
 	u, bucket, limits := b.currentUsage(service)
 	slack := b.slackShare(limits)
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.advance(bucket, limits.Window)
-	needed, extra := 0, 0
-	for i := range bucketCount {
-		needed += u.needed[i]
-		extra += u.extra[i]
+	needed, extra := u.total.sums()
+	allowed := fraction * safetyFactor * (limits.Ratio*float64(needed) + slack)
+	if float64(extra+1) > allowed {
+		return false
 	}
-	if float64(extra+1) > fraction*safetyFactor*(limits.Ratio*float64(needed)+slack) {
+	if len(u.tenants) > 0 && !u.leavesReserves(tenant, allowed-float64(extra), fraction*safetyFactor, limits.Ratio, slack) {
 		return false
 	}
-	u.extra[bucket%bucketCount]++
+	u.total.extra[bucket%bucketCount]++
+	if t := u.tenant(tenant); t != nil {
+		t.extra[bucket%bucketCount]++
+	}
 	return true
 }
 
@@ -134,31 +144,37 @@
 	return u.(*usage), bucket, limits
 }
 
-// usage counts the needed and extra requests to one service in each bucket.
+// usage counts the needed and extra requests to one service.
 type usage struct {
 	mu sync.Mutex
 	// window is the length of the window that the buckets divide.
 	window time.Duration
 	// latestBucket is the number of the newest bucket.
 	latestBucket int
-	needed       [bucketCount]int
-	extra        [bucketCount]int
+	total        counts
+	// tenants holds the part of each tenant; empty without tenants. The rest of the total is that of anonymous requests.
+	tenants map[string]*counts
 }
 
 // advance clears the buckets that have left the window. Under another window the buckets have other numbers, so that
 // the counts of the old ones cannot be kept apart.
 func (u *usage) advance(bucket int, window time.Duration) {
 	if window != u.window {
-		extra := 0
-		for i := range bucketCount {
-			extra += u.extra[i]
-		}
 		u.window, u.latestBucket = window, bucket
-		u.needed, u.extra = [bucketCount]int{}, [bucketCount]int{}
-		u.extra[bucket%bucketCount] = extra
+		u.total.merge(bucket)
+		for _, t := range u.tenants {
+			t.merge(bucket)
+		}
+	}
+	if bucket <= u.latestBucket {
+		return
 	}
-	for i := max(u.latestBucket+1, bucket-bucketCount+1); i <= bucket; i++ {
-		u.needed[i%bucketCount], u.extra[i%bucketCount] = 0, 0
+	u.total.clear(u.latestBucket, bucket)
+	for name, t := range u.tenants {
+		t.clear(u.latestBucket, bucket)
+		if t.isIdle() {
+			delete(u.tenants, name)
+		}
 	}
-	u.latestBucket = max(u.latestBucket, bucket)
+	u.latestBucket = bucket
 }
--- a/internal/target/budgeter/budgeter_test.go
+++ b/internal/target/budgeter/budgeter_test.go
@@ -32,11 +32,11 @@
 			b := budgeters[rapid.IntRange(0, instances-1).Draw(t, "instance")]
 			m := step{at: now}
 			for range rapid.IntRange(0, 20).Draw(t, "needed") {
-				b.RecordNeeded("s")
+				b.RecordNeeded("s", "")
 				m.needed++
 			}
 			for range rapid.IntRange(0, 40).Draw(t, "wanted") {
-				if b.TakeExtra("s", 1) {
+				if b.TakeExtra("s", "", 1) {
 					m.extra++
 				}
 			}
@@ -63,7 +63,7 @@
 // takeAll takes extra requests until the budget is empty, and returns their number.
 func takeAll(b *budgeter.Budgeter) int {
 	n := 0
-	for b.TakeExtra("s", 1) {
+	for b.TakeExtra("s", "", 1) {
 		n++
 	}
 	return n
--- a/internal/target/queuer/queuer.go
+++ b/internal/target/queuer/queuer.go
@@ -6,9 +6,13 @@
 // Among requests of one priority that can be in time, the newest goes first, since under overload the older ones would
 // all be served just too late; every service then also prefers the same queries. Late requests go oldest first, before
 // their callers leave.
+//
+// Among requests of equal priority that are all in time or all late, those of the tenant that has lately got the fewest
+// targets of the service go first, so that a tenant that sends many times its usual load delays only itself.
 package queuer
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -24,16 +28,33 @@
 	LatestStart time.Time
 	// Deadline is when the request ends.
 	Deadline time.Time
+	// Tenant is the name of the tenant; empty without tenants and for anonymous requests, which count as one tenant.
+	Tenant string
 }
 
-// Precedes reports whether a request goes before another one at the given time. Of two equal requests, neither does.
+// Precedes reports whether a request goes before another one of the same tenant at the given time. Of two equal
+// requests, neither does.
 func (r Rank) Precedes(other Rank, now time.Time) bool {
-	if r.late(now) != other.late(now) {
-		return other.late(now)
+	if order := r.compareUrgency(other, now); order != 0 {
+		return order < 0
 	}
-	if r.Priority != other.Priority {
-		return r.Priority < other.Priority
+	return r.precedesInTime(other, now)
+}
+
+// compareUrgency is negative if the request is more urgent than the other one, and positive if it is less urgent: in time
+// before late, then by priority. The tenants decide among requests of equal urgency.
+func (r Rank) compareUrgency(other Rank, now time.Time) int {
+	switch {
+	case r.late(now) && !other.late(now):
+		return 1
+	case !r.late(now) && other.late(now):
+		return -1
 	}
+	return cmp.Compare(r.Priority, other.Priority)
+}
+
+// precedesInTime orders requests of equal urgency by their times.
+func (r Rank) precedesInTime(other Rank, now time.Time) bool {
 	if r.LatestStart.IsZero() != other.LatestStart.IsZero() {
 		return other.LatestStart.IsZero()
 	}
@@ -49,34 +70,48 @@
 type Queue struct {
 	// count is the number of waiters, so that nothing is locked while there are none.
 	count atomic.Int64
+	// counting reports whether shares has any entry, so that nothing is locked without tenants.
+	counting atomic.Bool
 
 	mu      sync.Mutex
 	waiters map[string][]*Waiter
+	// shares holds what tenants have lately got.
+	shares shares
 }
 
 // New returns a Queue without waiters.
-func New() *Queue { return &Queue{waiters: make(map[string][]*Waiter)} }
+func New() *Queue { return &Queue{waiters: make(map[string][]*Waiter), shares: newShares()} }
 
 // Waiter is a waiting request.
 type Waiter struct {
 	queue   *Queue
 	service string
 	rank    Rank
+	// until is the time until which the request waits at least, unless it takes a target.
+	until time.Time
 	// wake tells the request to try again. It must not block.
 	wake func()
 }
 
-// Enter adds a request that waits for a target of the service. The function wake is called when the request may be
-// able to take one; it must not block.
-func (q *Queue) Enter(service string, rank Rank, wake func()) *Waiter {
-	w := &Waiter{queue: q, service: service, rank: rank, wake: wake}
+// Enter adds a request that waits for a target of the service, at least until the given time. The function wake is called
+// when the request may be able to take one; it must not block.
+func (q *Queue) Enter(service string, rank Rank, until time.Time, wake func()) *Waiter {
+	w := &Waiter{queue: q, service: service, rank: rank, until: until, wake: wake}
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.limitCredit(service, rank.Tenant)
 	q.waiters[service] = append(q.waiters[service], w)
 	q.count.Add(1)
 	return w
 }
 
+// WaitUntil changes the time until which the request waits at least.
+func (w *Waiter) WaitUntil(until time.Time) {
+	w.queue.mu.Lock()
+	defer w.queue.mu.Unlock()
+	w.until = until
+}
+
 // Leave removes the request, which has taken a target or ended, and wakes the next one. Further calls do nothing.
 func (w *Waiter) Leave() {
 	q := w.queue
@@ -103,17 +138,34 @@
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if self == nil {
+		q.limitCredit(service, rank.Tenant)
+	}
 	for _, w := range q.waiters[service] {
 		if w == self {
 			continue
 		}
-		if w.rank.Precedes(rank, now) || self == nil && !rank.Precedes(w.rank, now) {
+		if q.precedes(service, w.rank, rank, now) || self == nil && !q.precedes(service, rank, w.rank, now) {
 			return false
 		}
 	}
 	return true
 }
 
+// precedes reports whether a request for the service goes before another one: by urgency, then by what their tenants have
+// got, then by their times. The caller holds the lock.
+func (q *Queue) precedes(service string, a, b Rank, now time.Time) bool {
+	if order := a.compareUrgency(b, now); order != 0 {
+		return order < 0
+	}
+	if a.Tenant != b.Tenant {
+		if order := cmp.Compare(q.shares.got(service, a.Tenant), q.shares.got(service, b.Tenant)); order != 0 {
+			return order < 0
+		}
+	}
+	return a.precedesInTime(b, now)
+}
+
 // Wake wakes the first waiter of the service, if there is one: a target may have capacity again.
 func (q *Queue) Wake(service string, now time.Time) {
 	if q.count.Load() == 0 {
@@ -122,7 +174,7 @@
 	q.mu.Lock()
 	var first *Waiter
 	for _, w := range q.waiters[service] {
-		if first == nil || w.rank.Precedes(first.rank, now) {
+		if first == nil || q.precedes(service, w.rank, first.rank, now) {
 			first = w
 		}
 	}
--- a/internal/target/queuer/queuer_test.go
+++ b/internal/target/queuer/queuer_test.go
@@ -70,8 +70,8 @@
 	other := queuer.Rank{Priority: 2, LatestStart: in(2000), Deadline: in(5000)}
 	var woken []string
 	assert.Assert(t, q.MayTake("s", other, nil, now))
-	second := q.Enter("s", other, func() { woken = append(woken, "other") })
-	first := q.Enter("s", urgent, func() { woken = append(woken, "urgent") })
+	second := q.Enter("s", other, in(5000), func() { woken = append(woken, "other") })
+	first := q.Enter("s", urgent, in(5000), func() { woken = append(woken, "urgent") })
 	assert.Assert(t, q.MayTake("s", urgent, first, now))
 	assert.Assert(t, !q.MayTake("s", other, second, now))
 	assert.Assert(t, !q.MayTake("s", urgent, nil, now), "a request that has not waited goes after an equal one that has")
--- /dev/null
+++ b/internal/target/queuer/shares.go
@@ -0,0 +1,162 @@
+package queuer
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// shareHalfLife is the half-life of what a tenant has got. It spans several objectives, so that a burst counts for as
+	// long as its effects last, and is short enough that a tenant is soon treated like the others after its burst.
+	shareHalfLife = 2 * time.Second
+	// sweepInterval is the time after which idle entries are dropped, in half-lives.
+	sweepInterval = 4.0
+	// idleShare is the number of requests below which a tenant counts as idle.
+	idleShare = 0.05
+	// maxTenants is the maximum number of tenants that are counted for one service.
+	maxTenants = 1024
+	// creditFraction is the part of what the other waiting tenants have got by which a tenant that has got less may be
+	// behind them. Without the limit, a tenant that was idle before would get all targets for about a second.
+	creditFraction = 0.1
+	// takeInterval is the length of one interval in which taken targets are counted, and takeIntervals the number of those
+	// that are kept: together a second.
+	takeInterval  = 100 * time.Millisecond
+	takeIntervals = 10
+)
+
+// shares counts what tenants have lately got of each service. Every request counts 2^(age of the request at the time
+// origin / half-life), so that counts decay at the same pace without being touched and can be compared as they are. It
+// is empty without tenants.
+type shares struct {
+	// origin is the time at which a request counts 1.
+	origin   time.Time
+	services map[string]*serviceShares
+}
+
+// serviceShares holds the counts of one service.
+type serviceShares struct {
+	byTenant map[string]float64
+	// takes holds the number of targets taken in the latest intervals, and latest the number of the newest one. countedAt is
+	// when counting began.
+	takes     [takeIntervals]int
+	latest    int64
+	countedAt time.Time
+}
+
+func newShares() shares { return shares{services: make(map[string]*serviceShares)} }
+
+// got returns what the tenant has lately got of the service, comparable among tenants.
+func (s *shares) got(service, tenant string) float64 {
+	if c := s.services[service]; c != nil {
+		return c.byTenant[tenant]
+	}
+	return 0
+}
+
+// record counts a target of the service that the tenant has taken. Anonymous requests count only beside those of tenants.
+func (s *shares) record(service, tenant string, now time.Time) {
+	c := s.services[service]
+	if c == nil && tenant == "" {
+		return
+	}
+	if halfLives := s.halfLives(now); halfLives > sweepInterval {
+		s.sweep(now, halfLives)
+		c = s.services[service]
+	}
+	if c == nil {
+		c = &serviceShares{byTenant: make(map[string]float64), countedAt: now}
+		s.services[service] = c
+	}
+	c.count(now)
+	c.takes[c.latest%takeIntervals]++
+	c.byTenant[tenant] += math.Exp2(s.halfLives(now))
+	if len(c.byTenant) > maxTenants {
+		c.dropLeast()
+	}
+}
+
+// halfLives returns the number of half-lives since the origin.
+func (s *shares) halfLives(now time.Time) float64 {
+	return float64(now.Sub(s.origin)) / float64(shareHalfLife)
+}
+
+// sweep moves the origin to now and drops idle tenants and services.
+func (s *shares) sweep(now time.Time, halfLives float64) {
+	decay := math.Exp2(-halfLives)
+	for service, c := range s.services {
+		for tenant := range c.byTenant {
+			if c.byTenant[tenant] *= decay; c.byTenant[tenant] < idleShare {
+				delete(c.byTenant, tenant)
+			}
+		}
+		if len(c.byTenant) == 0 {
+			delete(s.services, service)
+		}
+	}
+	s.origin = now
+}
+
+// dropLeast drops the tenants that have got the least until half of the entries are left. They then count as idle.
+func (c *serviceShares) dropLeast() {
+	for bound := idleShare; len(c.byTenant) > maxTenants/2; bound *= 2 {
+		for tenant, got := range c.byTenant {
+			if got < bound && len(c.byTenant) > maxTenants/2 {
+				delete(c.byTenant, tenant)
+			}
+		}
+	}
+}
+
+// count clears the intervals that have passed since the newest one.
+func (c *serviceShares) count(now time.Time) {
+	interval := now.UnixNano() / int64(takeInterval)
+	for i := max(c.latest+1, interval-takeIntervals+1); i <= interval; i++ {
+		c.takes[i%takeIntervals] = 0
+	}
+	c.latest = max(c.latest, interval)
+}
+
+// maxRate returns the highest rate of the last second at which targets of the service were taken, per second. It is
+// unknown until a second has been counted.
+func (s *shares) maxRate(service string, now time.Time) (perSecond float64, known bool) {
+	c := s.services[service]
+	if c == nil || now.Sub(c.countedAt) < takeIntervals*takeInterval {
+		return 0, false
+	}
+	c.count(now)
+	most := 0
+	for _, n := range c.takes {
+		most = max(most, n)
+	}
+	return float64(most) / takeInterval.Seconds(), true
+}
+
+// Record counts a target of the service that a request of the tenant has taken.
+func (q *Queue) Record(service, tenant string, now time.Time) {
+	if tenant == "" && !q.counting.Load() {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.shares.record(service, tenant, now)
+	q.counting.Store(len(q.shares.services) > 0)
+}
+
+// limitCredit raises what a tenant without waiting requests has got, so that it is at most creditFraction behind every
+// other tenant that waits for the service. The caller holds the lock.
+func (q *Queue) limitCredit(service, tenant string) {
+	c := q.shares.services[service]
+	if c == nil {
+		return
+	}
+	least := math.Inf(1)
+	for _, w := range q.waiters[service] {
+		if w.rank.Tenant == tenant {
+			return
+		}
+		least = min(least, c.byTenant[w.rank.Tenant])
+	}
+	if bound := (1 - creditFraction) * least; !math.IsInf(least, 1) && c.byTenant[tenant] < bound {
+		c.byTenant[tenant] = bound
+	}
+}
--- a/internal/target/sender/sender.go
+++ b/internal/target/sender/sender.go
@@ -235,10 +235,20 @@
 	return s.picker.Pick(targets, service, latency.Median, preferredDomain, excluded)
 }
 
-// Wait enters a request into the queue for targets of the service. The function wake is called when the request may be
-// able to take one; it must not block.
-func (s *Sender) Wait(service string, rank queuer.Rank, wake func()) *queuer.Waiter {
-	return s.queue.Enter(service, rank, wake)
+// Wait enters a request into the queue for targets of the service, at least until the given time. The function wake is
+// called when the request may be able to take one; it must not block.
+func (s *Sender) Wait(service string, rank queuer.Rank, until time.Time, wake func()) *queuer.Waiter {
+	return s.queue.Enter(service, rank, until, wake)
+}
+
+// Outlook returns what a request that waits for a target of the service until the given time can expect. The waiter is
+// that of the request, or nil if it does not wait.
+func (s *Sender) Outlook(service mapper.Service, rank queuer.Rank, waiter *queuer.Waiter, until time.Time) queuer.Outlook {
+	capacity := 0
+	for _, t := range s.registrar.View().Serving(service.Name) {
+		capacity += s.picker.RequestLimit(t, service)
+	}
+	return s.queue.Outlook(service.Name, rank, waiter, until, capacity, time.Now())
 }
 
 // MayTake reports whether a request may take a target of the service: no waiting request goes first. The waiter is that
@@ -253,30 +263,34 @@
 	return s.picker.Healthy(target.ID) && s.throttler.Allowance(target.ID).HasSpare()
 }
 
-// CountRequest counts a request to the target that is about to be sent, here or through a peer, against its request
-// limit. The requests of peers, which SendForPeer sends, are counted there.
-func (s *Sender) CountRequest(target registrar.Target) { s.throttler.Take(target.ID) }
+// CountRequest counts a request of the tenant to the target that is about to be sent, here or through a peer, against the
+// request limit of the target, and as one that the tenant has got. The requests of peers, which SendForPeer sends, are
+// counted there.
+func (s *Sender) CountRequest(target registrar.Target, tenant string) {
+	s.throttler.Take(target.ID)
+	s.queue.Record(target.Service, tenant, time.Now())
+}
 
 // RecordNeeded counts a needed request to the service, one that is neither a hedge nor a retry. It adds to the budget
 // for extra requests.
-func (s *Sender) RecordNeeded(service string) {
-	s.budget.RecordNeeded(service)
+func (s *Sender) RecordNeeded(service, tenant string) {
+	s.budget.RecordNeeded(service, tenant)
 }
 
-// AllowRetry takes one retry from the budget of the service and reports whether the budget allowed it.
-func (s *Sender) AllowRetry(service string) bool {
-	return s.takeBudget(service, 1)
+// AllowRetry takes one retry of the tenant from the budget of the service and reports whether the budget allowed it.
+func (s *Sender) AllowRetry(service, tenant string) bool {
+	return s.takeBudget(service, tenant, 1)
 }
 
-// AllowHedge takes one hedge from the budget of the service and reports whether the budget allowed it. A fraction of
+// AllowHedge takes one hedge of the tenant from the budget of the service and reports whether the budget allowed it. A fraction of
 // the budget is reserved for retries: a hedged request may still get a reply, but without a retry the answer is certain
 // to lack a part.
-func (s *Sender) AllowHedge(service string) bool {
-	return s.takeBudget(service, hedgeBudgetFraction)
+func (s *Sender) AllowHedge(service, tenant string) bool {
+	return s.takeBudget(service, tenant, hedgeBudgetFraction)
 }
 
-func (s *Sender) takeBudget(service string, fraction float64) bool {
-	if s.budget.TakeExtra(service, fraction) {
+func (s *Sender) takeBudget(service, tenant string, fraction float64) bool {
+	if s.budget.TakeExtra(service, tenant, fraction) {
 		s.scope.Counter("sender-repeats").Inc(1)
 		return true
 	}
