--- /dev/null
+++ b/internal/query/relayer/fairness_test.go
@@ -0,0 +1,170 @@
+package relayer_test
+
+import (
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"apricotflow/internal/manifest/authenticator"
+	"apricotflow/internal/manifest/mapper"
+	"apricotflow/internal/query/relayer"
+)
+
+// demand is the load that one tenant sends.
+type demand struct {
+	tenant string
+	route  *mapper.Route
+	rate   float64
+	// repeats is how often a caller repeats a refused request at once.
+	repeats int
+}
+
+// tenantCounts holds how the requests of one demand ended. Refusals are those of the first try.
+type tenantCounts struct {
+	sent, inTime, late, failed, notRun int
+	// refusedAfter holds the times after which requests were refused, and retryAfter what their callers were told.
+	refusedAfter, retryAfter []time.Duration
+}
+
+// replayTenants sends the demands for a while and returns how their requests ended.
+func (f *fixture) replayTenants(duration time.Duration, demands ...demand) []*tenantCounts {
+	var mu sync.Mutex
+	var running sync.WaitGroup
+	results := make([]*tenantCounts, len(demands))
+	for i, d := range demands {
+		results[i] = &tenantCounts{}
+		var tenant *authenticator.Tenant
+		if d.tenant != "" {
+			tenant = &authenticator.Tenant{Name: d.tenant}
+		}
+		running.Go(func() {
+			for n := range int(d.rate * duration.Seconds()) {
+				running.Go(func() {
+					first := f.request(d.route, d.route.Name+d.tenant+strconv.Itoa(n))
+					for try := 0; ; try++ {
+						request := f.request(d.route, first.Outbound.ID)
+						request.Tenant = tenant
+						answer := f.relayer.Relay(f.t.Context(), request)
+						refused := answer.Outcome == relayer.NotRun
+						mu.Lock()
+						if refused {
+							results[i].refusedAfter = append(results[i].refusedAfter, time.Since(request.Arrived))
+							results[i].retryAfter = append(results[i].retryAfter, answer.RetryAfter)
+						}
+						if !refused || try == d.repeats {
+							results[i].add(first, answer)
+							mu.Unlock()
+							return
+						}
+						mu.Unlock()
+					}
+				})
+				time.Sleep(time.Duration(float64(time.Second) / d.rate))
+			}
+		})
+	}
+	running.Wait()
+	return results
+}
+
+func (c *tenantCounts) add(request relayer.Request, answer relayer.Answer) {
+	c.sent++
+	switch {
+	case answer.Outcome == relayer.NotRun:
+		c.notRun++
+	case answer.Outcome != relayer.Relayed:
+		c.failed++
+	case time.Now().After(request.Due):
+		c.late++
+	default:
+		c.inTime++
+	}
+}
+
+// newSlotFixture starts a service with two targets of four slots, which take the service time for each request.
+func newSlotFixture(t *testing.T, serviceTime time.Duration) *fixture {
+	f := newFixture(t, 2, "s0")
+	for _, target := range f.targets["s0"] {
+		limitSlots(target, 4, 6, map[string]time.Duration{"/search": serviceTime, "/lookup": serviceTime, "/urgent": serviceTime})
+	}
+	return f
+}
+
+// Load pattern: a tenant sends three times what the targets bear, and its callers repeat refused requests at once. Guards
+// against targets that go to whoever sends most, and against callers that gain by repeating.
+func TestTenantWithinItsShareIsServedWhileAnotherFloods(t *testing.T) {
+	for name, repeats := range map[string]int{"one try": 0, "repeated at once": 4} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newSlotFixture(t, 20*time.Millisecond)
+				route := singleRoute(true)
+				results := f.replayTenants(4*time.Second, demand{tenant: "flood", route: route, rate: 1200, repeats: repeats},
+					demand{tenant: "a", route: route, rate: 60}, demand{tenant: "b", route: route, rate: 60})
+				t.Logf("flood %+v", describe(results[0]))
+				for _, calm := range results[1:] {
+					t.Logf("calm %+v", describe(calm))
+					assert.Assert(t, float64(calm.inTime) >= 0.95*float64(calm.sent), describe(calm))
+				}
+			})
+		})
+	}
+}
+
+func describe(c *tenantCounts) tenantCounts {
+	short := *c
+	short.refusedAfter, short.retryAfter = nil, nil
+	return short
+}
+
+// Load pattern: requests of an urgent route, which wait longer, are three times what the targets bear, beside those of a
+// less urgent route. Guards against requests that wait although those before them take every target, against refusals
+// while targets stay free, and against instances without tenants that refuse earlier than before.
+func TestRequestThatCannotGetTargetIsRefusedAtOnce(t *testing.T) {
+	for _, tenant := range []string{"a", ""} {
+		t.Run("tenant "+strconv.Quote(tenant), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const serviceTime, duration = 20 * time.Millisecond, 4 * time.Second
+				f := newSlotFixture(t, serviceTime)
+				urgent, other := singleRoute(true), singleRoute(true)
+				urgent.Name, urgent.Priority, urgent.Objective, urgent.Timeout = "urgent", 0, 500*time.Millisecond, 2*time.Second
+				other.Priority = 1
+				results := f.replayTenants(duration, demand{tenant: tenant, route: urgent, rate: 1200}, demand{tenant: tenant, route: other, rate: 300})
+				early := 0
+				for i, after := range results[1].refusedAfter {
+					if after < 2*time.Millisecond {
+						early++
+					}
+					assert.Assert(t, results[1].retryAfter[i] >= 50*time.Millisecond && results[1].retryAfter[i] <= 300*time.Millisecond)
+				}
+				t.Logf("urgent %+v, other %+v, %d refused early", describe(results[0]), describe(results[1]), early)
+				served := results[0].inTime + results[0].late + results[1].inTime
+				capacity := 8 * int(duration/serviceTime)
+				assert.Assert(t, served >= capacity, "%d of %d served", served, capacity)
+				if tenant == "" {
+					assert.Equal(t, early, 0)
+					return
+				}
+				assert.Assert(t, float64(early) >= 0.7*float64(results[1].notRun), "%d of %d", early, results[1].notRun)
+			})
+		})
+	}
+}
+
+// Guards against refusals of requests that would be served: a short burst finds a long queue of equal requests, all of
+// which get a target within their wait.
+func TestBurstThatFitsIntoTheWaitIsNotRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newSlotFixture(t, 5*time.Millisecond)
+		route := singleRoute(true)
+		f.replayTenants(2*time.Second, demand{tenant: "a", route: route, rate: 800})
+		// Sixty requests within 6 ms: 40 more than may be in flight, and less than a wait of 30 ms serves.
+		results := f.replayTenants(6*time.Millisecond, demand{tenant: "a", route: route, rate: 5000}, demand{tenant: "b", route: route, rate: 5000})
+		for _, r := range results {
+			assert.Equal(t, r.notRun, 0, describe(r))
+		}
+	})
+}
