Divide the requests in flight of an instance among tenants

A tenant that sent more than an instance can have in flight made it refuse everyone. When three quarters are used, a tenant with more than an equal part (one part stays for a tenant that has none) is now refused first, with 503 and Retry-After, and nothing has run. Without tenants nothing is counted.

--- a/internal/caller/receiver/delegation.go
+++ b/internal/caller/receiver/delegation.go
@@ -52,7 +52,7 @@
 	if d.DueIn != nil {
 		request.Due = arrived.Add(*d.DueIn)
 	}
-	answer := rc.relay.Relay(ctx, request)
+	answer := rc.relayInTurn(ctx, request)
 	rc.logIfNotable(rc.logger.With("origin", d.Origin), request, answer)
 	return answer, nil
 }
--- a/internal/caller/receiver/receiver.go
+++ b/internal/caller/receiver/receiver.go
@@ -104,7 +104,9 @@
 	// inFlight is the number of requests in flight, and maxInFlight its limit.
 	inFlight    atomic.Int64
 	maxInFlight int64
-	draining    atomic.Bool
+	// occupancy divides maxInFlight among the tenants.
+	occupancy *occupancy
+	draining  atomic.Bool
 	// servesUntil is the time at which the answers of a draining instance must have been written; nil before Drain.
 	servesUntil atomic.Pointer[time.Time]
 	// stopping reports whether Stop was called, so that requests are refused.
@@ -115,8 +117,8 @@
 func New(codec HeaderCodec, r *registrar.Registrar, relay Relay, maxInFlight int, logger *log.Logger, scope tally.Scope, opts ...Option) *Receiver {
 	rc := &Receiver{
 		codec: codec, registrar: r, relay: relay, logger: logger, scope: scope, maxInFlight: int64(maxInFlight),
-		latency: scope.Histogram("receiver-latency", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)),
-		idle:    newIdleConnections(), stateAge: func() time.Duration { return 0 },
+		latency:   scope.Histogram("receiver-latency", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)),
+		occupancy: newOccupancy(maxInFlight), idle: newIdleConnections(), stateAge: func() time.Duration { return 0 },
 	}
 	for _, opt := range opts {
 		opt(rc)
@@ -227,7 +229,7 @@
 		Route: route, Table: table, Outbound: outbound, Arrived: arrived,
 		Due: answerDue(started, route.Objective), Deadline: deadline,
 	}
-	answer := rc.relay.Relay(r.Context(), request)
+	answer := rc.relayInTurn(r.Context(), request)
 	rc.latency.RecordDuration(time.Since(arrived))
 	rc.logIfNotable(rc.logger, request, answer)
 	rc.writeAnswer(w, r.Method, answer)
