Explain where a request would be sent now

Operators could not tell why a request went to a target, waited or was refused without reading logs of one that had failed. An instance that relays now answers GET /v1/explain with route, tenant, the candidates with the figures of the choice, the targets left out with the reason, and what would refuse the request; the command explain prints it as text or JSON. Pick and the explanation share one function for the score and one for exclusions. Names that belong to no tenant are not repeated, since they may be keys.

--- a/internal/caller/assembler/relay.go
+++ b/internal/caller/assembler/relay.go
@@ -197,7 +197,7 @@
 	settings loader.Settings, platform PlatformAdapters, r *registrar.Registrar, relay *relayer.Relayer, f *feeder.Feeder, d *delegator.Delegator,
 	l *log.Logger, scope tally.Scope,
 ) *receiver.Receiver {
-	rc := receiver.New(platform.CallerHeaders, r, relay, settings.Concurrency(), l, scope, receiver.WithStateAge(f.Age))
+	rc := receiver.New(platform.CallerHeaders, r, relay, settings.Concurrency(), l, scope, receiver.WithStateAge(f.Age), receiver.WithExplainer(relay))
 	d.SetServer(rc)
 	return rc
 }
@@ -210,7 +210,7 @@
 		Instance: settings.Instance(), Incarnation: string(incarnation), FailureDomain: settings.FailureDomain(), Version: string(version),
 	}
 	return admin.New(identity, events, metrics, clock, admin.WithReady(callerReceiver.Ready), admin.WithConfiguration(o.Configuration),
-		admin.WithMembers(o.Members), admin.WithTargets(o.Targets))
+		admin.WithMembers(o.Members), admin.WithTargets(o.Targets), admin.WithExplain(callerReceiver.Explain))
 }
 
 func newObserver(r *registrar.Registrar, p *picker.Picker, d *discoverer.Discoverer, f *feeder.Feeder, events *recorder.Recorder) *observer.Observer {
--- a/internal/caller/receiver/occupancy.go
+++ b/internal/caller/receiver/occupancy.go
@@ -11,6 +11,9 @@
 // rest is left to tenants that hold less, also when a single tenant sends without end.
 const crowdedFraction = 0.75
 
+// reasonTenantShare is the reason of refusals by occupancy.
+const reasonTenantShare = "tenant has more than its fair share of the requests in flight"
+
 // occupancy counts the requests in flight of each tenant and decides which tenant may have another one. Anonymous
 // requests count as those of one tenant without a name.
 type occupancy struct {
@@ -52,6 +55,14 @@
 	return true
 }
 
+// describe returns how many requests in flight the tenant has and may have while the instance is crowded, and whether it
+// may have another one beside those in flight.
+func (o *occupancy) describe(tenant string, inFlight int) (held, share int, mayEnter bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.held[tenant], o.fairShare(tenant), o.mayEnter(tenant, inFlight)
+}
+
 func (o *occupancy) leave(tenant string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -71,10 +82,10 @@
 		tenant = request.Tenant.Name
 	}
 	if !rc.occupancy.enter(tenant, int(rc.inFlight.Load())-1) {
-		rc.scope.Counter("receiver-tenant-overload").Inc(1)
+		rc.scope.Counter("receiver-overload").Inc(1)
 		return relayer.Answer{
 			Outcome: relayer.NotRun, RetryAfter: overloadRetryAfter,
-			Decisions: []relayer.Decision{{Event: "tenant has more than its fair share of the requests in flight"}},
+			Decisions: []relayer.Decision{{Event: reasonTenantShare}},
 		}
 	}
 	defer rc.occupancy.leave(tenant)
--- a/internal/caller/receiver/receiver.go
+++ b/internal/caller/receiver/receiver.go
@@ -106,6 +106,8 @@
 	maxInFlight int64
 	// occupancy divides maxInFlight among the tenants.
 	occupancy *occupancy
+	// explainer is nil if explanations end at the route.
+	explainer Explainer
 	draining  atomic.Bool
 	// servesUntil is the time at which the answers of a draining instance must have been written; nil before Drain.
 	servesUntil atomic.Pointer[time.Time]
--- a/internal/operator/commander/commander.go
+++ b/internal/operator/commander/commander.go
@@ -40,7 +40,8 @@
 		Usage: "query tier over many shards",
 		Description: `An instance accepts queries from callers, sends each query to one replica of every shard and merges the replies.
 "serve" runs an instance; "check" validates a manifest or settings file before it is published; "query" sends one
-query; "status" shows the current state of a whole deployment, and "timeline" its past events.
+query; "status" shows the current state of a whole deployment, and "timeline" its past events; "explain" shows where
+an instance that relays would send a request.
 
 Examples:
   apricotflow check --settings a.json --manifest manifest.json
@@ -59,6 +60,7 @@
 			newQueryCommand(),
 			newStatusCommand(time.Now),
 			newTimelineCommand(time.Now),
+			newExplainCommand(),
 			newVersionCommand(),
 		},
 	}
--- a/internal/operator/server/errors.go
+++ b/internal/operator/server/errors.go
@@ -41,15 +41,17 @@
 
 const (
 	codeInvalidFilter errorCode = "invalid-filter"
-	codeNotFound      errorCode = "not-found"
-	codeReadOnly      errorCode = "read-only"
+	// codeInvalidParameter is the code for the parameters of an explanation.
+	codeInvalidParameter errorCode = "invalid-parameter"
+	codeNotFound         errorCode = "not-found"
+	codeReadOnly         errorCode = "read-only"
 )
 
 // status returns the HTTP status code for the error code. It is the only place that chooses the status of an error
 // response.
 func (c errorCode) status() int {
 	switch c {
-	case codeInvalidFilter:
+	case codeInvalidFilter, codeInvalidParameter:
 		return http.StatusBadRequest
 	case codeReadOnly:
 		return http.StatusMethodNotAllowed
--- a/internal/operator/server/server.go
+++ b/internal/operator/server/server.go
@@ -72,7 +72,9 @@
 	configuration func() Configuration
 	members       func() []encoder.MemberStatus
 	targets       func() []encoder.TargetStatus
-	http          *http.Server
+	// explain is nil without explanations.
+	explain Explain
+	http    *http.Server
 }
 
 // Option sets where a part of the status comes from.
@@ -98,6 +100,14 @@
 	return func(s *Server) { s.targets = targets }
 }
 
+// Explain returns what would be done with a request now. The tenant and the id of the request may be empty.
+type Explain func(host, path, tenant, requestID string) encoder.ExplainReply
+
+// WithExplain sets the function that explains requests. Without it, as in native mode, there are no explanations.
+func WithExplain(explain Explain) Option {
+	return func(s *Server) { s.explain = explain }
+}
+
 // New creates a server. Parts of the status without an option are empty, and the instance is then not ready.
 func New(identity Identity, events Events, totals Totals, clock Clock, opts ...Option) *Server {
 	s := &Server{
@@ -122,8 +132,9 @@
 	r := mux.NewRouter()
 	r.HandleFunc("/v1/status", s.serveStatus).Methods(http.MethodGet)
 	r.HandleFunc("/v1/events", s.serveEvents).Methods(http.MethodGet)
+	r.HandleFunc("/v1/explain", s.serveExplain).Methods(http.MethodGet)
 	r.HandleFunc("/metrics", s.serveMetrics).Methods(http.MethodGet)
-	r.NotFoundHandler = errorHandler(codeNotFound, "the paths are /v1/status, /v1/events and /metrics")
+	r.NotFoundHandler = errorHandler(codeNotFound, "the paths are /v1/status, /v1/events, /v1/explain and /metrics")
 	r.MethodNotAllowedHandler = errorHandler(codeReadOnly, "the admin API supports only GET")
 	return r
 }
--- a/internal/operator/server/server_test.go
+++ b/internal/operator/server/server_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -128,3 +129,22 @@
 	assert.NilError(t, err)
 	return reply
 }
+
+// Guards against a misspelt or missing parameter that is ignored, against a value, which may be a key, that is repeated in
+// an error, and against explanations in native mode.
+func TestExplanationIsServedForValidParametersOnly(t *testing.T) {
+	explain := server.WithExplain(func(host, path, tenant, id string) encoder.ExplainReply {
+		return encoder.ExplainReply{Host: host, Path: path, Tenant: tenant, RequestId: id}
+	})
+	s, _ := newServer(t, explain)
+	reply, err := encoder.Decode[encoder.ExplainReply](getPath(s, "/v1/explain?host=h&path=%2Fp&tenant=x&id=r").Body.Bytes())
+	assert.NilError(t, err)
+	assert.Equal(t, reply.Instance+reply.Host+reply.Path+reply.Tenant+reply.RequestId, "ah/pxr")
+	for _, query := range []string{"host=h", "path=%2Fp", "host=h&path=p", "host=h&path=%2Fp&key=secret", "host=h&path=%2Fp&tenant=secret&tenant=x"} {
+		w := getPath(s, "/v1/explain?"+query)
+		assert.Equal(t, w.Code, http.StatusBadRequest, query)
+		assert.Assert(t, !strings.Contains(w.Body.String(), "secret"), query)
+	}
+	native, _ := newServer(t)
+	assert.Equal(t, getPath(native, "/v1/explain?host=h&path=%2Fp").Code, http.StatusNotFound)
+}
--- /dev/null
+++ b/internal/query/relayer/explain.go
@@ -0,0 +1,81 @@
+package relayer
+
+import (
+	"time"
+
+	"apricotflow/internal/query/quarantiner"
+	"apricotflow/internal/wire/encoder"
+)
+
+// Explanation is what would be done with a request now.
+type Explanation struct {
+	// Refusals holds what would refuse the request, the first check first.
+	Refusals []Refusal
+	// Services holds the service of the request, or one entry for each shard.
+	Services []encoder.ExplainedService
+	// Notes holds what else may decide, but depends on the body or the key of the request.
+	Notes []string
+}
+
+// Refusal is a reason for which a request does not run.
+type Refusal struct {
+	Reason     string
+	RetryAfter time.Duration
+}
+
+// Explain returns what would be done with the request now, by the decisions that Relay takes. It sends nothing and
+// counts nothing.
+func (r *Relayer) Explain(request Request) Explanation {
+	f := newForwarder(r.sender, r.concentrator, r.gate, r.quarantine, request)
+	e := Explanation{Services: make([]encoder.ExplainedService, 0, len(f.parts))}
+	for _, p := range f.parts {
+		e.Services = append(e.Services, f.explainService(p))
+	}
+	switch {
+	case isCutOff(r.sender, request):
+		e.Notes = append(e.Notes, "targets are out of reach from here: the request is handed over to another instance if one takes it")
+		e.refuse(f, f.answerCannotServe())
+	case !r.sender.CanServe(request.Route, request.Outbound.ID):
+		e.refuse(f, f.answerCannotServe())
+	}
+	if r.sender.AnyLimited() {
+		if wait := f.limitWait(); f.exceedsWait(wait) {
+			e.refuse(f, f.answerLimited(wait))
+		}
+	}
+	if !request.Route.IsSharded() && len(e.Refusals) == 0 && f.refuseIfHopeless(f.parts[0]) {
+		e.Refusals = append(e.Refusals, Refusal{Reason: "queue too long", RetryAfter: f.roomAfter})
+	}
+	if !r.quarantine.IsEmpty() {
+		e.Notes = append(e.Notes, "targets have ended under some requests: whether this one is held depends on its body")
+		if r.quarantine.Verdict(f.fingerprintOf()) == quarantiner.Quarantined {
+			e.Refusals = append(e.Refusals, Refusal{Reason: "quarantined, targets have ended under such requests"})
+		}
+	}
+	return e
+}
+
+// refuse adds the reason of an answer that refuses the request.
+func (e *Explanation) refuse(f *forwarder, answer Answer) {
+	e.Refusals = append(e.Refusals, Refusal{Reason: f.decisions[len(f.decisions)-1].Event, RetryAfter: answer.RetryAfter})
+}
+
+// explainService returns how the target of a part would be chosen.
+func (f *forwarder) explainService(p *part) encoder.ExplainedService {
+	outlook := f.sender.Outlook(p.service, f.rank(), nil, f.targetWaitDeadline())
+	explained := encoder.ExplainedService{
+		Service: p.service.Name, PreferredDomain: f.preferredDomain, MedianMs: milliseconds(f.latency.Median),
+		HedgeDelayMs: milliseconds(f.latency.HedgeDelay), Ahead: outlook.Ahead, TenantGot: outlook.Got,
+		LimitWaitMs: milliseconds(f.sender.Allowance(p.service.Name).Wait()), Candidates: []encoder.ExplainedCandidate{},
+	}
+	for _, c := range f.sender.Candidates(p.service, f.latency, f.preferredDomain) {
+		explained.Candidates = append(explained.Candidates, encoder.ExplainedCandidate{
+			Target: c.Target.ID, FailureDomain: c.Target.FailureDomain, Excluded: c.Excluded, ScoreMs: milliseconds(c.Score),
+			InFlight: c.InFlight, Limit: c.Limit, RelativeLatency: c.RelativeLatency, FailureShare: c.FailureShare,
+			Overdue: c.IsOverdue, Cold: c.IsCold, ReportedLoad: c.ReportedLoad, Scarcity: c.Scarcity,
+		})
+	}
+	return explained
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/query/relayer/limits.go
+++ b/internal/query/relayer/limits.go
@@ -19,7 +19,7 @@
 		switch {
 		case wait == 0:
 			return Answer{}, false
-		case time.Now().Add(wait).After(f.targetWaitDeadline()):
+		case f.exceedsWait(wait):
 			f.gate.recordRefusal(f.parts[0].service.Name, refusal{at: time.Now(), priority: f.request.Route.Priority, parts: f.minParts()})
 			return f.answerLimited(wait), true
 		}
@@ -30,6 +30,11 @@
 	}
 }
 
+// exceedsWait reports whether the time until the request limits allow the request is longer than it may wait.
+func (f *forwarder) exceedsWait(wait time.Duration) bool {
+	return time.Now().Add(wait).After(f.targetWaitDeadline())
+}
+
 // sendFirstWithinLimits sends the first requests of all parts, or returns the time until the request limits allow that.
 func (f *forwarder) sendFirstWithinLimits() time.Duration {
 	if f.sender.AnyLimited() {
--- a/internal/target/picker/picker.go
+++ b/internal/target/picker/picker.go
@@ -237,20 +237,7 @@
 		if excluded(targets[i].ID) {
 			continue
 		}
-		allowance := p.limits.Allowance(targets[i].ID)
-		if allowance.Wait() > 0 {
-			continue
-		}
-		o := p.observationsOf(targets[i].ID)
-		score, hasCapacity := o.score(now, targets[i], median, p.RequestLimit(targets[i], service), p.coldAllowance(targets[i], service, now))
-		if !hasCapacity {
-			continue
-		}
-		if targets[i].FailureDomain != preferredDomain {
-			score += float64(crossDomainPenalty)
-		}
-		score += allowance.Scarcity() * float64(limitPenalty)
-		if score < bestScore {
+		if score, hasCapacity := p.evaluate(now, targets[i], service, median, preferredDomain); hasCapacity && score < bestScore {
 			best, bestScore = i, score
 		}
 	}
@@ -337,14 +324,11 @@
 func (o *observations) score(now time.Time, t registrar.Target, median time.Duration, limit, coldAllowance int) (float64, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if len(o.inFlight) >= limit || now.Before(o.downUntil) || now.Before(o.fullUntil) || o.pausedFor(now, t) > 0 {
+	if o.exclusion(now, t, limit, coldAllowance) != "" {
 		return 0, false
 	}
 	expected := o.currentRelativeLatency(now) * float64(median)
 	if o.isCold(now, t) {
-		if o.recentColdRequests(now) >= coldAllowance {
-			return 0, false
-		}
 		expected *= coldLatencyFactor
 	}
 	score := expected * (1 + o.expectedWait(now, t) + jitter*rand.Float64())
--- a/internal/target/queuer/outlook.go
+++ b/internal/target/queuer/outlook.go
@@ -16,6 +16,8 @@
 	// Hopeless reports whether the request cannot get a target before its wait ends: the requests before it, which wait at
 	// least as long as they are needed for that, take all targets that may become free.
 	Hopeless bool
+	// Got is the number of targets of the service that the tenant has lately got, with a half-life of shareHalfLife.
+	Got float64
 	// Ahead is the number of waiting requests that go first.
 	Ahead int
 	// RoomAfter is the time after which the requests that go first have been served, at the rate at which targets were taken;
@@ -31,7 +33,7 @@
 	defer q.mu.Unlock()
 	ahead, count := q.remainingWaitsAhead(service, rank, self, until, now)
 	rate, known := q.shares.maxRate(service, now)
-	outlook := Outlook{Ahead: count}
+	outlook := Outlook{Ahead: count, Got: q.shares.got(service, rank.Tenant) / math.Exp2(q.shares.halfLives(now))}
 	if !known {
 		return outlook
 	}
--- a/internal/wire/encoder/types.go
+++ b/internal/wire/encoder/types.go
@@ -337,6 +337,144 @@
 	Items []SubQuery `json:"items"`
 }
 
+// Reply to GET /v1/explain: where a request would be sent now, and why. Nothing is
+// sent.
+type ExplainReply struct {
+	// Host of the request.
+	Host string `json:"host"`
+
+	// Number of requests in flight on the instance.
+	InFlight int `json:"in-flight"`
+
+	// Maximum number of requests in flight on the instance.
+	InFlightLimit int `json:"in-flight-limit"`
+
+	// Name of the instance.
+	Instance string `json:"instance"`
+
+	// What else may decide, but cannot be told without the request.
+	Notes []string `json:"notes"`
+
+	// Path of the request, without its query.
+	Path string `json:"path"`
+
+	// What would refuse the request, the first check first; empty if it would be sent
+	// or would wait.
+	Refusals []ExplainedRefusal `json:"refusals"`
+
+	// Id of the request, which selects the service of a split; may be empty.
+	RequestId string `json:"request-id"`
+
+	// Name of the route; empty if none matches.
+	Route string `json:"route"`
+
+	// The service of the request, or one entry for each shard.
+	Services []ExplainedService `json:"services"`
+
+	// Name of the tenant; empty without one.
+	Tenant string `json:"tenant"`
+
+	// Number of requests that the tenant may send in addition to its rate.
+	TenantBurst float64 `json:"tenant-burst"`
+
+	// Number of requests of the tenant in flight on the instance.
+	TenantInFlight int `json:"tenant-in-flight"`
+
+	// Maximum number of requests per second of the tenant over all instances; 0 if it
+	// is not limited.
+	TenantRate float64 `json:"tenant-rate"`
+
+	// Number of requests that the tenant may have in flight while the instance is
+	// crowded; 0 if no tenants are configured.
+	TenantShare int `json:"tenant-share"`
+
+	// Version of the routing table in force; 0 without one.
+	Version int `json:"version"`
+}
+
+// A target with the figures that the decision uses.
+type ExplainedCandidate struct {
+	// Whether the target is expected to be cold.
+	Cold bool `json:"cold"`
+
+	// Why the target would not be chosen; empty if it may be.
+	Excluded string `json:"excluded"`
+
+	// Failure domain of the target.
+	FailureDomain string `json:"failure-domain"`
+
+	// Share of recent requests that failed.
+	FailureShare float64 `json:"failure-share"`
+
+	// Requests of this instance in flight to the target.
+	InFlight int `json:"in-flight"`
+
+	// Maximum number of these requests.
+	Limit int `json:"limit"`
+
+	// Whether a reply of the target is overdue.
+	Overdue bool `json:"overdue"`
+
+	// Latency of the target relative to the median of the route.
+	RelativeLatency float64 `json:"relative-latency"`
+
+	// Requests that the target has reported as running or waiting; 0 without a recent
+	// report.
+	ReportedLoad int `json:"reported-load"`
+
+	// Used part of what the request limit of the target lets this instance save up,
+	// from 0 to 1.
+	Scarcity float64 `json:"scarcity"`
+
+	// Expected latency with all penalties; the lowest one is chosen. It varies by a
+	// random part of up to a tenth of the expected latency. 0 if the target is
+	// excluded.
+	ScoreMs float64 `json:"score-ms"`
+
+	// Id of the target.
+	Target string `json:"target"`
+}
+
+// A reason to refuse a request.
+type ExplainedRefusal struct {
+	// Human-readable reason.
+	Reason string `json:"reason"`
+
+	// Time after which the caller should return; 0 if it is not told one.
+	RetryAfterMs float64 `json:"retry-after-ms"`
+
+	// HTTP status of the answer.
+	Status int `json:"status"`
+}
+
+// The choice of a target for one service.
+type ExplainedService struct {
+	// Number of waiting requests that would go first.
+	Ahead int `json:"ahead"`
+
+	// The targets of the service, the one that would be chosen first.
+	Candidates []ExplainedCandidate `json:"candidates"`
+
+	// Time after which a hedge would be sent.
+	HedgeDelayMs float64 `json:"hedge-delay-ms"`
+
+	// Time until the request limits of the targets allow a request; 0 if they do now.
+	LimitWaitMs float64 `json:"limit-wait-ms"`
+
+	// Median latency of the route.
+	MedianMs float64 `json:"median-ms"`
+
+	// Failure domain whose targets are preferred.
+	PreferredDomain string `json:"preferred-domain"`
+
+	// Name of the service.
+	Service string `json:"service"`
+
+	// Number of targets of the service that the tenant has lately got, with a
+	// half-life of 2 s.
+	TenantGot float64 `json:"tenant-got"`
+}
+
 // A part of the deployment that fails, or is taken out of service, as a whole.
 type FailureDomain struct {
 	// Unique name.
