--- a/internal/caller/receiver/explain.go
+++ b/internal/caller/receiver/explain.go
@@ -63,7 +63,7 @@
 		}
 	}
 	if table.Tenants() != nil && reason == "" {
-		mayEnter := false
+		var mayEnter bool
 		reply.TenantInFlight, reply.TenantShare, mayEnter = rc.occupancy.describe(reply.Tenant, reply.InFlight)
 		if !mayEnter {
 			refuse(http.StatusServiceUnavailable, reasonTenantShare, overloadRetryAfter)
