--- a/internal/query/relayer/fairness_test.go
+++ b/internal/query/relayer/fairness_test.go
@@ -1,8 +1,10 @@
 package relayer_test
 
 import (
+	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +14,7 @@
 	"apricotflow/internal/manifest/authenticator"
 	"apricotflow/internal/manifest/mapper"
 	"apricotflow/internal/query/relayer"
+	"apricotflow/internal/standin/httpresponder"
 )
 
 // demand is the load that one tenant sends.
@@ -76,7 +79,7 @@
 	switch {
 	case answer.Outcome == relayer.NotRun:
 		c.notRun++
-	case answer.Outcome != relayer.Relayed:
+	case answer.Outcome != relayer.Merged && (answer.Outcome != relayer.Relayed || !answer.Reply.Success()):
 		c.failed++
 	case time.Now().After(request.Due):
 		c.late++
@@ -114,6 +117,51 @@
 	}
 }
 
+// Load pattern: as above, with queries over twelve shards that need a part of each. Guards against targets that are shared
+// fairly in each service, while every query of a tenant lacks a part.
+func TestQueriesOfTenantAreCompleteWhileAnotherFloods(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		services := make([]string, 12)
+		for i := range services {
+			services[i] = "s" + strconv.Itoa(i)
+		}
+		f := newFixture(t, 2, services...)
+		for _, service := range services {
+			for _, target := range f.targets[service] {
+				limitSlots(target, 4, 6, map[string]time.Duration{"/search": 20 * time.Millisecond})
+			}
+		}
+		results := f.replayTenants(2*time.Second, demand{tenant: "flood", route: shardedRoute(1, services...), rate: 800},
+			demand{tenant: "calm", route: shardedRoute(1, services...), rate: 40})
+		t.Logf("flood %+v, calm %+v", describe(results[0]), describe(results[1]))
+		assert.Assert(t, float64(results[1].inTime) >= 0.95*float64(results[1].sent), describe(results[1]))
+	})
+}
+
+// Load pattern: every request of a tenant fails at each target, while one in fifteen of another tenant fails once. Guards
+// against retries of the first that leave none for the second.
+func TestRetriesOfTenantAreServedWhileRequestsOfAnotherFail(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 3, "s0")
+		f.limits.Slack = 0
+		f.buildRelayer()
+		var lookups atomic.Int64
+		for _, target := range f.targets["s0"] {
+			target.SetBehaviour(func(r *http.Request) (httpresponder.Behaviour, time.Duration) {
+				if r.URL.Path == "/urgent" || lookups.Add(1)%15 == 0 {
+					return httpresponder.Fail, 5 * time.Millisecond
+				}
+				return httpresponder.Answer, 5 * time.Millisecond
+			})
+		}
+		failing := singleRoute(true)
+		failing.Name = "urgent"
+		results := f.replayTenants(5*time.Second, demand{tenant: "failing", route: failing, rate: 200}, demand{tenant: "other", route: singleRoute(true), rate: 50})
+		t.Logf("other %+v", describe(results[1]))
+		assert.Assert(t, results[1].failed <= results[1].sent/100, describe(results[1]))
+	})
+}
+
 func describe(c *tenantCounts) tenantCounts {
 	short := *c
 	short.refusedAfter, short.retryAfter = nil, nil
--- a/internal/target/queuer/outlook.go
+++ b/internal/target/queuer/outlook.go
@@ -31,24 +31,74 @@
 func (q *Queue) Outlook(service string, rank Rank, self *Waiter, until time.Time, capacity int, now time.Time) Outlook {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	ahead, count := q.remainingWaitsAhead(service, rank, self, until, now)
+	got := q.shares.got(service, rank.Tenant)
+	outlook := Outlook{Got: got / math.Exp2(q.shares.halfLives(now))}
+	defer func() {
+		clear(q.ahead)
+		q.ahead = q.ahead[:0]
+	}()
+	for _, w := range q.waiters[service] {
+		if w != self && precedes(&w.rank, &rank, q.got(w), got, now) {
+			q.ahead = append(q.ahead, aheadWaiter{wait: w.certainlyAheadUntil(rank, now).Sub(now), waiter: w})
+		}
+	}
+	outlook.Ahead = len(q.ahead)
 	rate, known := q.shares.maxRate(service, now)
-	outlook := Outlook{Ahead: count, Got: q.shares.got(service, rank.Tenant) / math.Exp2(q.shares.halfLives(now))}
 	if !known {
 		return outlook
 	}
 	if rate > 0 {
-		outlook.RoomAfter = time.Duration(float64(count) / rate * float64(time.Second))
+		outlook.RoomAfter = time.Duration(float64(outlook.Ahead) / rate * float64(time.Second))
+	}
+	wait := until.Sub(now)
+	if free := capacity + int(rateMargin*rate*max(wait, 0).Seconds()); outlook.Ahead >= free {
+		waits := certainWaits(q.ahead, rank, got, math.Exp2(q.shares.halfLives(until)), now)
+		outlook.Hopeless = takeAll(waits, free, capacity, rateMargin*rate)
 	}
-	outlook.Hopeless = isHopeless(ahead, until.Sub(now), capacity, rateMargin*rate)
 	return outlook
 }
 
-// isHopeless reports whether requests that go first take all targets that may become free while a request waits. The
-// remaining waits of the requests that go first are sorted, the longest first. At most the capacity becomes free at once,
-// because all requests in flight may end at the same time, and after that targets become free at the rate per second.
-func isHopeless(ahead []time.Duration, wait time.Duration, capacity int, rate float64) bool {
-	free := capacity + int(rate*max(wait, 0).Seconds())
+// aheadWaiter is a waiting request that goes before another one, and for how long at least.
+type aheadWaiter struct {
+	wait   time.Duration
+	waiter *Waiter
+}
+
+// certainlyAheadUntil returns until when the waiter is certain to go before a request with the rank that it precedes now:
+// until it leaves or is late.
+func (w *Waiter) certainlyAheadUntil(rank Rank, now time.Time) time.Time {
+	if s := w.rank.LatestStart; !s.IsZero() && !rank.late(now) && s.Before(w.until) {
+		return s
+	}
+	return w.until
+}
+
+// certainWaits sorts the waiters that go first, the longest wait first, and drops those of tenants that will have caught up
+// with the tenant of the rank by then. A taken target counts at most requestCount.
+func certainWaits(ahead []aheadWaiter, rank Rank, got, requestCount float64, now time.Time) []aheadWaiter {
+	slices.SortFunc(ahead, func(a, b aheadWaiter) int { return cmp.Compare(b.wait, a.wait) })
+	for _, a := range ahead {
+		if a.waiter.share != nil {
+			a.waiter.share.ahead = 0
+		}
+	}
+	return slices.DeleteFunc(ahead, func(a aheadWaiter) bool {
+		share := a.waiter.share
+		if a.waiter.rank.Tenant == rank.Tenant || !a.waiter.rank.isAsUrgent(&rank, now) {
+			return false
+		}
+		if share == nil {
+			return true
+		}
+		share.ahead++
+		return float64(share.ahead) > (got-share.got)/requestCount
+	})
+}
+
+// takeAll reports whether waiting requests, the longest wait first, take all targets that may become free while another
+// one waits. At most the capacity becomes free at once, because all requests in flight may end at the same time, and after
+// that targets become free at the rate per second.
+func takeAll(ahead []aheadWaiter, free, capacity int, rate float64) bool {
 	if free < 1 || len(ahead) < free {
 		return false
 	}
@@ -58,44 +108,9 @@
 		if n >= capacity {
 			at = time.Duration(float64(n+1-capacity) / rate * float64(time.Second))
 		}
-		if ahead[n] < at {
+		if ahead[n].wait < at {
 			return false
 		}
 	}
 	return true
 }
-
-// remainingWaitsAhead returns how long those requests still wait that are certain to go first, the longest first, and the
-// number of all requests that go first now. A request is certain to go first until it would be late. Those of a tenant that
-// has got less are certain to go first until the tenant has caught up. The caller holds the lock.
-func (q *Queue) remainingWaitsAhead(service string, rank Rank, self *Waiter, until, now time.Time) ([]time.Duration, int) {
-	var ahead []time.Duration
-	byTenant := make(map[string][]time.Duration)
-	for _, w := range q.waiters[service] {
-		if w == self || !q.precedes(service, w.rank, rank, now) {
-			continue
-		}
-		end := w.until
-		if s := w.rank.LatestStart; !s.IsZero() && !rank.late(now) && s.Before(end) {
-			end = s
-		}
-		remaining := max(end.Sub(now), 0)
-		if w.rank.Tenant == rank.Tenant || w.rank.compareUrgency(rank, now) != 0 {
-			ahead = append(ahead, remaining)
-		} else {
-			byTenant[w.rank.Tenant] = append(byTenant[w.rank.Tenant], remaining)
-		}
-	}
-	count := len(ahead)
-	longestFirst := func(a, b time.Duration) int { return cmp.Compare(b, a) }
-	// A request counts the most at the end of the wait.
-	requestCount := math.Exp2(q.shares.halfLives(until))
-	for tenant, waits := range byTenant {
-		count += len(waits)
-		slices.SortFunc(waits, longestFirst)
-		behind := (q.shares.got(service, rank.Tenant) - q.shares.got(service, tenant)) / requestCount
-		ahead = append(ahead, waits[:min(len(waits), int(behind))]...)
-	}
-	slices.SortFunc(ahead, longestFirst)
-	return ahead, count
-}
--- a/internal/target/queuer/queuer.go
+++ b/internal/target/queuer/queuer.go
@@ -12,7 +12,6 @@
 package queuer
 
 import (
-	"cmp"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -32,39 +31,37 @@
 	Tenant string
 }
 
-// Precedes reports whether a request goes before another one of the same tenant at the given time. Of two equal
-// requests, neither does.
+// Precedes reports whether a request goes before another one at the given time, if their tenants have got the same. Of two
+// equal requests, neither does.
 func (r Rank) Precedes(other Rank, now time.Time) bool {
-	if order := r.compareUrgency(other, now); order != 0 {
-		return order < 0
-	}
-	return r.precedesInTime(other, now)
+	return precedes(&r, &other, 0, 0, now)
 }
 
-// compareUrgency is negative if the request is more urgent than the other one, and positive if it is less urgent: in time
-// before late, then by priority. The tenants decide among requests of equal urgency.
-func (r Rank) compareUrgency(other Rank, now time.Time) int {
+// precedes reports whether a request goes before another one: by urgency, then by what their tenants have got, then by
+// their times.
+func precedes(r, other *Rank, got, otherGot float64, now time.Time) bool {
+	late, otherLate := r.late(now), other.late(now)
 	switch {
-	case r.late(now) && !other.late(now):
-		return 1
-	case !r.late(now) && other.late(now):
-		return -1
-	}
-	return cmp.Compare(r.Priority, other.Priority)
-}
-
-// precedesInTime orders requests of equal urgency by their times.
-func (r Rank) precedesInTime(other Rank, now time.Time) bool {
-	if r.LatestStart.IsZero() != other.LatestStart.IsZero() {
+	case late != otherLate:
+		return otherLate
+	case r.Priority != other.Priority:
+		return r.Priority < other.Priority
+	case got != otherGot && r.Tenant != other.Tenant:
+		return got < otherGot
+	case r.LatestStart.IsZero() != other.LatestStart.IsZero():
 		return other.LatestStart.IsZero()
-	}
-	if r.LatestStart.IsZero() || r.late(now) {
+	case r.LatestStart.IsZero() || late:
 		return r.Deadline.Before(other.Deadline)
 	}
 	return r.LatestStart.After(other.LatestStart)
 }
 
-func (r Rank) late(now time.Time) bool { return !r.LatestStart.IsZero() && !now.Before(r.LatestStart) }
+// isAsUrgent reports whether only tenants and times decide between the requests.
+func (r *Rank) isAsUrgent(other *Rank, now time.Time) bool {
+	return r.late(now) == other.late(now) && r.Priority == other.Priority
+}
+
+func (r *Rank) late(now time.Time) bool { return !r.LatestStart.IsZero() && !now.Before(r.LatestStart) }
 
 // Queue holds the waiting requests of all services.
 type Queue struct {
@@ -77,6 +74,8 @@
 	waiters map[string][]*Waiter
 	// shares holds what tenants have lately got.
 	shares shares
+	// ahead is reused by Outlook.
+	ahead []aheadWaiter
 }
 
 // New returns a Queue without waiters.
@@ -89,6 +88,8 @@
 	rank    Rank
 	// until is the time until which the request waits at least, unless it takes a target.
 	until time.Time
+	// share is what the tenant has got of the service; nil if the service was not counted when the request came.
+	share *tenantShare
 	// wake tells the request to try again. It must not block.
 	wake func()
 }
@@ -100,6 +101,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.limitCredit(service, rank.Tenant)
+	w.share = q.shares.enter(service, rank.Tenant)
 	q.waiters[service] = append(q.waiters[service], w)
 	q.count.Add(1)
 	return w
@@ -120,6 +122,9 @@
 	if i >= 0 {
 		q.waiters[w.service] = slices.Delete(q.waiters[w.service], i, i+1)
 		q.count.Add(-1)
+		if w.share != nil {
+			w.share.waiting--
+		}
 		if len(q.waiters[w.service]) == 0 {
 			delete(q.waiters, w.service)
 		}
@@ -141,31 +146,18 @@
 	if self == nil {
 		q.limitCredit(service, rank.Tenant)
 	}
+	got := q.shares.got(service, rank.Tenant)
 	for _, w := range q.waiters[service] {
 		if w == self {
 			continue
 		}
-		if q.precedes(service, w.rank, rank, now) || self == nil && !q.precedes(service, rank, w.rank, now) {
+		if waiterGot := q.got(w); precedes(&w.rank, &rank, waiterGot, got, now) || self == nil && !precedes(&rank, &w.rank, got, waiterGot, now) {
 			return false
 		}
 	}
 	return true
 }
 
-// precedes reports whether a request for the service goes before another one: by urgency, then by what their tenants have
-// got, then by their times. The caller holds the lock.
-func (q *Queue) precedes(service string, a, b Rank, now time.Time) bool {
-	if order := a.compareUrgency(b, now); order != 0 {
-		return order < 0
-	}
-	if a.Tenant != b.Tenant {
-		if order := cmp.Compare(q.shares.got(service, a.Tenant), q.shares.got(service, b.Tenant)); order != 0 {
-			return order < 0
-		}
-	}
-	return a.precedesInTime(b, now)
-}
-
 // Wake wakes the first waiter of the service, if there is one: a target may have capacity again.
 func (q *Queue) Wake(service string, now time.Time) {
 	if q.count.Load() == 0 {
@@ -174,7 +166,7 @@
 	q.mu.Lock()
 	var first *Waiter
 	for _, w := range q.waiters[service] {
-		if first == nil || q.precedes(service, w.rank, first.rank, now) {
+		if first == nil || precedes(&w.rank, &first.rank, q.got(w), q.got(first), now) {
 			first = w
 		}
 	}
--- a/internal/target/queuer/shares.go
+++ b/internal/target/queuer/shares.go
@@ -33,9 +33,19 @@
 	services map[string]*serviceShares
 }
 
+// tenantShare is what one tenant has lately got of a service.
+type tenantShare struct {
+	got float64
+	// waiting is the number of requests of the tenant that wait for the service. The entry is kept while there are any, which
+	// refer to it.
+	waiting int
+	// ahead is used while waiting requests are counted.
+	ahead int
+}
+
 // serviceShares holds the counts of one service.
 type serviceShares struct {
-	byTenant map[string]float64
+	byTenant map[string]*tenantShare
 	// takes holds the number of targets taken in the latest intervals, and latest the number of the newest one. countedAt is
 	// when counting began.
 	takes     [takeIntervals]int
@@ -48,11 +58,34 @@
 // got returns what the tenant has lately got of the service, comparable among tenants.
 func (s *shares) got(service, tenant string) float64 {
 	if c := s.services[service]; c != nil {
-		return c.byTenant[tenant]
+		if t := c.byTenant[tenant]; t != nil {
+			return t.got
+		}
 	}
 	return 0
 }
 
+// enter returns the share of a tenant with another waiting request; nil if the service is not counted.
+func (s *shares) enter(service, tenant string) *tenantShare {
+	c := s.services[service]
+	if c == nil {
+		return nil
+	}
+	t := c.share(tenant)
+	t.waiting++
+	return t
+}
+
+// share returns the share of the tenant, which it adds if there is none.
+func (c *serviceShares) share(tenant string) *tenantShare {
+	t := c.byTenant[tenant]
+	if t == nil {
+		t = &tenantShare{}
+		c.byTenant[tenant] = t
+	}
+	return t
+}
+
 // record counts a target of the service that the tenant has taken. Anonymous requests count only beside those of tenants.
 func (s *shares) record(service, tenant string, now time.Time) {
 	c := s.services[service]
@@ -64,12 +97,12 @@
 		c = s.services[service]
 	}
 	if c == nil {
-		c = &serviceShares{byTenant: make(map[string]float64), countedAt: now}
+		c = &serviceShares{byTenant: make(map[string]*tenantShare), countedAt: now}
 		s.services[service] = c
 	}
 	c.count(now)
 	c.takes[c.latest%takeIntervals]++
-	c.byTenant[tenant] += math.Exp2(s.halfLives(now))
+	c.share(tenant).got += math.Exp2(s.halfLives(now))
 	if len(c.byTenant) > maxTenants {
 		c.dropLeast()
 	}
@@ -84,8 +117,8 @@
 func (s *shares) sweep(now time.Time, halfLives float64) {
 	decay := math.Exp2(-halfLives)
 	for service, c := range s.services {
-		for tenant := range c.byTenant {
-			if c.byTenant[tenant] *= decay; c.byTenant[tenant] < idleShare {
+		for tenant, t := range c.byTenant {
+			if t.got *= decay; t.got < idleShare && t.waiting == 0 {
 				delete(c.byTenant, tenant)
 			}
 		}
@@ -96,12 +129,15 @@
 	s.origin = now
 }
 
-// dropLeast drops the tenants that have got the least until half of the entries are left. They then count as idle.
+// dropLeast drops the tenants without waiting requests that have got the least, until half of the entries are left. They
+// then count as idle.
 func (c *serviceShares) dropLeast() {
-	for bound := idleShare; len(c.byTenant) > maxTenants/2; bound *= 2 {
-		for tenant, got := range c.byTenant {
-			if got < bound && len(c.byTenant) > maxTenants/2 {
+	dropped := 0
+	for bound := idleShare; dropped <= maxTenants/2 && !math.IsInf(bound, 1); bound *= 2 {
+		for tenant, t := range c.byTenant {
+			if t.got < bound && t.waiting == 0 && dropped <= maxTenants/2 {
 				delete(c.byTenant, tenant)
+				dropped++
 			}
 		}
 	}
@@ -149,14 +185,25 @@
 	if c == nil {
 		return
 	}
+	if t := c.byTenant[tenant]; t != nil && t.waiting > 0 {
+		return
+	}
 	least := math.Inf(1)
 	for _, w := range q.waiters[service] {
-		if w.rank.Tenant == tenant {
-			return
-		}
-		least = min(least, c.byTenant[w.rank.Tenant])
+		least = min(least, q.got(w))
+	}
+	if bound := (1 - creditFraction) * least; !math.IsInf(least, 1) && q.shares.got(service, tenant) < bound {
+		c.share(tenant).got = bound
+	}
+}
+
+// got returns what the tenant of a waiter has lately got. The caller holds the lock.
+func (q *Queue) got(w *Waiter) float64 {
+	if w.share != nil {
+		return w.share.got
 	}
-	if bound := (1 - creditFraction) * least; !math.IsInf(least, 1) && c.byTenant[tenant] < bound {
-		c.byTenant[tenant] = bound
+	if len(q.shares.services) == 0 {
+		return 0
 	}
+	return q.shares.got(w.service, w.rank.Tenant)
 }
