--- a/internal/target/queuer/queuer.go
+++ b/internal/target/queuer/queuer.go
@@ -12,6 +12,7 @@
 package queuer
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -41,11 +42,12 @@
 // their times.
 func precedes(r, other *Rank, got, otherGot float64, now time.Time) bool {
 	late, otherLate := r.late(now), other.late(now)
+	priority := r.comparePriority(other)
 	switch {
 	case late != otherLate:
 		return otherLate
-	case r.Priority != other.Priority:
-		return r.Priority < other.Priority
+	case priority != 0:
+		return priority < 0
 	case got != otherGot && r.Tenant != other.Tenant:
 		return got < otherGot
 	case r.LatestStart.IsZero() != other.LatestStart.IsZero():
@@ -58,9 +60,12 @@
 
 // isAsUrgent reports whether only tenants and times decide between the requests.
 func (r *Rank) isAsUrgent(other *Rank, now time.Time) bool {
-	return r.late(now) == other.late(now) && r.Priority == other.Priority
+	return r.late(now) == other.late(now) && r.comparePriority(other) == 0
 }
 
+// comparePriority is negative if the priority of the request is higher than that of the other one.
+func (r *Rank) comparePriority(other *Rank) int { return cmp.Compare(r.Priority, other.Priority) }
+
 func (r *Rank) late(now time.Time) bool { return !r.LatestStart.IsZero() && !now.Before(r.LatestStart) }
 
 // Queue holds the waiting requests of all services.
