Leave a reserve of request limits to tenants that have got less

Where targets state request limits, requests hardly wait, so the order of the queue does not decide who gets what has been saved up. With limits of 40 requests/s, beside a tenant that sends 400/s, another one with 8/s got 1 of 48 requests served. Without tenants, and with shares that save up fewer than two requests, nothing changes.

--- a/internal/query/relayer/explain.go
+++ b/internal/query/relayer/explain.go
@@ -66,7 +66,7 @@
 	explained := encoder.ExplainedService{
 		Service: p.service.Name, PreferredDomain: f.preferredDomain, MedianMs: milliseconds(f.latency.Median),
 		HedgeDelayMs: milliseconds(f.latency.HedgeDelay), Ahead: outlook.Ahead, TenantGot: outlook.Got,
-		LimitWaitMs: milliseconds(f.sender.Allowance(p.service.Name).Wait()), Candidates: []encoder.ExplainedCandidate{},
+		LimitWaitMs: milliseconds(f.sender.LimitWait(p.service.Name, f.request.tenantName())), Candidates: []encoder.ExplainedCandidate{},
 	}
 	for _, c := range f.sender.Candidates(p.service, f.latency, f.preferredDomain) {
 		explained.Candidates = append(explained.Candidates, encoder.ExplainedCandidate{
--- a/internal/query/relayer/fairness_test.go
+++ b/internal/query/relayer/fairness_test.go
@@ -148,6 +148,22 @@
 	})
 }
 
+// Load pattern: the targets take 40 requests/s together, and a tenant sends ten times that. Guards against request limits
+// that go to whoever sends most, and against a reserve that nobody uses.
+func TestTenantWithinItsShareIsServedWhenRequestLimitsAreUsedUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, 2, "s0")
+		f.setRequestLimit(20, "s0")
+		flood, calm := demand{tenant: "flood", route: singleRoute(true), rate: 400}, demand{tenant: "calm", route: singleRoute(true), rate: 8}
+		f.replayTenants(2*time.Second, flood)
+		results := f.replayTenants(6*time.Second, flood, calm)
+		t.Logf("flood %+v, calm %+v", results[0].counts, results[1].counts)
+		assert.Assert(t, float64(results[1].inTime) >= 0.95*float64(results[1].sent), results[1].counts)
+		// 240 less the reserve that is left, a quarter of what can be saved up in 1.5 s.
+		assert.Assert(t, results[0].inTime+results[1].inTime >= 220, results[0].counts)
+	})
+}
+
 // Load pattern: requests of an urgent route, which wait longer, are three times what the targets bear, beside those of a
 // less urgent route. Guards against requests that wait although those before them take every target, against refusals
 // while targets stay free, and against instances without tenants that refuse earlier than before.
--- a/internal/query/relayer/limits.go
+++ b/internal/query/relayer/limits.go
@@ -20,6 +20,9 @@
 		case wait == 0:
 			return Answer{}, false
 		case f.exceedsWait(wait):
+			for _, p := range f.parts {
+				f.sender.NoteRefused(p.service.Name, f.request.tenantName())
+			}
 			f.gate.recordRefusal(f.parts[0].service.Name, refusal{at: time.Now(), priority: f.request.Route.Priority, parts: f.minParts()})
 			return f.answerLimited(wait), true
 		}
@@ -53,7 +56,7 @@
 func (f *forwarder) limitWait() time.Duration {
 	waits := make([]time.Duration, len(f.parts))
 	for i, p := range f.parts {
-		waits[i] = f.sender.Allowance(p.service.Name).Wait()
+		waits[i] = f.sender.LimitWait(p.service.Name, f.request.tenantName())
 	}
 	slices.Sort(waits)
 	return waits[f.partsToStart()-1]
--- a/internal/target/queuer/shares.go
+++ b/internal/target/queuer/shares.go
@@ -178,6 +178,40 @@
 	q.counting.Store(len(q.shares.services) > 0)
 }
 
+// NoteRefused notes a tenant whose request was refused, so that others leave it something of the request limits of the
+// service although it has got nothing.
+func (q *Queue) NoteRefused(service, tenant string) {
+	if !q.counting.Load() {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if c := q.shares.services[service]; c != nil && c.share(tenant) != nil && len(c.byTenant) > maxTenants {
+		c.dropLeast()
+	}
+}
+
+// HasGotMore reports whether the tenant has lately got more of the service than another tenant that uses it, by more than
+// creditFraction.
+func (q *Queue) HasGotMore(service, tenant string) bool {
+	if !q.counting.Load() {
+		return false
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	c := q.shares.services[service]
+	if c == nil {
+		return false
+	}
+	bound := (1 - creditFraction) * q.shares.got(service, tenant)
+	for name, t := range c.byTenant {
+		if name != tenant && t.got < bound {
+			return true
+		}
+	}
+	return false
+}
+
 // limitCredit raises what a tenant without waiting requests has got, so that it is at most creditFraction behind every
 // other tenant that waits for the service. The caller holds the lock.
 func (q *Queue) limitCredit(service, tenant string) {
--- a/internal/target/throttler/throttler.go
+++ b/internal/target/throttler/throttler.go
@@ -24,6 +24,8 @@
 	minLimit = 0.25
 	// spareRequests is the number of saved-up requests from which an instance need not economize.
 	spareRequests = 2
+	// reservedFraction is the part of what can be saved up that is left to tenants that have got less, at least one request.
+	reservedFraction = 0.25
 )
 
 // Allowance is what this instance may send to one target now. The zero value is that of a target without a limit.
@@ -47,6 +49,16 @@
 	return time.Duration((1-a.saved)/a.share*float64(time.Second)) + 1
 }
 
+// WaitWithReserve returns how long the instance has to wait until it may send a request and has a reserve left for others;
+// 0 if it may now. There is no reserve if fewer than spareRequests can be saved up, since nobody could use the limit then.
+func (a Allowance) WaitWithReserve() time.Duration {
+	if !a.limited || a.capacity < spareRequests {
+		return a.Wait()
+	}
+	a.saved -= max(reservedFraction*a.capacity, 1)
+	return a.Wait()
+}
+
 // Exceeds reports whether the instance may send a request earlier than under the other allowance, or more at once.
 func (a Allowance) Exceeds(other Allowance) bool {
 	switch {
