--- a/internal/caller/receiver/receiver.go
+++ b/internal/caller/receiver/receiver.go
@@ -112,7 +112,11 @@
 	// inFlight is the number of requests in flight, and maxInFlight its limit.
 	inFlight    atomic.Int64
 	maxInFlight int64
-	draining    atomic.Bool
+	// occupancy divides maxInFlight among the tenants.
+	occupancy *occupancy
+	// explainer is nil if explanations end at the route.
+	explainer Explainer
+	draining  atomic.Bool
 	// servesUntil is the time at which the answers of a draining instance must have been written; nil before Drain.
 	servesUntil atomic.Pointer[time.Time]
 	// stopping reports whether Stop was called, so that requests are refused.
@@ -123,8 +127,9 @@
 func New(codec HeaderCodec, r *registrar.Registrar, relay Relay, maxInFlight int, logger *log.Logger, scope tally.Scope, opts ...Option) *Receiver {
 	rc := &Receiver{
 		codec: codec, registrar: r, relay: relay, logger: logger, scope: scope, maxInFlight: int64(maxInFlight),
-		latency: scope.Histogram("receiver-latency", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)),
-		idle:    newIdleConnections(), stateAge: func() time.Duration { return 0 }, quotas: unlimited{}, refusals: newRefusalPeriods(),
+		latency:   scope.Histogram("receiver-latency", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)),
+		occupancy: newOccupancy(maxInFlight), idle: newIdleConnections(), stateAge: func() time.Duration { return 0 },
+		quotas: unlimited{}, refusals: newRefusalPeriods(),
 	}
 	for _, opt := range opts {
 		opt(rc)
@@ -256,7 +261,7 @@
 		Due: answerDue(started, route.Objective), Deadline: deadline,
 		Tenant: sender.tenant, KeyDigest: sender.digest,
 	}
-	answer := rc.relay.Relay(r.Context(), request)
+	answer := rc.relayInTurn(r.Context(), request)
 	rc.latency.RecordDuration(time.Since(arrived))
 	rc.logIfNotable(rc.logger, request, answer)
 	rc.writeAnswer(w, r.Method, answer)
--- a/internal/query/relayer/limits.go
+++ b/internal/query/relayer/limits.go
@@ -19,7 +19,10 @@
 		switch {
 		case wait == 0:
 			return Answer{}, false
-		case time.Now().Add(wait).After(f.targetWaitDeadline()):
+		case f.exceedsWait(wait):
+			for _, p := range f.parts {
+				f.sender.NoteRefused(p.service.Name, f.request.tenantName())
+			}
 			f.gate.recordRefusal(f.parts[0].service.Name, refusal{at: time.Now(), urgency: f.request.urgency(), parts: f.minParts()})
 			return f.answerLimited(wait), true
 		}
@@ -30,6 +33,11 @@
 	}
 }
 
+// exceedsWait reports whether the time until the request limits allow the request is longer than it may wait.
+func (f *forwarder) exceedsWait(wait time.Duration) bool {
+	return time.Now().Add(wait).After(f.targetWaitDeadline())
+}
+
 // sendFirstWithinLimits sends the first requests of all parts, or returns the time until the request limits allow that.
 func (f *forwarder) sendFirstWithinLimits() time.Duration {
 	if f.sender.AnyLimited() {
@@ -48,7 +56,7 @@
 func (f *forwarder) limitWait() time.Duration {
 	waits := make([]time.Duration, len(f.parts))
 	for i, p := range f.parts {
-		waits[i] = f.sender.Allowance(p.service.Name).Wait()
+		waits[i] = f.sender.LimitWait(p.service.Name, f.request.tenantName())
 	}
 	slices.Sort(waits)
 	return waits[f.partsToStart()-1]
--- a/internal/query/relayer/relayer.go
+++ b/internal/query/relayer/relayer.go
@@ -129,6 +129,14 @@
 	return r.Tenant.Priority
 }
 
+// tenantName returns the name of the tenant; empty without one.
+func (r Request) tenantName() string {
+	if r.Tenant == nil {
+		return ""
+	}
+	return r.Tenant.Name
+}
+
 // maxRuns returns the maximum number of targets of each service that may still run the request.
 func (r Request) maxRuns() int { return r.Route.MaxRuns - r.PriorRuns }
 
--- a/internal/target/picker/score.go
+++ b/internal/target/picker/score.go
@@ -27,7 +27,10 @@
 	ReasonPaused       = "it wants no requests for a while"
 	ReasonCold         = "cold, and the rate for cold targets is used up"
 	ReasonOutOfReach   = "failure domain out of reach"
-	ReasonNotServing   = "not serving"
+	ReasonDomainClosed = "failure domain closed"
+	ReasonWithdrawn    = "withdrawn, another target has its address"
+	ReasonDraining     = "draining"
+	ReasonLeaving      = "leaving"
 )
 
 // Candidate describes how a target was judged for a request. The target with the lowest score gets it.
