Test what the choice by cost uses, and tell results measured by other instances apart

The latency of a result that came through another instance is measured there and holds no way between failure domains, so taking that way off it left almost no work. Results now state that they came through another instance.

--- a/internal/target/appraiser/appraiser.go
+++ b/internal/target/appraiser/appraiser.go
@@ -186,8 +186,12 @@
 
 // Outcome is how a request ended.
 type Outcome struct {
-	// Latency is the time from the start of the request to its reply at the instance that sent it.
+	// Latency is the time from the start of the request to its reply, both at the instance that sent it to the target.
 	Latency time.Duration
+	// Network is the part of Latency that the messages were under way.
+	Network time.Duration
+	// Delay is the time from the start of the request here to the start of Latency; 0 unless another instance sent it.
+	Delay time.Duration
 	// Succeeded reports whether the target has run the request as usual, so that its latency tells its cost.
 	Succeeded bool
 	// Report is what the reply reports; nil if it reports nothing.
@@ -201,7 +205,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	t.remove(r)
-	sentAt := r.start.Add(max(o.Latency-p.Network/2, 0))
+	sentAt := r.start.Add(o.Delay + max(o.Latency-o.Network/2, 0))
 	if sentAt.After(now) {
 		sentAt = now
 	}
@@ -214,13 +218,13 @@
 		t.observe(sentAt, *o.Report, t.slots(p.Slots))
 	}
 	if o.Succeeded {
-		a.learn(now, r, o.Latency, factor, weight)
+		a.learn(now, r, o.Latency-o.Network, factor, weight)
 	}
 }
 
-// learn learns the cost of the route and the speed of the target from the latency of a request.
-func (a *Appraiser) learn(now time.Time, r *Request, latency time.Duration, factor, weight float64) {
-	onTarget := float64(max(latency-r.placement.Network, 0))
+// learn learns the cost of the route and the speed of the target from the time that a request was on the target.
+func (a *Appraiser) learn(now time.Time, r *Request, timeOnTarget time.Duration, factor, weight float64) {
+	onTarget := float64(max(timeOnTarget, 0))
 	if r.expected.Wait > time.Duration(queuedShare*float64(r.expected.Work)) {
 		weight *= queuedWeight
 	}
@@ -259,3 +263,10 @@
 		}
 	}
 }
+
+// RouteCount returns the number of routes whose costs are kept.
+func (a *Appraiser) RouteCount() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.routes)
+}
--- a/internal/target/concentrator/pending.go
+++ b/internal/target/concentrator/pending.go
@@ -70,7 +70,8 @@
 			foreign = true
 			continue
 		}
-		result.RequestLimit, result.Leaving, result.PausedFor, result.Load = limits[i], leaving[i], pauses[i], loads[i]
+		result.RequestLimit, result.Leaving, result.PausedFor = limits[i], leaving[i], pauses[i]
+		result.Load, result.ThroughPeer = loads[i], true
 		partial.Results[i] = result
 		mergedIndexes = append(mergedIndexes, i)
 	}
@@ -82,7 +83,8 @@
 	}
 	for line := range strings.Lines(merged.Failed) {
 		if i, result, ok := decodeOther(line); ok && p.markDelivered(i) {
-			result.RequestLimit, result.Leaving, result.PausedFor, result.Load = limits[i], leaving[i], pauses[i], loads[i]
+			result.RequestLimit, result.Leaving, result.PausedFor = limits[i], leaving[i], pauses[i]
+			result.Load, result.ThroughPeer = loads[i], true
 			partial.Results[i] = result
 		}
 	}
--- a/internal/target/concentrator/results_test.go
+++ b/internal/target/concentrator/results_test.go
@@ -23,6 +23,7 @@
 	p.fakeSender.failures["i-00000002"] = transporter.Refused
 	delivered := p.send(t.Context(), p.batch(time.Second))
 	assert.DeepEqual(t, delivered.results[1].Load, busy)
+	assert.Assert(t, delivered.results[1].ThroughPeer && delivered.results[2].ThroughPeer)
 	assert.DeepEqual(t, delivered.results[2].Load, refusing)
 	assert.Assert(t, delivered.results[0].Load == nil && delivered.results[3].Load == nil)
 }
--- a/internal/target/picker/picker.go
+++ b/internal/target/picker/picker.go
@@ -422,7 +422,12 @@
 	switch {
 	case r.cost != nil:
 		succeeded := result.Outcome == transporter.Answered && result.Reply.Success()
-		r.cost.End(now, appraiser.Outcome{Latency: result.Latency, Succeeded: succeeded, Report: report})
+		outcome := appraiser.Outcome{Latency: result.Latency, Network: r.picker.network(r.target), Succeeded: succeeded, Report: report}
+		if result.ThroughPeer {
+			// That instance is in the failure domain of the target, so its latency holds no way between failure domains.
+			outcome.Delay, outcome.Network = outcome.Network/2, roundTrip
+		}
+		r.cost.End(now, outcome)
 	case report != nil:
 		r.picker.costs.Observe(repliedAt, r.target.Service, r.target.ID, r.target.Slots, *report)
 	}
--- a/internal/target/picker/score.go
+++ b/internal/target/picker/score.go
@@ -59,20 +59,14 @@
 // Score returns the expected latency and all penalties, without the random part.
 func (c Candidate) Score() time.Duration { return time.Duration(c.score) }
 
-// leaveOut returns a copy of the candidate that cannot get the request.
-func (c Candidate) leaveOut(reason string) Candidate {
-	c.LeftOut = reason
-	return c
-}
-
 // Pick returns the target with the lowest score among those that have capacity and are not excluded. Targets in the
 // preferred failure domain get no crossDomainPenalty.
 func (p *Picker) Pick(targets []registrar.Target, service mapper.Service, kind RequestKind, preferredDomain string, excluded func(id string) bool) (registrar.Target, bool) {
 	now := time.Now()
 	best, bestScore := -1, math.Inf(1)
 	for i := range targets {
-		c := p.assess(now, targets[i], service, kind, preferredDomain, excluded)
-		if c.LeftOut != "" {
+		c := Candidate{}
+		if c.LeftOut = p.assess(&c, now, &targets[i], service, kind, preferredDomain, excluded); c.LeftOut != "" {
 			continue
 		}
 		if score := c.score + jitter*rand.Float64()*c.jitterBase; score < bestScore {
@@ -89,26 +83,27 @@
 func (p *Picker) Explain(targets []registrar.Target, service mapper.Service, kind RequestKind, preferredDomain string, excluded func(id string) bool) []Candidate {
 	now := time.Now()
 	candidates := make([]Candidate, 0, len(targets))
-	for _, t := range targets {
-		candidates = append(candidates, p.assess(now, t, service, kind, preferredDomain, excluded))
+	for i := range targets {
+		c := Candidate{Target: targets[i]}
+		c.LeftOut = p.assess(&c, now, &targets[i], service, kind, preferredDomain, excluded)
+		candidates = append(candidates, c)
 	}
 	return candidates
 }
 
-// assess judges a target for a request.
-func (p *Picker) assess(now time.Time, t registrar.Target, service mapper.Service, kind RequestKind, preferredDomain string, excluded func(id string) bool) Candidate {
-	c := Candidate{Target: t}
+// assess judges a target for a request. It sets the figures of the candidate and returns the reason to leave it out; empty
+// if there is none.
+func (p *Picker) assess(c *Candidate, now time.Time, t *registrar.Target, service mapper.Service, kind RequestKind, preferredDomain string, excluded func(id string) bool) (leftOut string) {
 	if excluded(t.ID) {
-		return c.leaveOut(ReasonExcluded)
+		return ReasonExcluded
 	}
 	allowance := p.limits.Allowance(t.ID)
 	if allowance.Wait() > 0 {
-		return c.leaveOut(ReasonRequestLimit)
+		return ReasonRequestLimit
 	}
-	c.Limit = p.RequestLimit(t, service)
-	c = p.assessObserved(now, c, kind, p.coldAllowance(t, service, now))
-	if c.LeftOut != "" {
-		return c
+	c.Limit = p.RequestLimit(*t, service)
+	if reason := p.assessObserved(c, now, t, kind, p.coldAllowance(*t, service, now)); reason != "" {
+		return reason
 	}
 	if t.FailureDomain != preferredDomain {
 		c.DomainPenalty = crossDomainPenalty
@@ -116,46 +111,50 @@
 	limit := allowance.Scarcity() * float64(limitPenalty)
 	c.LimitPenalty = time.Duration(limit)
 	c.score += float64(c.DomainPenalty) + limit
-	return c
+	return ""
 }
 
 // placement describes a request of the kind to a target.
 func (p *Picker) placement(t registrar.Target, kind RequestKind, isCold bool) appraiser.Placement {
-	network := roundTrip
-	if t.FailureDomain != p.domain {
-		network = crossDomainRoundTrip
-	}
 	return appraiser.Placement{
-		Route: kind.Route, Service: t.Service, Target: t.ID, Slots: max(t.Slots, 0), IsCold: isCold, Network: network, UsualLatency: kind.Median,
+		Route: kind.Route, Service: t.Service, Target: t.ID, Slots: max(t.Slots, 0), IsCold: isCold, Network: p.network(t), UsualLatency: kind.Median,
+	}
+}
+
+// network returns the time of a round trip to a target.
+func (p *Picker) network(t registrar.Target) time.Duration {
+	if t.FailureDomain != p.domain {
+		return crossDomainRoundTrip
 	}
+	return roundTrip
 }
 
-// assessObserved completes the candidate with the expected latency and the penalties that follow from the observations. A
-// target that is considered down has no capacity, nor has one that has just refused a request: requests that wait for
-// another target would try it one after the other, and use up the budget for retries.
-func (p *Picker) assessObserved(now time.Time, c Candidate, kind RequestKind, coldAllowance int) Candidate {
-	o := p.observationsOf(c.Target.ID)
+// assessObserved is the part of assess that needs the observations of the target. A target that is considered down has no
+// capacity, nor has one that has just refused a request: requests that wait for another target would try it one after the
+// other, and use up the budget for retries.
+func (p *Picker) assessObserved(c *Candidate, now time.Time, t *registrar.Target, kind RequestKind, coldAllowance int) (leftOut string) {
+	o := p.observationsOf(t.ID)
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	c.InFlight, c.IsCold = len(o.inFlight), o.isCold(now, c.Target)
+	c.InFlight, c.IsCold = len(o.inFlight), o.isCold(now, *t)
 	switch {
 	case c.InFlight >= c.Limit:
-		return c.leaveOut(ReasonInFlight)
+		return ReasonInFlight
 	case now.Before(o.downUntil):
-		return c.leaveOut(ReasonDown)
+		return ReasonDown
 	case now.Before(o.fullUntil):
-		return c.leaveOut(ReasonFull)
-	case o.pausedFor(now, c.Target) > 0:
-		return c.leaveOut(ReasonPaused)
+		return ReasonFull
+	case o.pausedFor(now, *t) > 0:
+		return ReasonPaused
 	case c.IsCold && o.recentColdRequests(now) >= coldAllowance:
-		return c.leaveOut(ReasonCold)
+		return ReasonCold
 	}
-	c.Expectation, c.ByCost = p.costs.Expect(now, p.placement(c.Target, kind, c.IsCold))
+	c.Expectation, c.ByCost = p.costs.Expect(now, p.placement(*t, kind, c.IsCold))
 	if c.ByCost {
 		c.BacklogPenalty = time.Duration(backlogWeight * float64(c.Expectation.Backlog))
 		c.score, c.jitterBase = float64(c.Expectation.Completion), float64(c.Expectation.Work)
 	} else {
-		c.RelativeLatency, c.Wait = o.currentRelativeLatency(now), o.expectedWait(now, c.Target)
+		c.RelativeLatency, c.Wait = o.currentRelativeLatency(now), o.expectedWait(now, *t)
 		c.jitterBase = c.RelativeLatency * float64(kind.Median)
 		if c.IsCold {
 			c.jitterBase *= coldLatencyFactor
@@ -171,7 +170,7 @@
 	failure := o.currentFailureShare(now) * float64(failurePenalty)
 	c.FailurePenalty = time.Duration(failure)
 	c.score += failure
-	return c
+	return ""
 }
 
 // pausedFor returns how long the target still wants no requests from this instance. A start of a target knows nothing of
--- a/internal/target/sender/sender_test.go
+++ b/internal/target/sender/sender_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"apricotflow/internal/cluster/registrar"
+	"apricotflow/internal/manifest/mapper"
 	"apricotflow/internal/target/budgeter"
 	"apricotflow/internal/target/picker"
 	"apricotflow/internal/target/prober"
@@ -28,8 +29,10 @@
 
 func (singleInstance) CountPreceding(string) int { return 0 }
 
-func newSender() *sender.Sender {
-	state, logger := registrar.New(), log.New(io.Discard)
+func newSender() *sender.Sender { return newSenderOf(registrar.New()) }
+
+func newSenderOf(state *registrar.Registrar) *sender.Sender {
+	logger := log.New(io.Discard)
 	return sender.New("east", state, picker.New(picker.ColdLimits{}, singleInstance{}, "east"), budgeter.New(budgeter.Limits{Window: time.Second}, singleInstance{}.InstanceEstimate),
 		throttler.New(singleInstance{}.InstanceEstimate),
 		transporter.New(platform.TargetHeaders{}), prober.New(state, logger), logger, tally.NoopScope)
@@ -62,3 +65,16 @@
 	assert.Assert(t, estimate.HedgeDelay < 22*time.Millisecond, estimate)
 	assert.Equal(t, estimate.WithMaxHedgeDelay(5*time.Millisecond).HedgeDelay, 5*time.Millisecond)
 }
+
+// Guards against an explanation that says nothing of targets which are no candidates at all.
+func TestExplanationNamesTargetsThatAreNotServing(t *testing.T) {
+	state := registrar.New()
+	state.Apply(registrar.Change{Put: []registrar.Target{
+		{ID: "a", Service: "s", FailureDomain: "east"}, {ID: "b", Service: "s", FailureDomain: "east", Draining: true}, {ID: "c", Service: "other"},
+	}}, true)
+	s := newSenderOf(state)
+	candidates := s.Explain(mapper.Service{Name: "s"}, s.LatencyEstimate("search"), "east", func(string) bool { return false })
+	assert.Equal(t, len(candidates), 2)
+	assert.Equal(t, candidates[0].Target.ID+candidates[0].LeftOut, "a")
+	assert.Equal(t, candidates[1].Target.ID+candidates[1].LeftOut, "b"+picker.ReasonNotServing)
+}
--- a/internal/target/transporter/request.go
+++ b/internal/target/transporter/request.go
@@ -183,6 +183,8 @@
 	Err error
 	// Latency is the time from the start of the request to its outcome.
 	Latency time.Duration
+	// ThroughPeer reports whether another instance sent the request. Latency was measured there.
+	ThroughPeer bool
 }
 
 // CanBeMerged reports whether the reply can be a part of a merged answer: it is a success and carries a signature,
