--- a/internal/query/relayer/fixture_test.go
+++ b/internal/query/relayer/fixture_test.go
@@ -21,6 +21,7 @@
 	"apricotflow/internal/query/relayer"
 	"apricotflow/internal/standin/httpresponder"
 	"apricotflow/internal/standin/switcher"
+	"apricotflow/internal/target/appraiser"
 	"apricotflow/internal/target/budgeter"
 	"apricotflow/internal/target/concentrator"
 	"apricotflow/internal/target/picker"
@@ -144,7 +145,7 @@
 	connections := transporter.New(platform.TargetHeaders{}, transporter.WithDial(f.network.Dial))
 	f.t.Cleanup(func() { connections.Retain(func(string) bool { return false }) })
 	limits := throttler.New(singleInstance{}.InstanceEstimate)
-	s := sender.New(domain, f.registrar, picker.New(picker.ColdLimits{Factor: 1}, singleInstance{}, domain, picker.WithLimits(limits)), budgeter.New(f.limits, singleInstance{}.InstanceEstimate),
+	s := sender.New(domain, f.registrar, picker.New(picker.ColdLimits{Factor: 1}, singleInstance{}, domain, picker.WithLimits(limits), picker.WithCosts(appraiser.New())), budgeter.New(f.limits, singleInstance{}.InstanceEstimate),
 		limits, connections, f.prober, log.New(io.Discard), tally.NoopScope)
 	f.relayer = relayer.New(s, f.peers, tally.NoopScope, relayer.WithStandstills(func() bool { return f.justResumed }),
 		relayer.WithQuarantine(f.quarantine), relayer.WithDelegator(f.delegator))
--- a/internal/standin/httpresponder/httpresponder.go
+++ b/internal/standin/httpresponder/httpresponder.go
@@ -113,6 +113,8 @@
 	endlessBytes atomic.Int64
 	// requestLimit is the limit that the responses state, in requests per second; nil for none.
 	requestLimit atomic.Pointer[float64]
+	// load is the load that the responses report; nil for none.
+	load atomic.Pointer[string]
 	// leaving reports whether the responses state that the target leaves.
 	leaving atomic.Bool
 	// pause is the time in nanoseconds for which responses with status 503 ask to be spared; 0 for none.
@@ -176,6 +178,9 @@
 // not enforce it.
 func (t *Target) SetRequestLimit(perSecond *float64) { t.requestLimit.Store(perSecond) }
 
+// SetLoad makes all responses report a load, as the value of the header.
+func (t *Target) SetLoad(load string) { t.load.Store(&load) }
+
 // Leave makes all further responses state that the target leaves. It goes on serving.
 func (t *Target) Leave() { t.leaving.Store(true) }
 
@@ -411,6 +416,9 @@
 	if limit := t.requestLimit.Load(); limit != nil {
 		fmt.Fprintf(&raw, "%s: %g\r\n", platform.HeaderRequestLimit, *limit)
 	}
+	if load := t.load.Load(); load != nil {
+		fmt.Fprintf(&raw, "%s: %s\r\n", platform.HeaderLoad, *load)
+	}
 	if pause := time.Duration(t.pause.Load()); pause > 0 && status == http.StatusServiceUnavailable {
 		fmt.Fprintf(&raw, "Retry-After: %g\r\n", pause.Seconds())
 	}
--- a/internal/target/appraiser/appraiser_test.go
+++ b/internal/target/appraiser/appraiser_test.go
@@ -212,9 +212,9 @@
 	late, _ := b.Begin(b.now, placement("costly", "b"))
 	b.now = b.now.Add(time.Second)
 	b.report("c", 4, 1)
-	late.End(b.now, appraiser.Outcome{Latency: costlyWork, Succeeded: true, Report: &appraiser.Report{Running: 4, Slots: 2, WorkFactor: 2.5}})
+	late.End(b.now, appraiser.Outcome{Delay: 100 * time.Millisecond, Latency: costlyWork, Succeeded: true, Report: &appraiser.Report{Running: 4, Slots: 2, WorkFactor: 2.5}})
 	stale := b.expect(t, placement("cheap", "b"))
-	assert.Equal(t, stale.ReportAge, time.Second-costlyWork)
+	assert.Equal(t, stale.ReportAge, 900*time.Millisecond-costlyWork)
 	assert.Assert(t, stale.OtherRequests < 1 && b.expect(t, placement("cheap", "c")).OtherRequests == 4)
 
 	old, _ := b.Begin(b.now, placement("costly", "c"))
