--- a/internal/target/picker/replay_test.go
+++ b/internal/target/picker/replay_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -14,6 +15,7 @@
 
 	"apricotflow/internal/cluster/registrar"
 	"apricotflow/internal/manifest/mapper"
+	"apricotflow/internal/standin/worker"
 	"apricotflow/internal/target/appraiser"
 	"apricotflow/internal/target/estimator"
 	"apricotflow/internal/target/picker"
@@ -21,13 +23,6 @@
 )
 
 const (
-	// spellPeriod, spellTime and spellFactor describe how a machine slows down: once in each period, at a random time.
-	spellPeriod = 600 * time.Millisecond
-	spellTime   = 90 * time.Millisecond
-	spellFactor = 2.5
-	// pauseTime is how long a machine does nothing; pauseFactor stands for no progress.
-	pauseTime   = 125 * time.Millisecond
-	pauseFactor = 1e9
 	// oneWay is the time of a message to a target or back.
 	oneWay = 200 * time.Microsecond
 	// replayTime is the virtual time of a replay, and learningTime its beginning, which does not count.
@@ -38,89 +33,6 @@
 	tailRatio = 5
 )
 
-// machine runs the requests to one target in the order of their arrival.
-type machine struct {
-	target registrar.Target
-	// slowness is the duration of work relative to the other targets.
-	slowness float64
-	start    time.Time
-	// spells holds when the spell of each period begins.
-	spells []time.Duration
-	// pauses holds when pauses begin, in which the machine does nothing.
-	pauses []time.Duration
-
-	mu     sync.Mutex
-	freeAt []time.Time
-	runs   []run
-}
-
-// run is a request on a machine.
-type run struct{ arrival, begin, end time.Time }
-
-// factor returns the work factor at the given time, and the time until which it stays.
-func (m *machine) factor(at time.Time) (factor float64, until time.Time) {
-	elapsed := at.Sub(m.start)
-	next, _ := slices.BinarySearch(m.pauses, elapsed+1)
-	if next > 0 && elapsed < m.pauses[next-1]+pauseTime {
-		return pauseFactor, m.start.Add(m.pauses[next-1] + pauseTime)
-	}
-	if next < len(m.pauses) {
-		defer func() {
-			if pause := m.start.Add(m.pauses[next]); pause.Before(until) {
-				until = pause
-			}
-		}()
-	}
-	begin := m.spells[elapsed/spellPeriod]
-	switch {
-	case elapsed < begin:
-		return 1, m.start.Add(begin)
-	case elapsed < begin+spellTime:
-		return spellFactor, m.start.Add(begin + spellTime)
-	}
-	return 1, m.start.Add((elapsed/spellPeriod + 1) * spellPeriod)
-}
-
-// execute runs work and returns the load at its end.
-func (m *machine) execute(work time.Duration) transporter.Load {
-	m.mu.Lock()
-	now := time.Now()
-	slot := 0
-	for i := range m.freeAt {
-		if m.freeAt[i].Before(m.freeAt[slot]) {
-			slot = i
-		}
-	}
-	r := run{arrival: now, begin: now}
-	if m.freeAt[slot].After(now) {
-		r.begin = m.freeAt[slot]
-	}
-	r.end = r.begin
-	for left := float64(work) * m.slowness; left >= 1; {
-		factor, until := m.factor(r.end)
-		took := min(time.Duration(left*factor)+1, until.Sub(r.end))
-		left -= float64(took) / factor
-		r.end = r.end.Add(took)
-	}
-	m.freeAt[slot] = r.end
-	m.runs = append(m.runs, r)
-	m.mu.Unlock()
-	time.Sleep(time.Until(r.end))
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.runs = slices.DeleteFunc(m.runs, func(other run) bool { return !other.end.After(r.end) })
-	factor, _ := m.factor(r.end)
-	load := transporter.Load{Slots: len(m.freeAt), WorkFactor: factor}
-	for _, other := range m.runs {
-		if other.begin.After(r.end) {
-			load.Waiting++
-		} else {
-			load.Running++
-		}
-	}
-	return load
-}
-
 // replay sends two kinds of request to machines from some instances and returns the latencies of each kind.
 type replay struct {
 	instances int
@@ -137,21 +49,15 @@
 	latencies := make(map[string][]time.Duration)
 	synctest.Test(t, func(*testing.T) {
 		random := rand.New(rand.NewPCG(1, 2))
-		var machines []*machine
 		var all []registrar.Target
+		workers := make(map[string]*worker.Worker)
 		perSecond := 0.0
 		for i, slowness := range []float64{0.8, 1, 1.3} {
-			m := &machine{target: registrar.Target{ID: fmt.Sprint(i), Service: "s", FailureDomain: "east", Slots: 2}, slowness: slowness, start: time.Now(), freeAt: make([]time.Time, 2)}
-			for n := time.Duration(0); n*spellPeriod < 2*duration; n++ {
-				m.spells = append(m.spells, n*spellPeriod+time.Duration(random.Int64N(int64(spellPeriod-spellTime))))
-			}
-			for at := time.Second; r.pauses && at < 2*duration; at += 2*time.Second + time.Duration(random.Int64N(int64(2*time.Second))) {
-				m.pauses = append(m.pauses, at)
-			}
-			machines, all = append(machines, m), append(all, m.target)
+			all = append(all, registrar.Target{ID: strconv.Itoa(i), Service: "s", FailureDomain: "east", Slots: 2})
+			workers[all[i].ID] = worker.New(2, slowness, 2*duration, r.pauses, random)
 			perSecond += 2 / slowness
 		}
-		meanWork := 5 * time.Millisecond.Seconds() * (1 + tailShare*(tailRatio-1)) * (1 + (spellFactor-1)*float64(spellTime)/float64(spellPeriod))
+		meanWork := 5 * time.Millisecond.Seconds() * (1 + tailShare*(tailRatio-1)) * worker.MeanWorkFactor
 		perSecond *= r.usage / meanWork
 		var mu sync.Mutex
 		var running sync.WaitGroup
@@ -183,7 +89,7 @@
 				sent := time.Now()
 				inFlight := pickers[p].Begin(target, kind)
 				time.Sleep(oneWay)
-				load := machines[slices.IndexFunc(all, func(other registrar.Target) bool { return other.ID == target.ID })].execute(work)
+				load := workers[target.ID].Run(work)
 				time.Sleep(oneWay)
 				inFlight.End(transporter.Result{Outcome: transporter.Answered, Reply: &transporter.Reply{Status: http.StatusOK}, Load: &load, Latency: time.Since(sent)})
 				windows[p][route].Record(time.Since(sent))
