--- a/internal/standin/httpresponder/httpresponder.go
+++ b/internal/standin/httpresponder/httpresponder.go
@@ -76,6 +76,8 @@
 	EndlessExtension
 	// Large sends a complete response with a body of largeBodyBytes.
 	Large
+	// InvalidStatus runs the request and responds with status 000.
+	InvalidStatus
 )
 
 // largeBodyBytes is the size of a large body, below the limit for one reply.
@@ -343,6 +345,8 @@
 	case EndlessLine, EndlessHead, EndlessInformation, EndlessTail, EndlessChunks, EndlessBody, EndlessTrailer, EndlessExtension:
 		t.writeEndlessly(conn, request, behaviour)
 		return false
+	case InvalidStatus:
+		return t.writeResponse(conn, request, 0, nil, false)
 	case Large:
 		return t.writeResponse(conn, request, http.StatusOK, make([]byte, largeBodyBytes), false)
 	case Unframed:
@@ -406,7 +410,7 @@
 // connection closes.
 func (t *Target) encodeResponse(requestID string, status int, body []byte, notRun, framed bool) []byte {
 	var raw bytes.Buffer
-	fmt.Fprintf(&raw, "HTTP/1.1 %d %s\r\n%s: %s\r\n", status, http.StatusText(status), platform.HeaderRequestID, requestID)
+	fmt.Fprintf(&raw, "HTTP/1.1 %03d %s\r\n%s: %s\r\n", status, http.StatusText(status), platform.HeaderRequestID, requestID)
 	switch {
 	case notRun:
 		fmt.Fprintf(&raw, "%s: 1\r\n", platform.HeaderNotRun)
--- a/internal/target/transporter/transporter_test.go
+++ b/internal/target/transporter/transporter_test.go
@@ -68,6 +68,19 @@
 	}
 }
 
+// Guards against a request that waits until its deadline after a reply with the status 000, and against its connection
+// being used again.
+func TestRequestIsLostAtOnceWhenStatusIsInvalid(t *testing.T) {
+	tr, target := startTarget(t)
+	target.SetFixedBehaviour(httpresponder.InvalidStatus, 0)
+	result := send(t, tr, target, request("r1"), 4)
+	assert.Equal(t, result.Outcome, transporter.Lost)
+	assert.Assert(t, result.Latency < timeLeft/2, result.Latency)
+	target.SetFixedBehaviour(httpresponder.Answer, 0)
+	assert.Equal(t, send(t, tr, target, request("r2"), 4).Outcome, transporter.Answered)
+	assert.Equal(t, target.AcceptedCount(), 2)
+}
+
 // Guards against an HTTP client that repeats a request by itself on a reused connection, which runs it twice.
 func TestRequestIsNotRepeatedWhenReusedConnectionIsReset(t *testing.T) {
 	tr, target := startTarget(t)
