Close a connection that is not reusable before its result is delivered

The result was delivered first, so the next request to the target could find the closed connection still counted and fail as unsent although the limit left room.

--- a/internal/target/transporter/connection.go
+++ b/internal/target/transporter/connection.go
@@ -172,15 +172,15 @@
 		c.writeMu.Unlock() //nolint:staticcheck // Waits for the writer only.
 	}
 	reusable = reusable && x != nil && x.written.Load() && !c.reader.HasUnread() && !c.hasForeignReply()
+	// Before the result, so that the next request does not find all connections in use.
 	if reusable {
 		c.pool.release(c, idleLimit)
+	} else {
+		c.close(errors.New("connection is not reusable"))
 	}
 	if x != nil {
 		x.done <- result
 	}
-	if !reusable {
-		c.close(errors.New("connection is not reusable"))
-	}
 	return reusable
 }
 
