Let callers read a refusal while they send a large body

The connection was reset after 1 MB of the body, which can discard the response. It is now closed as after a body that is too large.

--- a/internal/caller/receiver/authentication.go
+++ b/internal/caller/receiver/authentication.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -204,9 +205,11 @@
 	if err == nil {
 		err = connection.SetReadDeadline(time.Time{})
 	}
-	if err != nil {
+	var tooLarge *http.MaxBytesError
+	if err != nil && !errors.As(err, &tooLarge) {
 		panic(http.ErrAbortHandler)
 	}
+	// After a body that is too large, net/http closes the connection in a way that lets the caller read the response.
 }
 
 // formatSeconds returns the value of a Retry-After header, in seconds with a fraction.
--- a/internal/caller/receiver/authentication_test.go
+++ b/internal/caller/receiver/authentication_test.go
@@ -252,8 +252,11 @@
 			assert.NilError(t, err)
 			assert.NilError(t, conn.SetReadDeadline(time.Now().Add(500*time.Millisecond)))
 			assert.Equal(t, readStatus(t, conn), status)
+			// The response is written shortly before the request no longer counts, and long before its body is given up.
+			for start := time.Now(); n.InFlight() > 0; time.Sleep(time.Millisecond) {
+				assert.Assert(t, time.Since(start) < 500*time.Millisecond, "%d requests in flight", n.InFlight())
+			}
 		}
-		assert.Equal(t, n.InFlight(), 0)
 		_, err := conns[0].Write([]byte("dyGET /in/ HTTP/1.1\r\nHost: a.example\r\nAuthorization: Token " + globexKey + "\r\n\r\n"))
 		assert.NilError(t, err)
 		assert.Equal(t, readStatus(t, conns[0]), http.StatusTeapot)
@@ -265,6 +268,24 @@
 	}
 }
 
+// Guards against a caller that sees its connection reset in place of the refusal, because it still sends its body.
+func TestRefusalArrivesWhileLargeBodyIsSent(t *testing.T) {
+	n := startTenantReceiver(t, tenantTable(t, 1, tenantOf("acme", 0, acmeKey)))
+	for range 10 {
+		conn, err := net.Dial("tcp", n.server.Listener.Addr().String())
+		assert.NilError(t, err)
+		sent := make(chan struct{})
+		go func() {
+			defer close(sent)
+			// The instance closes the connection before it has read everything.
+			_, _ = conn.Write(append([]byte("POST /in/ HTTP/1.1\r\nHost: a.example\r\nContent-Length: 3000000\r\n\r\n"), make([]byte, 3_000_000)...))
+		}()
+		<-sent
+		assert.Equal(t, readStatus(t, conn), http.StatusUnauthorized)
+		assert.NilError(t, conn.Close())
+	}
+}
+
 func readStatus(t *testing.T, conn net.Conn) int {
 	t.Helper()
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
