--- a/internal/caller/receiver/authentication_test.go
+++ b/internal/caller/receiver/authentication_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -280,9 +281,15 @@
 			// The instance closes the connection before it has read everything.
 			_, _ = conn.Write(append([]byte("POST /in/ HTTP/1.1\r\nHost: a.example\r\nContent-Length: 3000000\r\n\r\n"), make([]byte, 3_000_000)...))
 		}()
-		<-sent
-		assert.Equal(t, readStatus(t, conn), http.StatusUnauthorized)
+		reader := bufio.NewReader(conn)
+		response, err := http.ReadResponse(reader, nil)
+		assert.NilError(t, err)
+		assert.NilError(t, response.Body.Close())
+		assert.Equal(t, response.StatusCode, http.StatusUnauthorized)
+		_, err = reader.ReadByte()
+		assert.ErrorIs(t, err, io.EOF)
 		assert.NilError(t, conn.Close())
+		<-sent
 	}
 }
 
