--- a/internal/query/relayer/explain.go
+++ b/internal/query/relayer/explain.go
@@ -69,7 +69,7 @@
 	explained := encoder.ExplainedService{
 		Service: p.service.Name, PreferredDomain: f.preferredDomain, MedianMs: milliseconds(f.latency.Median),
 		HedgeDelayMs: milliseconds(f.latency.HedgeDelay), Ahead: outlook.Ahead, TenantGot: outlook.Got,
-		LimitWaitMs: milliseconds(f.sender.LimitWait(p.service.Name, f.request.tenantName())), Candidates: []encoder.ExplainedCandidate{},
+		LimitWaitMs: milliseconds(f.sender.LimitWait(p.service.Name, f.rank())), Candidates: []encoder.ExplainedCandidate{},
 	}
 	candidates := f.sender.Explain(p.service, f.latency, f.preferredDomain, func(string) bool { return false })
 	slices.SortStableFunc(candidates, compareCandidates)
--- a/internal/query/relayer/limits.go
+++ b/internal/query/relayer/limits.go
@@ -21,7 +21,7 @@
 			return Answer{}, false
 		case f.exceedsWait(wait):
 			for _, p := range f.parts {
-				f.sender.NoteRefused(p.service.Name, f.request.tenantName())
+				f.sender.NoteRefused(p.service.Name, f.rank())
 			}
 			f.gate.recordRefusal(f.parts[0].service.Name, refusal{at: time.Now(), urgency: f.request.urgency(), parts: f.minParts()})
 			return f.answerLimited(wait), true
@@ -56,7 +56,7 @@
 func (f *forwarder) limitWait() time.Duration {
 	waits := make([]time.Duration, len(f.parts))
 	for i, p := range f.parts {
-		waits[i] = f.sender.LimitWait(p.service.Name, f.request.tenantName())
+		waits[i] = f.sender.LimitWait(p.service.Name, f.rank())
 	}
 	slices.Sort(waits)
 	return waits[f.partsToStart()-1]
--- a/internal/target/picker/score.go
+++ b/internal/target/picker/score.go
@@ -141,14 +141,14 @@
 	defer o.mu.Unlock()
 	c.InFlight, c.IsCold = len(o.inFlight), o.isCold(now, *t)
 	switch {
-	case c.InFlight >= c.Limit:
-		return ReasonInFlight
+	case o.pausedFor(now, *t) > 0:
+		return ReasonPaused
 	case now.Before(o.downUntil):
 		return ReasonDown
 	case now.Before(o.fullUntil):
 		return ReasonFull
-	case o.pausedFor(now, *t) > 0:
-		return ReasonPaused
+	case c.InFlight >= c.Limit:
+		return ReasonInFlight
 	case c.IsCold && o.recentColdRequests(now) >= coldAllowance:
 		return ReasonCold
 	}
--- a/internal/target/queuer/shares.go
+++ b/internal/target/queuer/shares.go
@@ -36,6 +36,8 @@
 // tenantShare is what one tenant has lately got of a service.
 type tenantShare struct {
 	got float64
+	// priority is the priority of the tenant as of its latest request under a request limit; the lowest until then.
+	priority int
 	// waiting is the number of requests of the tenant that wait for the service. The entry is kept while there are any, which
 	// refer to it.
 	waiting int
@@ -80,7 +82,7 @@
 func (c *serviceShares) share(tenant string) *tenantShare {
 	t := c.byTenant[tenant]
 	if t == nil {
-		t = &tenantShare{}
+		t = &tenantShare{priority: math.MaxInt}
 		c.byTenant[tenant] = t
 	}
 	return t
@@ -180,20 +182,25 @@
 
 // NoteRefused notes a tenant whose request was refused, so that others leave it something of the request limits of the
 // service although it has got nothing.
-func (q *Queue) NoteRefused(service, tenant string) {
+func (q *Queue) NoteRefused(service string, rank Rank) {
 	if !q.counting.Load() {
 		return
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if c := q.shares.services[service]; c != nil && c.share(tenant) != nil && len(c.byTenant) > maxTenants {
+	c := q.shares.services[service]
+	if c == nil {
+		return
+	}
+	c.share(rank.Tenant).priority = rank.TenantPriority
+	if len(c.byTenant) > maxTenants {
 		c.dropLeast()
 	}
 }
 
-// HasGotMore reports whether the tenant has lately got more of the service than another tenant that uses it, by more than
-// creditFraction.
-func (q *Queue) HasGotMore(service, tenant string) bool {
+// HasGotMore reports whether the tenant of a request has lately got more of the service than another tenant that uses it
+// and is not less urgent, by more than creditFraction.
+func (q *Queue) HasGotMore(service string, rank Rank) bool {
 	if !q.counting.Load() {
 		return false
 	}
@@ -203,9 +210,12 @@
 	if c == nil {
 		return false
 	}
-	bound := (1 - creditFraction) * q.shares.got(service, tenant)
+	own := 0.0
+	if t := c.byTenant[rank.Tenant]; t != nil {
+		own, t.priority = t.got, rank.TenantPriority
+	}
 	for name, t := range c.byTenant {
-		if name != tenant && t.got < bound {
+		if name != rank.Tenant && t.priority <= rank.TenantPriority && t.got < (1-creditFraction)*own {
 			return true
 		}
 	}
--- a/internal/target/sender/sender.go
+++ b/internal/target/sender/sender.go
@@ -229,18 +229,18 @@
 	return best
 }
 
-// LimitWait returns the time until the request limits allow a request of the tenant to the service. A tenant that has lately
-// got more of the service than another one leaves a reserve for it.
-func (s *Sender) LimitWait(service, tenant string) time.Duration {
+// LimitWait returns the time until the request limits allow a request to the service. A tenant that has lately got more of
+// the service than another one that is not less urgent leaves a reserve for it.
+func (s *Sender) LimitWait(service string, rank queuer.Rank) time.Duration {
 	a := s.Allowance(service)
-	if a.Wait() == 0 && s.queue.HasGotMore(service, tenant) {
+	if a.Wait() == 0 && s.queue.HasGotMore(service, rank) {
 		return a.WaitWithReserve()
 	}
 	return a.Wait()
 }
 
-// NoteRefused notes that a request of the tenant was refused because the request limits are used up.
-func (s *Sender) NoteRefused(service, tenant string) { s.queue.NoteRefused(service, tenant) }
+// NoteRefused notes that a request was refused because the request limits are used up.
+func (s *Sender) NoteRefused(service string, rank queuer.Rank) { s.queue.NoteRefused(service, rank) }
 
 // AnyLimited reports whether any target has stated a request limit.
 func (s *Sender) AnyLimited() bool { return s.throttler.AnyLimited() }
