Announce the CPU capacity of instances

Placement by CPU capacity needs the capacity of all instances on each one. Instances of earlier versions drop the field when they pass entries on, so a known capacity stays until the next incarnation, and one learned later completes the entry.

--- a/internal/cluster/discoverer/discoverer.go
+++ b/internal/cluster/discoverer/discoverer.go
@@ -85,6 +85,9 @@
 	own := encoder.DiscoveryMember{
 		Instance: identity.Instance, Incarnation: identity.Incarnation, FailureDomain: identity.FailureDomain, PeerAddress: address,
 	}
+	if identity.CPUCapacity > 0 {
+		own.CpuCapacity = &identity.CPUCapacity
+	}
 	return &Discoverer{
 		identity: identity, address: address, seeds: seeds, registrar: r, logger: logger, started: time.Now(), roster: enroller.New(own), fullListDue: true,
 	}
@@ -99,6 +102,7 @@
 		defer d.mu.Unlock()
 		d.learnDirect(encoder.DiscoveryMember{
 			Instance: hello.Instance, Incarnation: hello.Incarnation, FailureDomain: hello.FailureDomain, PeerAddress: hello.PeerAddress,
+			CpuCapacity: hello.CpuCapacity,
 		})
 	})
 }
@@ -145,6 +149,14 @@
 	return n + len(d.roster.OthersIn(domain))
 }
 
+// Capacities returns the CPU capacities of the other known instances in the order of names. The caller must not modify the
+// slice.
+func (d *Discoverer) Capacities() []enroller.Capacity {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.roster.Capacities()
+}
+
 // Statuses returns the status of the other instances. A suspected instance is reported as unreachable. The state is
 // always live, because the instance list has no other states.
 func (d *Discoverer) Statuses() []encoder.MemberStatus {
--- a/internal/cluster/discoverer/discoverer_test.go
+++ b/internal/cluster/discoverer/discoverer_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"apricotflow/internal/cluster/discoverer"
+	"apricotflow/internal/cluster/enroller"
 	"apricotflow/internal/cluster/messenger"
 	"apricotflow/internal/cluster/registrar"
 	"apricotflow/internal/manifest/mapper"
@@ -35,10 +37,13 @@
 	return l.Addr().String()
 }
 
+// capacity is the CPU capacity of all instances, in thousandths of a core.
+const capacity = 134
+
 func startInstance(t *testing.T, name, peerAddress string, seeds ...string) *instance {
 	t.Helper()
 	r := registrar.New()
-	identity := messenger.Identity{Instance: name, Incarnation: name + peerAddress, FailureDomain: "east"}
+	identity := messenger.Identity{Instance: name, Incarnation: name + peerAddress, FailureDomain: "east", CPUCapacity: capacity}
 	d := discoverer.New(identity, peerAddress, seeds, r, log.New(io.Discard))
 	clock := timekeeper.NewHybridClock(time.Now)
 	m := messenger.New(identity, peerAddress, d, clock, recorder.New(name, clock, 10))
@@ -91,6 +96,20 @@
 	}
 }
 
+// Guards against instances whose CPU capacity is known only to those that they are connected to.
+func TestCapacitiesAreKnownToInstancesThatHaveNotExchangedMessages(t *testing.T) {
+	seed := freeAddress(t)
+	all := []*instance{startInstance(t, "a", seed, seed), startInstance(t, "b", freeAddress(t), seed), startInstance(t, "c", freeAddress(t), seed)}
+	for _, n := range all {
+		eventually(t, 10*time.Second, "not all capacities are known", func() bool {
+			others := n.Capacities()
+			return len(others) == 2 && !slices.ContainsFunc(others, func(c enroller.Capacity) bool {
+				return c.Thousandths != capacity || c.FailureDomain != "east" || c.Suspected
+			})
+		})
+	}
+}
+
 // Guards against an instance that takes too large a share of a budget at the start: before other instances are known,
 // the estimate of their number must err on the high side.
 func TestInstanceEstimateCountsSeedsWhenNoOtherInstanceIsKnown(t *testing.T) {
--- a/internal/cluster/enroller/roster.go
+++ b/internal/cluster/enroller/roster.go
@@ -41,6 +41,17 @@
 	// reported in its latest direct message.
 	Position registrar.Position
 	Version  int
+	// CPUCapacity is the CPU capacity of the instance in thousandths of a core; 0 if unknown.
+	CPUCapacity int
+}
+
+// Capacity is the CPU capacity of an instance.
+type Capacity struct {
+	Instance      string
+	FailureDomain string
+	// Thousandths is the CPU capacity in thousandths of a core; 0 if unknown.
+	Thousandths int
+	Suspected   bool
 }
 
 // Suspected reports whether the instance is suspected because it did not reply to some other instance.
@@ -66,6 +77,8 @@
 	members map[string]Member
 	// domains caches the sorted names of members by failure domain; nil after a change of the members.
 	domains map[string][]string
+	// capacities caches the capacities of all members in the order of names; nil after a change of the members.
+	capacities []Capacity
 	// retransmits holds the number of times that the update about each instance is still to be sent.
 	retransmits map[string]int
 }
@@ -96,6 +109,19 @@
 	return r.domains[domain]
 }
 
+// Capacities returns the CPU capacities of the other instances in the order of names. The caller must not modify the
+// slice.
+func (r *Roster) Capacities() []Capacity {
+	if r.capacities == nil {
+		r.capacities = make([]Capacity, 0, len(r.members))
+		for _, name := range r.Names() {
+			m := r.members[name]
+			r.capacities = append(r.capacities, Capacity{Instance: name, FailureDomain: m.FailureDomain, Thousandths: m.CPUCapacity, Suspected: m.Suspected()})
+		}
+	}
+	return r.capacities
+}
+
 // Member returns the other instance with the name, if it is known.
 func (r *Roster) Member(name string) (Member, bool) {
 	m, found := r.members[name]
@@ -109,7 +135,9 @@
 		r.refute(m)
 		return Unchanged
 	}
-	next := Member{Incarnation: m.Incarnation, FailureDomain: m.FailureDomain, Address: m.PeerAddress, Counter: m.Counter}
+	next := Member{
+		Incarnation: m.Incarnation, FailureDomain: m.FailureDomain, Address: m.PeerAddress, Counter: m.Counter, CPUCapacity: capacityOf(m),
+	}
 	if m.Suspected {
 		next.SuspectedAt = now
 		if m.SuspectedMs != nil {
@@ -124,13 +152,34 @@
 		r.set(m.Instance, next)
 		return Found
 	case next.Counter < known.Counter, next.Counter == known.Counter && (known.Suspected() || !next.Suspected()):
+		r.completeCapacity(m.Instance, known, m)
 		return Unchanged
 	}
 	next.Position, next.Version = known.Position, known.Version
+	if next.CPUCapacity == 0 && next.Incarnation == known.Incarnation {
+		next.CPUCapacity = known.CPUCapacity
+	}
 	r.set(m.Instance, next)
 	return changeBetween(known, next)
 }
 
+// capacityOf returns the CPU capacity in an entry; 0 if it has none.
+func capacityOf(m encoder.DiscoveryMember) int {
+	if m.CpuCapacity == nil {
+		return 0
+	}
+	return max(*m.CpuCapacity, 0)
+}
+
+// completeCapacity adds the CPU capacity in an entry to the known one of the same incarnation that lacks it. Instances of
+// versions without capacities pass entries on without them, with the same counter.
+func (r *Roster) completeCapacity(name string, known Member, m encoder.DiscoveryMember) {
+	if capacity := capacityOf(m); known.CPUCapacity == 0 && capacity > 0 && known.Incarnation == m.Incarnation {
+		known.CPUCapacity = capacity
+		r.set(name, known)
+	}
+}
+
 // changeBetween returns the kind of change between two entries of an instance.
 func changeBetween(before, after Member) MemberChange {
 	switch {
@@ -153,7 +202,7 @@
 	if !found || result != Unchanged || known.Incarnation == m.Incarnation {
 		return result
 	}
-	known.Incarnation, known.FailureDomain, known.Address = m.Incarnation, m.FailureDomain, m.PeerAddress
+	known.Incarnation, known.FailureDomain, known.Address, known.CPUCapacity = m.Incarnation, m.FailureDomain, m.PeerAddress, capacityOf(m)
 	r.set(m.Instance, known)
 	return Restarted
 }
@@ -193,7 +242,7 @@
 		if m.Suspected() && now.Sub(m.SuspectedAt) > SuspicionTimeout {
 			delete(r.members, name)
 			delete(r.retransmits, name)
-			r.domains = nil
+			r.domains, r.capacities = nil, nil
 			expired = append(expired, name)
 		}
 	}
@@ -205,6 +254,7 @@
 	if before, found := r.members[name]; !found || before.FailureDomain != m.FailureDomain {
 		r.domains = nil
 	}
+	r.capacities = nil
 	r.members[name] = m
 	r.scheduleUpdate(name)
 }
@@ -259,6 +309,9 @@
 	encoded := encoder.DiscoveryMember{
 		Instance: name, Incarnation: m.Incarnation, FailureDomain: m.FailureDomain, PeerAddress: m.Address, Counter: m.Counter, Suspected: m.Suspected(),
 	}
+	if m.CPUCapacity > 0 {
+		encoded.CpuCapacity = &m.CPUCapacity
+	}
 	if encoded.Suspected {
 		age := int(now.Sub(m.SuspectedAt).Milliseconds())
 		encoded.SuspectedMs = &age
--- a/internal/cluster/enroller/roster_test.go
+++ b/internal/cluster/enroller/roster_test.go
@@ -194,3 +194,29 @@
 	assert.Equal(t, r.Learn(m, now), enroller.Unchanged)
 	assert.Equal(t, r.Len(), 0)
 }
+
+// Guards against a capacity that is forgotten when an instance of an earlier version, which drops it, passes the entry on, or
+// that is kept for the next incarnation, which may have another one.
+func TestCapacityIsKeptWhenAnEntryLacksItUntilTheNextIncarnation(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	r := enroller.New(newMember("a"))
+	capacityOfB := func() int { return r.Capacities()[0].Thousandths }
+	without, with := newMember("b"), newMember("b")
+	capacity := 800
+	with.CpuCapacity = &capacity
+	r.Learn(without, now)
+	assert.Equal(t, capacityOfB(), 0)
+	r.Learn(with, now)
+	assert.Equal(t, capacityOfB(), 800)
+	assert.Equal(t, *r.All(now)[0].CpuCapacity, 800)
+	without.Counter = 3
+	r.Learn(without, now)
+	assert.Equal(t, capacityOfB(), 800)
+	r.Suspect("b", now)
+	assert.Assert(t, r.Capacities()[0].Suspected)
+	without.Incarnation, without.Counter = "b-2", 0
+	r.LearnDirect(without, now)
+	assert.Equal(t, capacityOfB(), 0)
+	r.Expire(now.Add(time.Minute))
+	assert.Equal(t, len(r.Capacities()), 0)
+}
--- a/internal/cluster/messenger/connect.go
+++ b/internal/cluster/messenger/connect.go
@@ -170,10 +170,14 @@
 func (m *Messenger) hello() encoder.HelloMessage {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return encoder.HelloMessage{
+	hello := encoder.HelloMessage{
 		Instance: m.identity.Instance, Incarnation: m.identity.Incarnation, FailureDomain: m.identity.FailureDomain,
 		PeerAddress: m.advertised, Joining: m.joining(), Clock: m.clock.Now(),
 	}
+	if m.identity.CPUCapacity > 0 {
+		hello.CpuCapacity = &m.identity.CPUCapacity
+	}
+	return hello
 }
 
 // activateLink makes a connection available for calls after hello. Of two connections between the same two
--- a/internal/cluster/messenger/messenger.go
+++ b/internal/cluster/messenger/messenger.go
@@ -64,6 +64,8 @@
 	Instance      string
 	Incarnation   string
 	FailureDomain string
+	// CPUCapacity is the CPU capacity of the instance in thousandths of a core; 0 if unknown.
+	CPUCapacity int
 }
 
 // Option configures a Messenger.
@@ -169,6 +171,9 @@
 // Incarnation returns the incarnation of this instance, which its peers know from hello.
 func (m *Messenger) Incarnation() string { return m.identity.Incarnation }
 
+// Instance returns the name of this instance.
+func (m *Messenger) Instance() string { return m.identity.Instance }
+
 // Start listens on the address and accepts connections in the background.
 func (m *Messenger) Start() error {
 	listener, err := net.Listen("tcp", m.address)
--- a/internal/operator/loader/loader_test.go
+++ b/internal/operator/loader/loader_test.go
@@ -142,10 +142,17 @@
 	settings, err = loader.Parse(fmt.Appendf(nil, base, `{"ready-address": "127.0.0.1:7301", "configuration-ms": 5000, "drain-ms": 2500.5}`))
 	assert.NilError(t, err)
 	assert.Equal(t, settings.Relay().PropagationLimit, 2500500*time.Microsecond)
+	assert.Equal(t, settings.Relay().CPUCapacity, 0)
+	for section, capacity := range map[string]int{`"processor-share": 0.134`: 134, `"processor-share": 0.4, "processor-speed": 2`: 800, `"processor-speed": 2`: 0, `"processor-share": 0`: 0} {
+		settings, err = loader.Parse(fmt.Appendf(nil, base, `{"ready-address": "127.0.0.1:7301", `+section+`}`))
+		assert.NilError(t, err)
+		assert.Equal(t, settings.Relay().CPUCapacity, capacity)
+	}
 	for section, path := range map[string]string{
 		`{}`: "$.relay", `{"ready-address": "127.0.0.1:7001"}`: "$.relay.ready-address",
 		`{"ready-address": "127.0.0.1:7301", "extra-load-ratio": 1.5}`: "$.relay.extra-load-ratio",
 		`{"ready-address": "127.0.0.1:7301", "memory-mb": 20.5}`:       "$.relay.memory-mb",
+		`{"ready-address": "127.0.0.1:7301", "processor-share": -1}`:   "$.relay.processor-share",
 		`{"ready-address": "127.0.0.1:7301", "drain-ms": 10}`:          "$.relay.drain-ms",
 	} {
 		_, err := loader.Parse(fmt.Appendf(nil, base, section))
--- a/internal/operator/loader/relay.go
+++ b/internal/operator/loader/relay.go
@@ -1,6 +1,7 @@
 package loader
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
@@ -40,6 +41,9 @@
 	PropagationLimit time.Duration
 	// MemoryBytes is the memory limit of the process.
 	MemoryBytes int64
+	// CPUCapacity is the CPU capacity of the instance in thousandths of a core, the share of a core times its speed; 0 if
+	// unknown.
+	CPUCapacity int
 }
 
 func newRelay(wire encoder.Relay, a *addressParser) *Relay {
@@ -54,9 +58,25 @@
 		ColdSlack:        valueOr(wire.ColdSlack, 0),
 		PropagationLimit: min(fractionalMillisecondsOr(wire.ConfigurationMs, defaultPropagationLimit), fractionalMillisecondsOr(wire.DrainMs, defaultPropagationLimit)),
 		MemoryBytes:      int64(valueOr(wire.MemoryMb, defaultMemoryMB)) << 20,
+		CPUCapacity:      cpuCapacity(wire),
 	}
 }
 
+// thousandths is the number of units of CPU capacity in a core.
+const thousandths = 1000
+
+// cpuCapacity returns the CPU capacity in thousandths of a core, at least 1; 0 if the settings do not state it.
+func cpuCapacity(wire encoder.Relay) int {
+	share, speed := valueOr(wire.ProcessorShare, 0), valueOr(wire.ProcessorSpeed, 0)
+	if share == 0 {
+		return 0
+	}
+	if speed == 0 {
+		speed = 1
+	}
+	return max(int(math.Round(share*speed*thousandths)), 1)
+}
+
 func secondsOr(value *float64, fallback time.Duration) time.Duration {
 	if value == nil {
 		return fallback
--- a/internal/wire/encoder/types.go
+++ b/internal/wire/encoder/types.go
@@ -91,6 +91,10 @@
 	// Headers of the reply of the target, in base64.
 	Header string `json:"header"`
 
+	// Number of requests to targets that the instance has in progress; absent if
+	// unknown.
+	InProgress *int `json:"in-progress,omitempty,omitzero"`
+
 	// Targets that have stated that they leave, one per line: id, start time in Unix
 	// milliseconds. Absent if there are none.
 	Leaving *string `json:"leaving,omitempty,omitzero"`
@@ -142,6 +146,10 @@
 
 	// Version of the routing table that the sender has in force.
 	Version int `json:"version"`
+
+	// True if the request is handed over because the sender lacks CPU capacity, so
+	// that an instance without spare capacity must refuse it.
+	Wide *bool `json:"wide,omitempty,omitzero"`
 }
 
 // Notification with one reply of a batch.
@@ -161,6 +169,9 @@
 	// Increased by the instance itself to refute a suspicion.
 	Counter int `json:"counter"`
 
+	// CPU capacity of the instance in thousandths of a core; absent if unknown.
+	CpuCapacity *int `json:"cpu-capacity,omitempty,omitzero"`
+
 	// Failure domain of the instance.
 	FailureDomain string `json:"failure-domain"`
 
@@ -508,6 +519,9 @@
 	// Hybrid logical clock of the sender.
 	Clock int `json:"clock"`
 
+	// CPU capacity of the sender in thousandths of a core; absent if unknown.
+	CpuCapacity *int `json:"cpu-capacity,omitempty,omitzero"`
+
 	// Name of the failure domain.
 	FailureDomain string `json:"failure-domain"`
 
@@ -740,6 +754,10 @@
 	// Hybrid logical clock of the sender.
 	Clock int `json:"clock"`
 
+	// Number of requests to targets that the instance has in progress; absent if
+	// unknown.
+	InProgress *int `json:"in-progress,omitempty,omitzero"`
+
 	// True if the instance cannot reach the targets at present, so that it has sent
 	// nothing.
 	OutOfReach *bool `json:"out-of-reach,omitempty,omitzero"`
@@ -1040,6 +1058,14 @@
 	// Memory limit of the process in mebibytes. Default 256.
 	MemoryMb *int `json:"memory-mb,omitempty,omitzero"`
 
+	// Share of a core that the process may use. If it is absent or 0, the CPU
+	// capacity is unknown and requests are not placed by it.
+	ProcessorShare *float64 `json:"processor-share,omitempty,omitzero"`
+
+	// Speed of a core relative to the one that processor-share refers to. Default 1,
+	// also for 0.
+	ProcessorSpeed *float64 `json:"processor-speed,omitempty,omitzero"`
+
 	// Address that the instance listens on for readiness checks of the load balancer.
 	ReadyAddress string `json:"ready-address"`
 
