Delegate sharded queries that are too wide for an instance

A query over 90 shards takes an instance with 0.134 of a core about 67 ms of processor time, more than its objective allows. Package placer decides by the CPU capacities and the outstanding work of the instances which one runs such a query. It is handed over without asking first; an instance without room refuses it, and the next one or this one runs it. If the other instance is lost, or has not answered in half of the time that is left, the query is started once more as a repetition out of the budget, and the first answer counts. Each outcome has a counter (placement-*). Queries under which targets may end are not handed over, nor are those that must not run twice.

--- a/internal/caller/assembler/relay.go
+++ b/internal/caller/assembler/relay.go
@@ -12,6 +12,7 @@
 
 	"apricotflow/internal/caller/receiver"
 	"apricotflow/internal/cluster/discoverer"
+	"apricotflow/internal/cluster/enroller"
 	"apricotflow/internal/cluster/feeder"
 	"apricotflow/internal/cluster/follower"
 	"apricotflow/internal/cluster/messenger"
@@ -24,6 +25,7 @@
 	admin "apricotflow/internal/operator/server"
 	"apricotflow/internal/operator/timekeeper"
 	"apricotflow/internal/query/delegator"
+	"apricotflow/internal/query/placer"
 	"apricotflow/internal/query/quarantiner"
 	"apricotflow/internal/query/relayer"
 	"apricotflow/internal/query/sharer"
@@ -74,7 +76,7 @@
 		fx.Supply(settings, Version(version), platform, logWriter),
 		fx.Provide(newIncarnation, newClock, newRecorder, reporter.New, newScope, newRelayLogger),
 		fx.Provide(registrar.New, newDiscoverer, newFeeder, newRelayMessenger, newFollower),
-		fx.Provide(newPicker, newBudgeter, newThrottler, newTransporter, newProber, newOwnFailureDomain, sender.New, newConcentrator, newStandstillDetector, newQuarantiner, newSharer, newDelegator, newRelayer, newReceiver, newObserver, newRelayAdminServer),
+		fx.Provide(newPicker, newBudgeter, newThrottler, newTransporter, newProber, newOwnFailureDomain, sender.New, newConcentrator, newStandstillDetector, newQuarantiner, newSharer, newPlacer, newDelegator, newRelayer, newReceiver, newObserver, newRelayAdminServer),
 		fx.Invoke(registerRelayInstance),
 	)
 	return runApp(ctx, app)
@@ -98,7 +100,10 @@
 }
 
 func identity(settings loader.Settings, incarnation Incarnation) messenger.Identity {
-	return messenger.Identity{Instance: settings.Instance(), Incarnation: string(incarnation), FailureDomain: settings.FailureDomain()}
+	return messenger.Identity{
+		Instance: settings.Instance(), Incarnation: string(incarnation), FailureDomain: settings.FailureDomain(),
+		CPUCapacity: settings.Relay().CPUCapacity,
+	}
 }
 
 func seedAddresses(settings loader.Settings) []string {
@@ -153,17 +158,31 @@
 	return s
 }
 
-func newDelegator(d *discoverer.Discoverer, m *messenger.Messenger, l *log.Logger, scope tally.Scope) *delegator.Delegator {
-	handover := delegator.New(d, l, scope)
+// newPlacer returns a Placer that places nothing if the settings do not state the CPU capacity of this instance.
+func newPlacer(settings loader.Settings) *placer.Placer {
+	return placer.New(enroller.Capacity{
+		Instance: settings.Instance(), FailureDomain: settings.FailureDomain(), Thousandths: settings.Relay().CPUCapacity,
+	})
+}
+
+func newDelegator(
+	settings loader.Settings, d *discoverer.Discoverer, m *messenger.Messenger, s *sender.Sender, l *log.Logger, scope tally.Scope,
+) *delegator.Delegator {
+	var opts []delegator.Option
+	if settings.Relay().CPUCapacity > 0 {
+		opts = append(opts, delegator.WithWork(s.InProgress))
+	}
+	handover := delegator.New(d, l, scope, opts...)
 	handover.Attach(m)
 	return handover
 }
 
 func newRelayer(
 	s *sender.Sender, c relayer.Concentrator, standstills *timekeeper.StandstillDetector, q *quarantiner.Quarantiner, d *delegator.Delegator,
-	scope tally.Scope,
+	p *placer.Placer, instances *discoverer.Discoverer, scope tally.Scope,
 ) *relayer.Relayer {
-	return relayer.New(s, c, scope, relayer.WithStandstills(standstills.JustResumed), relayer.WithQuarantine(q), relayer.WithDelegator(d))
+	return relayer.New(s, c, scope, relayer.WithStandstills(standstills.JustResumed), relayer.WithQuarantine(q), relayer.WithDelegator(d),
+		relayer.WithPlacement(p, instances, d))
 }
 
 func newPicker(settings loader.Settings, d *discoverer.Discoverer, limits *throttler.Throttler) *picker.Picker {
--- a/internal/caller/receiver/delegation.go
+++ b/internal/caller/receiver/delegation.go
@@ -41,6 +41,8 @@
 		return refuse("no route")
 	case !rc.relay.CanServeRoute(route, d.Outbound.ID):
 		return refuse("too few serving and reachable targets")
+	case d.Wide && !rc.relay.HasRoomFor(route):
+		return refuse("too little CPU capacity left")
 	case d.PriorRuns >= route.MaxRuns:
 		return refuse("no further run allowed")
 	}
--- a/internal/caller/receiver/delegation_test.go
+++ b/internal/caller/receiver/delegation_test.go
@@ -40,6 +40,8 @@
 func TestDelegatedRequestIsNotAcceptedWhenItCannotBeServed(t *testing.T) {
 	newer, exhausted := newDelegation("a.example"), newDelegation("a.example")
 	newer.Version, exhausted.PriorRuns = 2, 100
+	wide := newDelegation("a.example")
+	wide.Wide = true
 	for _, c := range []struct {
 		reason     string
 		relay      *fakeRelay
@@ -50,6 +52,7 @@
 		{"older configuration", &fakeRelay{}, newer, true},
 		{"no route", &fakeRelay{}, newDelegation("unknown.example"), true},
 		{"too few serving and reachable targets", &fakeRelay{cannotServe: true}, newDelegation("a.example"), true},
+		{"too little CPU capacity left", &fakeRelay{hasNoRoom: true}, wide, true},
 		{"no further run allowed", &fakeRelay{}, exhausted, true},
 	} {
 		rc, _ := startReceiver(t, c.relay, c.configured)
--- a/internal/caller/receiver/receiver.go
+++ b/internal/caller/receiver/receiver.go
@@ -77,6 +77,8 @@
 	CanServe() bool
 	// CanServeRoute reports whether a request of the route could succeed now.
 	CanServeRoute(route *mapper.Route, requestID string) bool
+	// HasRoomFor reports whether this instance has the CPU capacity for a request of the route that another one lacks.
+	HasRoomFor(route *mapper.Route) bool
 	// VerifyReach finds out which failure domains are reachable, if requests have not shown it within the last moments.
 	VerifyReach(ctx context.Context)
 }
--- a/internal/caller/receiver/receiver_test.go
+++ b/internal/caller/receiver/receiver_test.go
@@ -30,6 +30,8 @@
 	lastRequest relayer.Request
 	// cannotServe makes CanServe return false.
 	cannotServe bool
+	// hasNoRoom makes HasRoomFor return false.
+	hasNoRoom bool
 	// callerLeft, if set, makes Relay wait for the end of its context, and is then closed.
 	callerLeft chan struct{}
 	// untilDeadline makes Relay wait until the deadline and answer that the request has timed out.
@@ -42,6 +44,8 @@
 
 func (r *fakeRelay) CanServeRoute(*mapper.Route, string) bool { return !r.cannotServe }
 
+func (r *fakeRelay) HasRoomFor(*mapper.Route) bool { return !r.hasNoRoom }
+
 func (r *fakeRelay) VerifyReach(context.Context) {}
 
 func (r *fakeRelay) Relay(ctx context.Context, request relayer.Request) relayer.Answer {
--- a/internal/query/delegator/codec.go
+++ b/internal/query/delegator/codec.go
@@ -38,6 +38,9 @@
 	if request.PriorRuns > 0 {
 		message.Runs = &request.PriorRuns
 	}
+	if request.Wide {
+		message.Wide = &request.Wide
+	}
 	if !request.Due.IsZero() {
 		due := int((time.Until(request.Due) - hopTime).Microseconds())
 		message.DueUs = &due
@@ -61,6 +64,7 @@
 	if message.Runs != nil {
 		d.PriorRuns = max(*message.Runs, 0)
 	}
+	d.Wide = message.Wide != nil && *message.Wide
 	if message.DueUs != nil {
 		dueIn := time.Duration(*message.DueUs) * time.Microsecond
 		d.DueIn = &dueIn
--- a/internal/query/delegator/delegator.go
+++ b/internal/query/delegator/delegator.go
@@ -1,8 +1,9 @@
 // Package delegator hands requests over to other instances while this one does not reach enough targets, in relay mode,
 // and serves the requests that others hand over. A request goes to one instance that has just stated that it reaches the
 // targets, and that one decides alone on targets, hedges and retries, within its own limits and budgets; it never hands
-// the request on. A request that may have reached another instance is not handed over again. The relayer decides when to
-// hand over, and the receiver which requests of others are accepted.
+// the request on. A request that may have reached another instance is not handed over again. For lack of CPU capacity, the
+// relayer hands over to an instance of its choice, and decides itself what follows. The relayer decides when to hand over,
+// and the receiver which requests of others are accepted.
 package delegator
 
 import (
@@ -64,6 +65,15 @@
 	ServeDelegated(ctx context.Context, d relayer.Delegation) (relayer.Answer, error)
 }
 
+// Option configures a Delegator.
+type Option func(*Delegator)
+
+// WithWork sets the function that returns the number of requests to targets that this instance has in progress. It goes
+// along with each answer.
+func WithWork(inProgress func() int) Option {
+	return func(d *Delegator) { d.inProgress = inProgress }
+}
+
 // Delegator hands requests over to other instances and serves theirs.
 type Delegator struct {
 	instances Instances
@@ -76,6 +86,8 @@
 	lastID    atomic.Int64
 	// hasAble reports whether the latest round has found an able instance.
 	hasAble atomic.Bool
+	// inProgress returns the work of this instance that goes along with answers; nil if none is reported.
+	inProgress func() int
 
 	// served holds the requests that this instance serves for others.
 	served *canceler.Canceler
@@ -98,10 +110,14 @@
 }
 
 // New returns a Delegator without a messenger and a server; see Attach and SetServer.
-func New(instances Instances, logger *log.Logger, scope tally.Scope) *Delegator {
-	return &Delegator{
+func New(instances Instances, logger *log.Logger, scope tally.Scope, opts ...Option) *Delegator {
+	d := &Delegator{
 		instances: instances, ledger: NewLedger(), bodies: newHeldBodies(), served: canceler.New(), logger: logger, scope: scope,
 	}
+	for _, opt := range opts {
+		opt(d)
+	}
+	return d
 }
 
 // Attach sets the messenger and registers the methods on it. It must be called before the messenger starts.
@@ -236,10 +252,7 @@
 		return relayer.Answer{}, false
 	}
 	if err == nil {
-		answer, err = DecodeAnswer(reply, func(offset int) (string, error) {
-			next, err := messenger.Call[encoder.BodyRequest, encoder.BodyReply](callCtx, d.messenger, peer, methodReadBody, encoder.BodyRequest{Id: id, Offset: offset})
-			return next.Body, err
-		})
+		answer, err = DecodeAnswer(reply, d.bodyReader(callCtx, peer, id))
 	}
 	if err == nil {
 		return withDelegate(answer, peer, request), true
@@ -247,6 +260,49 @@
 	return d.answerFailure(ctx, peer, id, request, err)
 }
 
+// HandTo hands the request over to an instance that has more CPU capacity, without asking first, and waits for the answer.
+// The relayer decides what follows from a failure.
+func (d *Delegator) HandTo(ctx context.Context, peer string, request relayer.Request, report func(inProgress int)) (relayer.Answer, error) {
+	id := strconv.FormatInt(d.lastID.Add(1), 36)
+	callCtx, cancel := context.WithDeadline(ctx, request.Deadline)
+	defer cancel()
+	reply, err := messenger.Call[encoder.DelegatedRequest, encoder.DelegatedAnswer](callCtx, d.messenger, peer, methodDelegate, encodeRequest(id, request))
+	if err == nil && reply.InProgress != nil {
+		report(*reply.InProgress)
+	}
+	switch {
+	case err != nil && !mayHaveReceived(err):
+		return relayer.Answer{}, &relayer.NotReceivedError{Instance: peer, Cause: err}
+	case err == nil && !reply.Accepted:
+		return relayer.Answer{}, &relayer.NotAcceptedError{ID: request.Outbound.ID, Origin: d.messenger.Instance(), Reason: reply.Outcome}
+	}
+	var answer relayer.Answer
+	if err == nil {
+		answer, err = DecodeAnswer(reply, d.bodyReader(callCtx, peer, id))
+	}
+	if err != nil {
+		go d.endServed(peer, id)
+		return relayer.Answer{}, err
+	}
+	return answer, nil
+}
+
+// bodyReader returns the function that reads the rest of the body of an answer.
+func (d *Delegator) bodyReader(ctx context.Context, peer, id string) func(offset int) (string, error) {
+	return func(offset int) (string, error) {
+		next, err := messenger.Call[encoder.BodyRequest, encoder.BodyReply](ctx, d.messenger, peer, methodReadBody, encoder.BodyRequest{Id: id, Offset: offset})
+		return next.Body, err
+	}
+}
+
+// mayHaveReceived reports whether an instance may have received a request whose call failed.
+func mayHaveReceived(err error) bool {
+	var notSent *messenger.NotSentError
+	var remote *messenger.RemoteError
+	isUnknownMethod := errors.As(err, &remote) && remote.Code == messenger.CodeUnknownMethod
+	return !isUnknownMethod && !errors.As(err, &notSent)
+}
+
 // replyTime returns the time in which the answer of another instance has to arrive.
 func replyTime(request relayer.Request) time.Duration {
 	if request.Due.IsZero() {
@@ -258,9 +314,7 @@
 // answerFailure returns the answer to a request for which no answer was received from the instance. It returns false if the
 // instance has certainly not received the request.
 func (d *Delegator) answerFailure(ctx context.Context, peer, id string, request relayer.Request, err error) (answer relayer.Answer, taken bool) {
-	var notSent *messenger.NotSentError
-	var remote *messenger.RemoteError
-	unreceived := errors.As(err, &notSent) || errors.As(err, &remote) && remote.Code == messenger.CodeUnknownMethod
+	unreceived := !mayHaveReceived(err)
 	if !unreceived {
 		go d.endServed(peer, id)
 	}
--- a/internal/query/delegator/delegator_test.go
+++ b/internal/query/delegator/delegator_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/base64"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -58,6 +59,9 @@
 	stop    func()
 }
 
+// workInProgress is the work that each instance reports.
+const workInProgress = 17
+
 type instanceNames []string
 
 func (n instanceNames) OtherInstances() []string { return n }
@@ -79,7 +83,7 @@
 		// The intervals are those of instances that relay.
 		m := messenger.New(messenger.Identity{Instance: name, Incarnation: name + "1"}, address, resolver, clock, recorder.New(name, clock, 10),
 			messenger.WithHeartbeat(3*time.Second, 8*time.Second))
-		d := delegator.New(instanceNames(others), log.New(io.Discard), tally.NoopScope)
+		d := delegator.New(instanceNames(others), log.New(io.Discard), tally.NoopScope, delegator.WithWork(func() int { return workInProgress }))
 		d.Attach(m)
 		server := &fakeServer{able: true, serve: func(context.Context, relayer.Delegation) (relayer.Answer, error) {
 			return relayer.Answer{Outcome: relayer.Merged, Signatures: []string{name}, Records: []byte("0123456789abcdef"), Missing: 1}, nil
@@ -286,3 +290,53 @@
 	assert.Assert(t, !answer.Accepted)
 	assert.Equal(t, delegates["b"].server.servedCount(), 0)
 }
+
+// Guards against a query that is taken for not run although it may have run, or the reverse, against work that is not
+// reported, and against a query that the other instance cannot tell from one of a stranded instance.
+func TestQueryIsHandedToAnInstanceWithoutAskingFirst(t *testing.T) {
+	origin, delegates := startInstances(t, "b", "c")
+	b, c := delegates["b"], delegates["c"]
+	b.server.able = false
+	reported := 0
+	handTo := func(ctx context.Context, peer string) (relayer.Answer, error) {
+		request := newRequest(t, 2*time.Second)
+		request.Wide = true
+		return origin.HandTo(ctx, peer, request, func(inProgress int) { reported = inProgress })
+	}
+	answer, err := handTo(t.Context(), "b")
+	assert.NilError(t, err)
+	assert.DeepEqual(t, answer.Signatures, []string{"b"})
+	assert.Equal(t, reported, workInProgress)
+	assert.Assert(t, b.server.served[0].Wide)
+
+	reported = 0
+	b.server.serve = func(context.Context, relayer.Delegation) (relayer.Answer, error) {
+		return relayer.Answer{}, &relayer.NotAcceptedError{Reason: "busy"}
+	}
+	_, err = handTo(t.Context(), "b")
+	var notAccepted *relayer.NotAcceptedError
+	assert.Assert(t, errors.As(err, &notAccepted), "%v", err)
+	assert.Equal(t, notAccepted.Reason, "busy")
+	assert.Equal(t, reported, workInProgress)
+
+	canceled := make(chan struct{})
+	c.server.serve = func(ctx context.Context, _ relayer.Delegation) (relayer.Answer, error) {
+		<-ctx.Done()
+		close(canceled)
+		return relayer.Answer{}, ctx.Err()
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	_, err = handTo(ctx, "c")
+	var notReceived *relayer.NotReceivedError
+	assert.Assert(t, err != nil && !errors.As(err, &notAccepted) && !errors.As(err, &notReceived), "%v", err)
+	select {
+	case <-canceled:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the other instance still runs the query")
+	}
+	b.stop()
+	time.Sleep(100 * time.Millisecond)
+	_, err = handTo(t.Context(), "b")
+	assert.Assert(t, errors.As(err, &notReceived), "%v", err)
+}
--- a/internal/query/delegator/serve.go
+++ b/internal/query/delegator/serve.go
@@ -18,6 +18,15 @@
 
 // serveRequest serves a request that another instance has handed over.
 func (d *Delegator) serveRequest(ctx context.Context, peer messenger.Peer, message encoder.DelegatedRequest) (encoder.DelegatedAnswer, error) {
+	answer, err := d.serveDecoded(ctx, peer, message)
+	if d.inProgress != nil {
+		inProgress := d.inProgress()
+		answer.InProgress = &inProgress
+	}
+	return answer, err
+}
+
+func (d *Delegator) serveDecoded(ctx context.Context, peer messenger.Peer, message encoder.DelegatedRequest) (encoder.DelegatedAnswer, error) {
 	delegation, err := decodeRequest(peer.Instance, message)
 	if err != nil {
 		return encoder.DelegatedAnswer{Outcome: err.Error()}, nil
--- a/internal/query/relayer/delegation.go
+++ b/internal/query/relayer/delegation.go
@@ -35,6 +35,8 @@
 	TimeLeft time.Duration
 	// PriorRuns is the number of targets of each service that may have run the request already.
 	PriorRuns int
+	// Wide reports whether the origin has handed the request over because it lacks CPU capacity.
+	Wide bool
 }
 
 // NotAcceptedError reports a delegated request that was not sent to any target and never will be.
@@ -66,6 +68,16 @@
 		}
 		mayDelegate = false
 	}
+	if mayDelegate && r.isTooWide(request) {
+		if answer, served := r.serveElsewhere(ctx, request); served {
+			return answer
+		}
+	}
+	return r.serveHere(ctx, request, mayDelegate)
+}
+
+// serveHere serves the request with targets. If it is stranded and may be delegated, another instance gets it.
+func (r *Relayer) serveHere(ctx context.Context, request Request, mayDelegate bool) Answer {
 	f := newForwarder(r.sender, r.concentrator, r.gate, r.quarantine, request)
 	answer := f.run(ctx)
 	answer.Decisions, answer.Leaving = f.decisions, f.leaving
@@ -87,10 +99,15 @@
 // delegate hands the request over to another instance and takes note of the targets that leave.
 func (r *Relayer) delegate(ctx context.Context, request Request) (answer Answer, taken bool) {
 	answer, taken = r.delegator.Delegate(ctx, request)
+	r.markLeaving(answer, request)
+	return answer, taken
+}
+
+// markLeaving takes note of the targets that leave, which another instance has stated in its answer.
+func (r *Relayer) markLeaving(answer Answer, request Request) {
 	for _, d := range answer.Leaving {
 		r.sender.MarkLeaving(d.Target, d.Started, request.Outbound.ID)
 	}
-	return answer, taken
 }
 
 // isCutOff reports whether the request cannot succeed because targets that it needs are out of reach.
--- a/internal/query/relayer/fixture_test.go
+++ b/internal/query/relayer/fixture_test.go
@@ -73,6 +73,10 @@
 	quarantine  *quarantiner.Quarantiner
 	// delegator hands requests over to other instances.
 	delegator *fakeDelegator
+	// placement, if set, places queries by CPU capacity.
+	placement relayer.Option
+	// scope holds the counters of the relayer.
+	scope tally.TestScope
 }
 
 // fakeDelegator records the requests that are handed over, and answers them if takes is set.
@@ -146,8 +150,12 @@
 	limits := throttler.New(singleInstance{}.InstanceEstimate)
 	s := sender.New(domain, f.registrar, picker.New(picker.ColdLimits{Factor: 1}, singleInstance{}, domain, picker.WithLimits(limits)), budgeter.New(f.limits, singleInstance{}.InstanceEstimate),
 		limits, connections, f.prober, log.New(io.Discard), tally.NoopScope)
-	f.relayer = relayer.New(s, f.peers, tally.NoopScope, relayer.WithStandstills(func() bool { return f.justResumed }),
-		relayer.WithQuarantine(f.quarantine), relayer.WithDelegator(f.delegator))
+	opts := []relayer.Option{relayer.WithStandstills(func() bool { return f.justResumed }), relayer.WithQuarantine(f.quarantine), relayer.WithDelegator(f.delegator)}
+	if f.placement != nil {
+		opts = append(opts, f.placement)
+	}
+	f.scope = tally.NewTestScope("", nil)
+	f.relayer = relayer.New(s, f.peers, f.scope, opts...)
 }
 
 // shardedRoute returns the route of a query over the services, which are its shards.
--- /dev/null
+++ b/internal/query/relayer/placement.go
@@ -0,0 +1,319 @@
+package relayer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"apricotflow/internal/cluster/enroller"
+	"apricotflow/internal/manifest/mapper"
+	"apricotflow/internal/query/placer"
+	"apricotflow/internal/query/quarantiner"
+)
+
+const (
+	// maxHelpers is the maximum number of instances that are tried for one query, besides this one.
+	maxHelpers = 3
+	// maxPlacedRuns is the maximum number of instances that may run one query, because it is started once more at most.
+	maxPlacedRuns = 2
+	// hedgeTimeShare is the share of the time left until the answer is due after which a query is started once more.
+	hedgeTimeShare = 0.5
+)
+
+// Fleet lists the other instances with their CPU capacities. The caller must not modify the slice.
+type Fleet interface {
+	Capacities() []enroller.Capacity
+}
+
+// Helpers hands queries over to other instances for lack of CPU capacity.
+type Helpers interface {
+	// HandTo returns the answer of the instance. It returns a *NotAcceptedError if the instance has not sent the request to
+	// any target and never will, a *NotReceivedError if the request has not reached it, and another error if the request
+	// may have run. When the context ends, the instance is told to cancel it. The function report gets the number of parts
+	// that the instance has in progress.
+	HandTo(ctx context.Context, instance string, request Request, report func(inProgress int)) (Answer, error)
+}
+
+// NotReceivedError reports a request that has not reached another instance, so that it has not run there.
+type NotReceivedError struct {
+	Instance string
+	Cause    error
+}
+
+func (e *NotReceivedError) Error() string {
+	return fmt.Sprintf("relayer: request not received by instance %s: %v", e.Instance, e.Cause)
+}
+
+func (e *NotReceivedError) Unwrap() error { return e.Cause }
+
+// placement places sharded queries by CPU capacity. The zero value places none.
+type placement struct {
+	// placer is nil if no query is placed.
+	placer  *placer.Placer
+	fleet   Fleet
+	helpers Helpers
+}
+
+func queryOf(route *mapper.Route) placer.Query {
+	limit := route.Objective
+	if limit <= 0 {
+		limit = route.Timeout
+	}
+	return placer.Query{Route: route.Name, Parts: len(route.Shards), Limit: limit}
+}
+
+// HasRoomFor reports whether this instance has the CPU capacity for a request of the route that another one lacks.
+func (r *Relayer) HasRoomFor(route *mapper.Route) bool {
+	return r.placement.placer == nil || r.placement.placer.HasRoom(queryOf(route), r.sender.InProgress())
+}
+
+// isTooWide reports whether the request is a query that may run elsewhere and is too wide for this instance. Queries under
+// which targets may end stay here, so that trials are not repeated.
+func (r *Relayer) isTooWide(request Request) bool {
+	route := request.Route
+	return r.placement.placer != nil && route.IsSharded() && route.Idempotent && r.placement.placer.IsTooWide(queryOf(route)) && !r.isSuspect(request)
+}
+
+// isSuspect reports whether targets may end under the request.
+func (r *Relayer) isSuspect(request Request) bool {
+	return !r.quarantine.IsEmpty() && r.quarantine.Verdict(quarantiner.NewFingerprint(request.Outbound.Properties()...)) != quarantiner.Unsuspected
+}
+
+// attempt is the end of one run of a placed query.
+type attempt struct {
+	// helper is the name of the other instance; empty for this one.
+	helper string
+	answer Answer
+	err    error
+}
+
+// hasNotRun reports whether the other instance has certainly not run the query.
+func (a attempt) hasNotRun() bool {
+	var notAccepted *NotAcceptedError
+	var notReceived *NotReceivedError
+	return errors.As(a.err, &notAccepted) || errors.As(a.err, &notReceived)
+}
+
+// placedQuery is a query that is too wide for this instance. It runs on another instance and, if that one is lost or late,
+// once more elsewhere. It is used by one goroutine.
+type placedQuery struct {
+	relayer *Relayer
+	request Request
+	query   placer.Query
+	// ctx ends when the answer is there.
+	ctx      context.Context
+	attempts chan attempt
+	tried    []string
+	// running is the number of runs that have not ended, and runs the number of those that targets may have seen.
+	running, runs int
+	// latest is the instance that runs the query since the latest start; empty for this one.
+	latest string
+	// late reports whether the query was started once more because there was no answer by the hedge time.
+	late bool
+	// lost reports whether an instance that may have run the query was lost.
+	lost      bool
+	decisions []Decision
+	// failure is the latest answer that is no success; its outcome is empty if there is none.
+	failure Answer
+}
+
+// serveElsewhere serves a query that is too wide for this instance on another one. It returns false if it should run here
+// and has not run elsewhere.
+func (r *Relayer) serveElsewhere(ctx context.Context, request Request) (Answer, bool) {
+	runCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	q := &placedQuery{
+		relayer: r, request: request, query: queryOf(request.Route), ctx: runCtx, attempts: make(chan attempt, maxHelpers+1),
+	}
+	if !q.startNext() {
+		r.count("kept")
+		return Answer{}, false
+	}
+	return q.wait()
+}
+
+func (r *Relayer) count(event string) { r.scope.Counter("placement-" + event).Inc(1) }
+
+// wait returns the first success, or the latest failure when nothing runs any more. It returns false if the query has not run
+// and should run here.
+func (q *placedQuery) wait() (Answer, bool) {
+	hedge := time.NewTimer(q.timeUntilHedge())
+	defer hedge.Stop()
+	for {
+		select {
+		case a := <-q.attempts:
+			q.running--
+			answer, ended := q.end(a)
+			switch {
+			case ended:
+				return answer, true
+			case q.running > 0:
+				if q.late && a.hasNotRun() {
+					q.startNext()
+				}
+			case q.failure.Outcome != "":
+				return q.answerFailure(), true
+			case q.startNext():
+				hedge.Reset(q.timeUntilHedge())
+			case q.runs == 0:
+				q.relayer.count("kept")
+				return Answer{}, false
+			default:
+				return q.answerFailure(), true
+			}
+		case <-hedge.C:
+			if q.latest != "" && q.running > 0 {
+				q.startLate()
+			}
+		case <-q.ctx.Done():
+			return Answer{Outcome: Abandoned, Decisions: q.decisions}, true
+		}
+	}
+}
+
+// timeUntilHedge returns the time until the query is started once more: half of the time that is left until the answer is
+// due, or until the deadline if it is late already.
+func (q *placedQuery) timeUntilHedge() time.Duration {
+	left := time.Until(q.request.Due)
+	if q.request.Due.IsZero() || left <= 0 {
+		left = time.Until(q.request.Deadline)
+	}
+	return time.Duration(hedgeTimeShare * float64(left))
+}
+
+// startLate starts the query once more because the instance that runs it has not answered by the hedge time. That instance
+// gets no queries for a while.
+func (q *placedQuery) startLate() {
+	q.late = true
+	q.relayer.count("late")
+	q.relayer.placement.placer.Suspend(q.latest, time.Now())
+	q.addDecision(q.latest, "late, started once more")
+	q.startNext()
+}
+
+// startNext starts the query on the best instance that has not been tried. It returns false if that is this one and the
+// query has not run, or if it must not be started again.
+func (q *placedQuery) startNext() bool {
+	placement := q.relayer.placement
+	if q.runs >= maxPlacedRuns || q.runs > 0 && q.request.PriorRuns+q.runs >= q.request.Route.MaxRuns {
+		return false
+	}
+	request := q.request.WithPriorRuns(q.request.PriorRuns + q.runs)
+	others := placement.fleet.Capacities()
+	if len(q.tried) < maxHelpers {
+		helper, found := placement.placer.Choose(q.query, q.relayer.sender.InProgress(), others, q.tried, time.Now())
+		if i := slices.IndexFunc(others, func(c enroller.Capacity) bool { return c.Instance == helper }); found && i >= 0 {
+			q.startOn(others[i], request)
+			return true
+		}
+	}
+	if q.runs == 0 {
+		return false
+	}
+	q.started("")
+	q.relayer.count("repeated-here")
+	go func() {
+		q.attempts <- attempt{answer: q.relayer.serveHere(q.ctx, request, false)}
+	}()
+	return true
+}
+
+// started records the start of the query on an instance.
+func (q *placedQuery) started(helper string) {
+	q.latest = helper
+	q.running++
+	q.runs++
+}
+
+// startOn hands the query over to another instance.
+func (q *placedQuery) startOn(helper enroller.Capacity, request Request) {
+	if q.runs > 0 {
+		q.relayer.count("repeated-elsewhere")
+	}
+	q.tried = append(q.tried, helper.Instance)
+	q.started(helper.Instance)
+	q.relayer.count("delegated")
+	request.Wide = true
+	placement := q.relayer.placement
+	go func() {
+		run := placement.placer.Begin(helper, q.query, time.Now())
+		answer, err := placement.helpers.HandTo(q.ctx, helper.Instance, request, func(inProgress int) {
+			placement.placer.RecordWork(helper.Instance, inProgress, time.Now())
+		})
+		if err == nil && isSuccess(answer) {
+			run.Answered(time.Now())
+		} else {
+			run.End()
+		}
+		q.attempts <- attempt{helper: helper.Instance, answer: answer, err: err}
+	}()
+}
+
+// isSuccess reports whether the answer serves the caller, so that no other is waited for.
+func isSuccess(a Answer) bool { return a.Outcome == Merged || a.Outcome == Relayed }
+
+// end takes the end of a run. It returns the answer to the caller if it is one.
+func (q *placedQuery) end(a attempt) (Answer, bool) {
+	var notReceived *NotReceivedError
+	switch {
+	case a.err == nil:
+		return q.endAnswered(a)
+	case errors.As(a.err, &notReceived):
+		q.runs--
+		q.relayer.count("unreached")
+		q.relayer.placement.placer.Suspend(a.helper, time.Now())
+	case a.hasNotRun():
+		q.runs--
+		q.relayer.count("refused")
+	default:
+		q.lost = true
+		q.relayer.count("lost")
+		q.relayer.placement.placer.Suspend(a.helper, time.Now())
+	}
+	q.addDecision(a.helper, a.err.Error())
+	return Answer{}, false
+}
+
+// endAnswered takes an answer. A failure counts only if no other run succeeds.
+func (q *placedQuery) endAnswered(a attempt) (Answer, bool) {
+	if a.helper != "" {
+		q.relayer.markLeaving(a.answer, q.request)
+		q.addDecision(a.helper, "handed over, too little CPU capacity here")
+	}
+	a.answer.Decisions = append(q.decisions, a.answer.Decisions...)
+	if !isSuccess(a.answer) {
+		q.relayer.count("failed")
+		q.failure = a.answer
+		return Answer{}, false
+	}
+	if q.running > 0 {
+		q.relayer.count("canceled")
+	}
+	if q.runs > 1 && a.helper == q.latest {
+		q.relayer.count("answered-by-second")
+	} else {
+		q.relayer.count("answered")
+	}
+	return a.answer, true
+}
+
+// answerFailure returns the answer when no run has succeeded. What one instance has not run, another may have.
+func (q *placedQuery) answerFailure() Answer {
+	answer := q.failure
+	switch {
+	case q.lost && !time.Now().Before(q.request.Deadline):
+		answer.Outcome = TimedOut
+	case answer.Outcome == "", q.lost && answer.Outcome == NotRun:
+		answer.Outcome = Failed
+	}
+	if len(answer.Decisions) == 0 {
+		answer.Decisions = q.decisions
+	}
+	return answer
+}
+
+func (q *placedQuery) addDecision(target, event string) {
+	q.decisions = append(q.decisions, Decision{After: time.Since(q.request.Arrived), Service: q.request.Route.Name, Target: target, Event: event})
+}
--- /dev/null
+++ b/internal/query/relayer/placement_test.go
@@ -0,0 +1,233 @@
+package relayer_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"apricotflow/internal/cluster/enroller"
+	"apricotflow/internal/query/placer"
+	"apricotflow/internal/query/quarantiner"
+	"apricotflow/internal/query/relayer"
+)
+
+// helper is another instance that is asked to run a query.
+type helper struct {
+	// delay is the time until it answers or fails with err.
+	delay  time.Duration
+	err    error
+	answer relayer.Answer
+}
+
+// fakeHelpers records the queries that are handed over. The instances are in another failure domain the more, the later
+// they are to be chosen.
+type fakeHelpers struct {
+	helpers map[string]helper
+
+	mu       sync.Mutex
+	asked    []string
+	requests []relayer.Request
+	canceled []string
+}
+
+func (h *fakeHelpers) Capacities() []enroller.Capacity {
+	return []enroller.Capacity{
+		{Instance: "first", FailureDomain: domain, Thousandths: 800},
+		{Instance: "second", FailureDomain: "west", Thousandths: 800},
+		{Instance: "small", FailureDomain: domain, Thousandths: 10},
+	}
+}
+
+func (h *fakeHelpers) HandTo(ctx context.Context, instance string, request relayer.Request, report func(int)) (relayer.Answer, error) {
+	h.mu.Lock()
+	h.asked, h.requests = append(h.asked, instance), append(h.requests, request)
+	h.mu.Unlock()
+	report(0)
+	select {
+	case <-time.After(h.helpers[instance].delay):
+	case <-ctx.Done():
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.canceled = append(h.canceled, instance)
+		return relayer.Answer{}, ctx.Err()
+	}
+	return h.helpers[instance].answer, h.helpers[instance].err
+}
+
+var (
+	errLost        = errors.New("connection lost")
+	errNotAccepted = &relayer.NotAcceptedError{Reason: "busy"}
+	errNotReceived = &relayer.NotReceivedError{Cause: errLost}
+	placedAnswer   = relayer.Answer{Outcome: relayer.Merged, Signatures: []string{"placed"}}
+)
+
+// wideServices are the shards of a query that is too wide for the instance of the fixture.
+var wideServices = []string{"s0", "s1", "s2", "s3", "s4", "s5", "s6", "s7", "s8", "s9", "s10", "s11"}
+
+func newPlacement(h *fakeHelpers) relayer.Option {
+	return relayer.WithPlacement(placer.New(enroller.Capacity{Instance: "a", FailureDomain: domain, Thousandths: 10}), h, h)
+}
+
+// newPlacedFixture returns a relayer for which queries to wideServices are too wide, and the other instances.
+func newPlacedFixture(t *testing.T, helpers map[string]helper) (*fixture, *fakeHelpers) {
+	t.Helper()
+	h := &fakeHelpers{helpers: helpers}
+	f := newFixture(t, 3, wideServices...)
+	f.placement = newPlacement(h)
+	f.buildRelayer()
+	return f, h
+}
+
+// expectCounts checks the counters of the placement, of those given.
+func (f *fixture) expectCounts(t *testing.T, want map[string]int64) {
+	t.Helper()
+	got := make(map[string]int64)
+	for name := range want {
+		if c, found := f.scope.Snapshot().Counters()["placement-"+name+"+"]; found {
+			got[name] = c.Value()
+		}
+	}
+	assert.DeepEqual(t, got, want)
+}
+
+// Guards against queries that are too wide for this instance and run here, and against others that are handed over: those
+// that have been delegated already, must not run twice, or are no queries.
+func TestOnlyTooWideQueriesAreHandedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, h := newPlacedFixture(t, map[string]helper{"first": {answer: placedAnswer}})
+		answer, _ := f.relay(shardedRoute(1, wideServices...), "r1")
+		assert.DeepEqual(t, answer.Signatures, []string{"placed"})
+		assert.DeepEqual(t, h.asked, []string{"first"})
+		assert.Assert(t, h.requests[0].Wide && h.requests[0].PriorRuns == 0)
+		assert.Equal(t, f.runsOfS0(), 0)
+		f.expectCounts(t, map[string]int64{"delegated": 1, "answered": 1})
+
+		_, _ = f.relay(singleRoute(true), "r2")
+		route := shardedRoute(1, wideServices...)
+		route.Idempotent = false
+		_, _ = f.relay(route, "r3")
+		request := f.request(shardedRoute(1, wideServices...), "r4")
+		request.Delegated = true
+		assert.Equal(t, f.relayer.Relay(t.Context(), request).Outcome, relayer.Merged)
+		assert.Equal(t, len(h.asked), 1)
+		assert.Equal(t, f.runsOfS0(), 3)
+	})
+}
+
+// Guards against a query that fails with its helper, that counts as run where it has not, or that runs more often than once
+// more.
+func TestQueryRunsElsewhereWhenItsHelperFails(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		helpers  map[string]helper
+		asked    []string
+		priorRun int
+		counts   map[string]int64
+		// local reports whether it ends here, and after which time.
+		local bool
+		after time.Duration
+	}{
+		{"refused", map[string]helper{"first": {err: errNotAccepted}, "second": {answer: placedAnswer}}, []string{"first", "second"}, 0, map[string]int64{"refused": 1, "answered": 1}, false, 0},
+		{"unreached", map[string]helper{"first": {err: errNotReceived}, "second": {answer: placedAnswer}}, []string{"first", "second"}, 0, map[string]int64{"unreached": 1, "answered": 1}, false, 0},
+		{"lost", map[string]helper{"first": {err: errLost}, "second": {answer: placedAnswer}}, []string{"first", "second"}, 1, map[string]int64{"lost": 1, "repeated-elsewhere": 1, "answered-by-second": 1}, false, 0},
+		{"frozen", map[string]helper{"first": {delay: time.Hour}, "second": {answer: placedAnswer}}, []string{"first", "second"}, 1, map[string]int64{"late": 1, "canceled": 1, "answered-by-second": 1}, false, 70 * time.Millisecond},
+		{"slow, but first", map[string]helper{"first": {delay: 80 * time.Millisecond, answer: placedAnswer}, "second": {delay: time.Hour}}, []string{"first", "second"}, 1, map[string]int64{"late": 1, "canceled": 1, "answered": 1}, false, 80 * time.Millisecond},
+		{"late, then refused", map[string]helper{"first": {delay: time.Hour}, "second": {err: errNotAccepted}}, []string{"first", "second"}, 1, map[string]int64{"late": 1, "refused": 1, "repeated-here": 1, "answered-by-second": 1}, true, 70 * time.Millisecond},
+		{"all refuse", map[string]helper{"first": {err: errNotAccepted}, "second": {err: errNotAccepted}}, []string{"first", "second"}, 0, map[string]int64{"refused": 2, "kept": 1}, true, 0},
+		{"lost twice", map[string]helper{"first": {err: errLost}, "second": {err: errLost}}, []string{"first", "second"}, 1, map[string]int64{"lost": 2}, false, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f, h := newPlacedFixture(t, c.helpers)
+				answer, took := f.relay(shardedRoute(1, wideServices...), "r1")
+				synctest.Wait()
+				f.expectCounts(t, c.counts)
+				assert.DeepEqual(t, h.asked, c.asked)
+				assert.Equal(t, h.requests[len(h.requests)-1].PriorRuns, c.priorRun)
+				switch {
+				case c.counts["lost"] == 2:
+					assert.Equal(t, answer.Outcome, relayer.Failed)
+				case c.local:
+					assert.Equal(t, answer.Outcome, relayer.Merged)
+					assert.Equal(t, f.runsOfS0(), 1)
+				default:
+					assert.DeepEqual(t, answer.Signatures, []string{"placed"})
+					assert.Equal(t, f.runsOfS0(), 0)
+				}
+				assert.Assert(t, took >= c.after && took < c.after+20*time.Millisecond, took)
+				if c.counts["canceled"] > 0 {
+					assert.Equal(t, len(h.canceled), 1)
+				}
+				// A helper that was lost or late gets nothing more for a while.
+				suspended := c.counts["lost"]+c.counts["late"]+c.counts["unreached"] > 0
+				_, _ = f.relay(shardedRoute(1, wideServices...), "r2")
+				assert.Equal(t, len(h.asked) > len(c.asked) && h.asked[len(c.asked)] == "first", !suspended)
+			})
+		})
+	}
+}
+
+// Guards against repetitions beyond the runs that the route allows, and beyond the budget of each service.
+func TestRepetitionOfPlacedQueryKeepsRunsAndBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, h := newPlacedFixture(t, map[string]helper{"first": {err: errLost}, "second": {answer: placedAnswer}})
+		route := shardedRoute(1, wideServices...)
+		route.MaxRuns = 1
+		answer, _ := f.relay(route, "r1")
+		assert.Equal(t, answer.Outcome, relayer.Failed)
+		assert.DeepEqual(t, h.asked, []string{"first"})
+
+		f.limits.Ratio, f.limits.Slack = 0, 0
+		f.placement = newPlacement(h)
+		h.helpers["second"] = helper{err: errNotAccepted}
+		f.buildRelayer()
+		answer, _ = f.relay(shardedRoute(1, wideServices...), "r2")
+		assert.Assert(t, answer.Outcome != relayer.Merged)
+		assert.Equal(t, f.runsOfS0(), 0)
+	})
+}
+
+// Guards against an answer that promises that a query has not run although a lost instance may have run it, and against a
+// failed answer of a helper that is repeated.
+func TestFailureOfHelperIsPassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		notRun := relayer.Answer{Outcome: relayer.NotRun, RetryAfter: time.Second}
+		f, h := newPlacedFixture(t, map[string]helper{"first": {answer: notRun}, "second": {answer: placedAnswer}})
+		answer, _ := f.relay(shardedRoute(1, wideServices...), "r1")
+		assert.Equal(t, answer.Outcome, relayer.NotRun)
+		assert.Equal(t, answer.RetryAfter, time.Second)
+		assert.DeepEqual(t, h.asked, []string{"first"})
+		h.helpers["first"], h.helpers["second"] = helper{err: errLost}, helper{answer: notRun}
+		answer, _ = f.relay(shardedRoute(1, wideServices...), "r2")
+		assert.Equal(t, answer.Outcome, relayer.Failed)
+	})
+}
+
+// Guards against work for a caller that has left, at the helper and here.
+func TestPlacedQueryIsCanceledWhenItsCallerLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, h := newPlacedFixture(t, map[string]helper{"first": {delay: time.Hour}, "second": {delay: time.Hour}})
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		answer := f.relayer.Relay(ctx, f.request(shardedRoute(1, wideServices...), "r1"))
+		synctest.Wait()
+		assert.Equal(t, answer.Outcome, relayer.Abandoned)
+		assert.Equal(t, len(h.canceled), 2)
+	})
+}
+
+// Guards against a query that ends targets and is started on several instances.
+func TestSuspectedQueryIsNotHandedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, h := newPlacedFixture(t, map[string]helper{"first": {err: errNotAccepted}, "second": {err: errNotAccepted}})
+		request := f.request(shardedRoute(1, wideServices...), "r1")
+		f.quarantine.RecordEnd(quarantiner.NewFingerprint(request.Outbound.Properties()...), "s0-0", false)
+		_ = f.relayer.Relay(t.Context(), request)
+		assert.Equal(t, len(h.asked), 0)
+	})
+}
--- a/internal/query/relayer/relayer.go
+++ b/internal/query/relayer/relayer.go
@@ -16,6 +16,7 @@
 	"apricotflow/internal/manifest/authenticator"
 	"apricotflow/internal/manifest/mapper"
 	"apricotflow/internal/operator/timekeeper"
+	"apricotflow/internal/query/placer"
 	"apricotflow/internal/query/quarantiner"
 	"apricotflow/internal/target/concentrator"
 	"apricotflow/internal/target/sender"
@@ -109,6 +110,8 @@
 	// PriorRuns is the number of targets of each service that may have run the request before it was handed over. Each
 	// request to a target is then a repetition.
 	PriorRuns int
+	// Wide reports whether the request is handed over because this instance lacks CPU capacity for it.
+	Wide bool
 	// Tenant is the tenant that holds the caller's key; nil if tenants are not configured or the caller is anonymous.
 	Tenant *authenticator.Tenant
 	// KeyDigest is the digest of the caller's key; zero without a tenant.
@@ -178,6 +181,7 @@
 	justResumed func() bool
 	quarantine  *quarantiner.Quarantiner
 	delegator   Delegator
+	placement   placement
 }
 
 // Option configures a Relayer.
@@ -198,6 +202,12 @@
 	return func(r *Relayer) { r.delegator = d }
 }
 
+// WithPlacement sets what decides by CPU capacity which instance runs a sharded query, lists the other instances, and hands
+// queries over to them.
+func WithPlacement(p *placer.Placer, f Fleet, h Helpers) Option {
+	return func(r *Relayer) { r.placement = placement{placer: p, fleet: f, helpers: h} }
+}
+
 // New creates a relayer.
 func New(s *sender.Sender, c Concentrator, scope tally.Scope, opts ...Option) *Relayer {
 	r := &Relayer{
--- a/internal/target/sender/sender.go
+++ b/internal/target/sender/sender.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -82,6 +83,8 @@
 	pauseLog intervalLog
 	// limitLog limits the log lines about request limits of targets.
 	limitLog intervalLog
+	// inProgress is the number of requests to targets that this instance sends itself.
+	inProgress atomic.Int64
 }
 
 // OwnDomain is the name of the failure domain of this instance. It is a type of its own for dependency injection.
@@ -284,6 +287,10 @@
 	return false
 }
 
+// InProgress returns the number of requests to targets that this instance has in progress, for its own queries and for
+// those of peers.
+func (s *Sender) InProgress() int { return int(s.inProgress.Load()) }
+
 // Send sends the request to the target and waits for the outcome until the context ends.
 func (s *Sender) Send(ctx context.Context, target registrar.Target, service mapper.Service, route string, latency LatencyEstimate, r *transporter.Request, deadline time.Time) transporter.Result {
 	end := s.Track(target, route, latency, r.ID)
@@ -439,6 +446,8 @@
 }
 
 func (s *Sender) send(ctx context.Context, target registrar.Target, limit int, r *transporter.Request, deadline time.Time) transporter.Result {
+	s.inProgress.Add(1)
+	defer s.inProgress.Add(-1)
 	if !s.registrar.View().IsServing(target.ID) {
 		return transporter.Result{Outcome: transporter.Unsent, Err: errNotServing}
 	}
