Divide the parts of a query by CPU capacity where queries are placed

Where an instance is too small for a query, batches went to peers in turn, whatever their size. Parts of the own failure domain are now divided so that all instances finish at the same time, counting three parts for each batch at both ends; parts for another domain go through as few instances there as have time for them. Replies to batches carry the work of the peer. Without such an instance the parts are sent as before.

--- a/internal/caller/assembler/relay.go
+++ b/internal/caller/assembler/relay.go
@@ -137,10 +137,15 @@
 }
 
 func newConcentrator(
-	d *discoverer.Discoverer, m *messenger.Messenger, r *registrar.Registrar, s *sender.Sender, standstills *timekeeper.StandstillDetector,
-	l *log.Logger, scope tally.Scope,
+	settings loader.Settings, d *discoverer.Discoverer, m *messenger.Messenger, r *registrar.Registrar, s *sender.Sender, p *placer.Placer,
+	standstills *timekeeper.StandstillDetector, l *log.Logger, scope tally.Scope,
 ) relayer.Concentrator {
-	c := concentrator.New(d, r, s, l, scope, concentrator.WithStandstills(standstills.JustResumed))
+	opts := []concentrator.Option{concentrator.WithStandstills(standstills.JustResumed)}
+	if settings.Relay().CPUCapacity > 0 {
+		record := func(peer string, inProgress int) { p.RecordWork(peer, inProgress, time.Now()) }
+		opts = append(opts, concentrator.WithWork(s.InProgress), concentrator.WithWorkRecorder(record))
+	}
+	c := concentrator.New(d, r, s, l, scope, opts...)
 	c.Attach(m)
 	return c
 }
--- a/internal/query/placer/division.go
+++ b/internal/query/placer/division.go
@@ -17,6 +17,9 @@
 	minBatch = 3
 	// minCapacityShare is the minimum capacity of an instance that gets parts, relative to this one.
 	minCapacityShare = 0.5
+	// spreadLimitShare is the share of its time limit that the parts of a query for another failure domain may take the
+	// instances there. It is half of what makes a query too wide.
+	spreadLimitShare = maxLimitShare / 2
 )
 
 // Share is the number of parts that an instance gets.
@@ -38,7 +41,7 @@
 	if p.own.Thousandths <= 0 {
 		return nil
 	}
-	loads := p.loads(available, now)
+	loads := p.loads(available, minCapacityShare*float64(p.own.Thousandths), now)
 	own := float64(inProgress)
 	total, work := float64(p.own.Thousandths), own+float64(parts)
 	finish := work / total
@@ -52,48 +55,59 @@
 		}
 		finish, used = next, n+1
 	}
-	var shares []Share
-	left := parts
-	for _, l := range loads[:used] {
-		// Rounded up, because what is left over by many instances would add up here.
-		n := min(int(math.Ceil(finish*float64(l.instance.Thousandths)-l.parts)), left)
-		if n < minBatch {
-			continue
+	return shares(loads[:used], parts, finish)
+}
+
+// Spread returns the shares of instances of another failure domain in a number of parts of a query, of which this instance
+// runs none. It takes as few instances as can finish within a part of the time limit of the query, because each batch and
+// its reply cross between failure domains. It returns none if there are too few parts or no instance is available.
+func (p *Placer) Spread(q Query, available []enroller.Capacity, now time.Time) []Share {
+	if q.Parts < minBatch {
+		return nil
+	}
+	loads := p.loads(available, 0, now)
+	var total, work float64
+	used := 0
+	for n, l := range loads {
+		capacity := float64(l.instance.Thousandths)
+		next := (work + l.parts + float64(q.Parts)) / (total + capacity)
+		if n > 0 && next*capacity-l.parts < minBatch {
+			break
+		}
+		total, work, used = total+capacity, work+l.parts, n+1
+		if time.Duration(next*float64(processorTime(1, 1))) <= time.Duration(spreadLimitShare*float64(q.Limit)) {
+			break
 		}
-		shares = append(shares, Share{Instance: l.instance, Parts: n})
-		left -= n
 	}
-	return shares
+	if used == 0 {
+		return nil
+	}
+	return shares(loads[:used], q.Parts, (work+float64(q.Parts))/total)
 }
 
-// ChooseAmong returns the instance with the shortest time for a number of parts, among those available.
-func (p *Placer) ChooseAmong(parts int, available []enroller.Capacity, now time.Time) (best enroller.Capacity, found bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var shortest time.Duration
-	start := 0
-	if len(available) > 0 {
-		start = rand.IntN(len(available))
-	}
-	for n := range available {
-		c := available[(start+n)%len(available)]
-		if c.Thousandths <= 0 || p.isSuspended(c.Instance, now) {
+// shares returns the parts of each instance if all finish at the given time, in parts for each unit of capacity. It rounds
+// up, because what is left over by many instances would add up on this one.
+func shares(loads []load, parts int, finish float64) []Share {
+	var shares []Share
+	for _, l := range loads {
+		n := min(int(math.Ceil(finish*float64(l.instance.Thousandths)-l.parts)), parts)
+		if n < minBatch {
 			continue
 		}
-		if t := p.timeOn(c, parts, now); !found || t < shortest {
-			best, shortest, found = c, t, true
-		}
+		shares = append(shares, Share{Instance: l.instance, Parts: n})
+		parts -= n
 	}
-	return best, found
+	return shares
 }
 
-// loads returns the instances that may get parts, those that would finish a batch first at the front.
-func (p *Placer) loads(available []enroller.Capacity, now time.Time) []load {
+// loads returns the instances with at least the given capacity that may get parts. Those that would finish a batch first are
+// at the front, and the largest ones among them.
+func (p *Placer) loads(available []enroller.Capacity, minCapacity float64, now time.Time) []load {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var loads []load
 	for _, c := range available {
-		if c.Thousandths <= 0 || float64(c.Thousandths) < minCapacityShare*float64(p.own.Thousandths) || p.isSuspended(c.Instance, now) {
+		if c.Thousandths <= 0 || float64(c.Thousandths) < minCapacity || p.isSuspended(c.Instance, now) {
 			continue
 		}
 		parts := float64(p.timeOn(c, batchParts, now)) / float64(processorTime(1, c.Thousandths))
@@ -102,7 +116,7 @@
 	// Instances with equal loads take turns by chance, so that small instances do not all load the same ones.
 	rand.Shuffle(len(loads), func(i, j int) { loads[i], loads[j] = loads[j], loads[i] })
 	slices.SortStableFunc(loads, func(a, b load) int {
-		return cmp.Compare(a.parts/float64(a.instance.Thousandths), b.parts/float64(b.instance.Thousandths))
+		return cmp.Or(cmp.Compare(a.parts/float64(a.instance.Thousandths), b.parts/float64(b.instance.Thousandths)), cmp.Compare(b.instance.Thousandths, a.instance.Thousandths))
 	})
 	return loads
 }
--- a/internal/query/placer/placer.go
+++ b/internal/query/placer/placer.go
@@ -90,14 +90,14 @@
 	return time.Duration(parts) * partTime * thousandths / time.Duration(capacity)
 }
 
-// isTooWide reports whether the query is too wide for an instance with the given capacity. An unknown capacity is
+// IsTooWide reports whether the query is too wide for an instance with the given capacity. An unknown capacity is
 // sufficient.
-func isTooWide(q Query, capacity int) bool {
+func IsTooWide(q Query, capacity int) bool {
 	return capacity > 0 && processorTime(q.Parts, capacity) > time.Duration(maxLimitShare*float64(q.Limit))
 }
 
 // IsTooWide reports whether the query is too wide for this instance.
-func (p *Placer) IsTooWide(q Query) bool { return isTooWide(q, p.own.Thousandths) }
+func (p *Placer) IsTooWide(q Query) bool { return IsTooWide(q, p.own.Thousandths) }
 
 // IsActive reports whether the query is placed by CPU capacity: it is too wide for an instance, and the capacity of this one
 // is known.
@@ -105,7 +105,7 @@
 	if p.own.Thousandths <= 0 {
 		return false
 	}
-	return p.IsTooWide(q) || slices.ContainsFunc(others, func(c enroller.Capacity) bool { return isTooWide(q, c.Thousandths) })
+	return p.IsTooWide(q) || slices.ContainsFunc(others, func(c enroller.Capacity) bool { return IsTooWide(q, c.Thousandths) })
 }
 
 // HasRoom reports whether this instance, with a number of parts in progress, has the processor time for a query of another
--- a/internal/query/relayer/delegation.go
+++ b/internal/query/relayer/delegation.go
@@ -78,7 +78,7 @@
 
 // serveHere serves the request with targets. If it is stranded and may be delegated, another instance gets it.
 func (r *Relayer) serveHere(ctx context.Context, request Request, mayDelegate bool) Answer {
-	f := newForwarder(r.sender, r.concentrator, r.gate, r.quarantine, request)
+	f := newForwarder(r.sender, r.concentrator, r.gate, r.quarantine, r.placement, request)
 	answer := f.run(ctx)
 	answer.Decisions, answer.Leaving = f.decisions, f.leaving
 	if !mayDelegate || !f.stranded || ctx.Err() != nil {
--- a/internal/query/relayer/fixture_test.go
+++ b/internal/query/relayer/fixture_test.go
@@ -43,6 +43,8 @@
 
 func (noPeers) ChoosePeer(string, int, *transporter.Request) (string, bool) { return "", false }
 
+func (noPeers) UsablePeers(string, []string, *transporter.Request) []string { return nil }
+
 func (noPeers) Send(context.Context, concentrator.Batch, func(concentrator.PartialResults)) {}
 
 // singleInstance is a fleet with one instance.
--- a/internal/query/relayer/forwarder.go
+++ b/internal/query/relayer/forwarder.go
@@ -86,7 +86,9 @@
 	gate         *limitGate
 	sender       *sender.Sender
 	concentrator Concentrator
-	latency      sender.LatencyEstimate
+	// placement divides the parts of a query by CPU capacity where it is active.
+	placement placement
+	latency   sender.LatencyEstimate
 	// preferredDomain is the failure domain whose targets are preferred.
 	preferredDomain string
 	parts           []*part
@@ -119,14 +121,14 @@
 	answeredCaller bool
 }
 
-func newForwarder(s *sender.Sender, c Concentrator, gate *limitGate, q *quarantiner.Quarantiner, request Request) *forwarder {
+func newForwarder(s *sender.Sender, c Concentrator, gate *limitGate, q *quarantiner.Quarantiner, placed placement, request Request) *forwarder {
 	route := request.Route
 	services := route.Shards
 	if !route.IsSharded() {
 		services = []string{route.SelectService(request.Outbound.ID)}
 	}
 	f := &forwarder{
-		request: request, gate: gate, sender: s, concentrator: c, latency: s.LatencyEstimate(route.Name), preferredDomain: s.PreferredDomain(services[0]),
+		request: request, gate: gate, sender: s, concentrator: c, placement: placed, latency: s.LatencyEstimate(route.Name), preferredDomain: s.PreferredDomain(services[0]),
 		parts: make([]*part, len(services)), pendingParts: len(services),
 	}
 	for i, name := range services {
--- a/internal/query/relayer/placement.go
+++ b/internal/query/relayer/placement.go
@@ -56,6 +56,11 @@
 	helpers Helpers
 }
 
+// isActive reports whether the query is placed by CPU capacity.
+func (p placement) isActive(q placer.Query) bool {
+	return p.placer != nil && p.placer.IsActive(q, p.fleet.Capacities())
+}
+
 func queryOf(route *mapper.Route) placer.Query {
 	limit := route.Objective
 	if limit <= 0 {
--- a/internal/query/relayer/placement_test.go
+++ b/internal/query/relayer/placement_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -11,9 +12,12 @@
 	"gotest.tools/v3/assert"
 
 	"apricotflow/internal/cluster/enroller"
+	"apricotflow/internal/cluster/registrar"
 	"apricotflow/internal/query/placer"
 	"apricotflow/internal/query/quarantiner"
 	"apricotflow/internal/query/relayer"
+	"apricotflow/internal/target/concentrator"
+	"apricotflow/internal/target/transporter"
 )
 
 // helper is another instance that is asked to run a query.
@@ -231,3 +235,73 @@
 		assert.Equal(t, len(h.asked), 0)
 	})
 }
+
+// recordingPeers are peers that record the batches that they get, and report all their requests as unsent.
+type recordingPeers struct {
+	unsendingPeers
+	// rotated is the number of peers chosen without regard to their capacity.
+	rotated int
+
+	mu    sync.Mutex
+	parts map[string]int
+}
+
+func (p *recordingPeers) ChoosePeer(string, int, *transporter.Request) (string, bool) {
+	p.rotated++
+	return "", false
+}
+
+func (p *recordingPeers) UsablePeers(domain string, others []string, _ *transporter.Request) []string {
+	return append(others, domain+"-small")
+}
+
+func (p *recordingPeers) Send(ctx context.Context, batch concentrator.Batch, deliver func(concentrator.PartialResults)) {
+	p.mu.Lock()
+	p.parts[batch.Peer] += len(batch.Targets)
+	p.mu.Unlock()
+	p.unsendingPeers.Send(ctx, batch, deliver)
+}
+
+// capacities lists instances.
+type capacities []enroller.Capacity
+
+func (c capacities) Capacities() []enroller.Capacity { return c }
+
+// Guards against parts that go to instances too small for them, and against changes where no instance is too small.
+func TestPartsAreDividedByCapacityWherePlacementIsActive(t *testing.T) {
+	for _, active := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			services := make([]string, 90)
+			for i := range services {
+				services[i] = "s" + strconv.Itoa(i)
+			}
+			f := newFixture(t, 2, services...)
+			others := capacities{{Instance: "east-large", FailureDomain: domain, Thousandths: 800}, {Instance: "west-large", FailureDomain: "west", Thousandths: 800}}
+			if active {
+				others = append(others, enroller.Capacity{Instance: "east-small", FailureDomain: domain, Thousandths: 50}, enroller.Capacity{Instance: "west-small", FailureDomain: "west", Thousandths: 50})
+			}
+			change := registrar.Change{Position: registrar.Position{Revision: 2}}
+			for i := range 30 {
+				id := "west-" + strconv.Itoa(i)
+				far := f.startTarget(id, records(100, 10))
+				change.Put = append(change.Put, registrar.Target{ID: id, Service: "s" + strconv.Itoa(i), Address: far.Address(), FailureDomain: "west", Slots: 4})
+				change.Removed = append(change.Removed, "s"+strconv.Itoa(i)+"-0", "s"+strconv.Itoa(i)+"-1")
+			}
+			f.registrar.Apply(change, true)
+			peers := &recordingPeers{unsendingPeers: unsendingPeers{batches: make(chan int, len(services))}, parts: make(map[string]int)}
+			f.peers = peers
+			own := enroller.Capacity{Instance: "a", FailureDomain: domain, Thousandths: 800}
+			f.placement = relayer.WithPlacement(placer.New(own), others, &fakeHelpers{})
+			f.buildRelayer()
+			answer, _ := f.relay(shardedRoute(1, services...), "r1")
+			assert.Equal(t, answer.Missing, 0)
+			if !active {
+				assert.Equal(t, len(peers.parts), 0)
+				assert.Assert(t, peers.rotated > 0)
+				return
+			}
+			assert.DeepEqual(t, peers.parts, map[string]int{"east-large": 30, "west-large": 30})
+			assert.Equal(t, peers.rotated, 0)
+		})
+	}
+}
--- a/internal/query/relayer/relayer.go
+++ b/internal/query/relayer/relayer.go
@@ -167,6 +167,8 @@
 // Concentrator sends a request to several targets of one failure domain through an instance there.
 type Concentrator interface {
 	ChoosePeer(domain string, targets int, r *transporter.Request) (peer string, found bool)
+	// UsablePeers returns the connected peers in the failure domain, and the others given, that can take a batch.
+	UsablePeers(domain string, others []string, r *transporter.Request) []string
 	Send(ctx context.Context, batch concentrator.Batch, deliver func(concentrator.PartialResults))
 }
 
--- a/internal/query/relayer/scatter_test.go
+++ b/internal/query/relayer/scatter_test.go
@@ -388,6 +388,8 @@
 
 func (unsendingPeers) ChoosePeer(string, int, *transporter.Request) (string, bool) { return "b", true }
 
+func (unsendingPeers) UsablePeers(string, []string, *transporter.Request) []string { return nil }
+
 func (p unsendingPeers) Send(_ context.Context, batch concentrator.Batch, deliver func(concentrator.PartialResults)) {
 	p.batches <- len(batch.Targets)
 	parts := concentrator.PartialResults{Results: make(map[int]transporter.Result)}
--- a/internal/query/relayer/start.go
+++ b/internal/query/relayer/start.go
@@ -16,7 +16,8 @@
 }
 
 // sendFirst sends the first request of every part. Requests to another failure domain go through an instance there if
-// that saves bytes; many requests to targets in the own failure domain are divided among its instances.
+// that saves bytes; many requests to targets in the own failure domain are divided among its instances. Where queries are placed by CPU
+// capacity, it decides on the instances.
 func (f *forwarder) sendFirst() {
 	f.caution.trial = f.caution.active
 	if f.request.PriorRuns > 0 {
@@ -43,10 +44,13 @@
 		}
 		chosen[target.FailureDomain] = append(chosen[target.FailureDomain], choice{part: i, target: target})
 	}
+	divided := f.request.Route.IsSharded() && f.placement.isActive(queryOf(f.request.Route))
 	for domain, choices := range chosen {
 		switch {
 		case !f.request.Route.IsSharded():
 			f.sendDirectly(choices)
+		case divided:
+			f.sendDivided(domain, choices)
 		case domain == f.sender.OwnDomain():
 			f.sendWithinDomain(domain, choices)
 		default:
@@ -79,7 +83,7 @@
 		if !found {
 			break
 		}
-		f.sendBatch(peer, share)
+		f.sendBatch(peer, share, func() {})
 		choices = choices[maxLocalRequests:]
 	}
 	f.sendDirectly(choices)
@@ -91,11 +95,12 @@
 		f.sendDirectly(choices)
 		return
 	}
-	f.sendBatch(peer, choices)
+	f.sendBatch(peer, choices, func() {})
 }
 
-// sendBatch sends the requests through the given peer.
-func (f *forwarder) sendBatch(peer string, choices []choice) {
+// sendBatch sends the requests through the given peer. The function replied is called when the peer has replied for the
+// first time, and possibly again.
+func (f *forwarder) sendBatch(peer string, choices []choice, replied func()) {
 	batch := concentrator.Batch{
 		Peer: peer, Request: f.request.Outbound, Route: f.request.Route.Name, MaxRecords: f.request.Route.TopRecords,
 		FlushAfter: f.flushAfter(), Deadline: f.request.Deadline,
@@ -111,6 +116,7 @@
 		ends[n] = f.sender.Track(c.target, f.request.Route.Name, f.latency, f.request.Outbound.ID)
 	}
 	go f.concentrator.Send(f.sendCtx, batch, func(parts concentrator.PartialResults) {
+		replied()
 		received := resultBatch{merged: true, records: parts.Records}
 		for n, result := range parts.Results {
 			ends[n](result)
--- a/internal/target/concentrator/concentrator.go
+++ b/internal/target/concentrator/concentrator.go
@@ -9,6 +9,7 @@
 	"context"
 	"encoding/base64"
 	"errors"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -118,6 +119,11 @@
 	nextPeer     int
 	// justResumed reports whether a standstill of the process has ended within the last moments.
 	justResumed func() bool
+	// inProgress returns the number of requests to targets that this instance has in progress, which goes along with replies;
+	// nil if it is not reported.
+	inProgress func() int
+	// recordWork gets the numbers that peers report.
+	recordWork func(peer string, inProgress int)
 }
 
 // sentBatch is a batch that waits for late results.
@@ -136,12 +142,24 @@
 	return func(c *Concentrator) { c.justResumed = justResumed }
 }
 
+// WithWork sets the function that returns the number of requests to targets that this instance has in progress, which is
+// reported to peers.
+func WithWork(inProgress func() int) Option {
+	return func(c *Concentrator) { c.inProgress = inProgress }
+}
+
+// WithWorkRecorder sets the function that gets the number of requests that peers have reported.
+func WithWorkRecorder(record func(peer string, inProgress int)) Option {
+	return func(c *Concentrator) { c.recordWork = record }
+}
+
 // New returns a Concentrator without a messenger; see Attach.
 func New(peers Peers, r *registrar.Registrar, local LocalSender, logger *log.Logger, scope tally.Scope, opts ...Option) *Concentrator {
 	c := &Concentrator{
 		peers: peers, registrar: r, local: local, logger: logger, scope: scope, served: canceler.New(),
 		sent: make(map[string]sentBatch), suspendedUntil: make(map[string]time.Time), suspensionLoggedAt: make(map[string]time.Time),
 		emptyReplies: make(map[string]int), justResumed: func() bool { return false },
+		recordWork: func(string, int) {},
 	}
 	for _, opt := range opts {
 		opt(c)
@@ -178,6 +196,24 @@
 	return "", false
 }
 
+// UsablePeers returns the connected peers in the failure domain, and the others given, that are not suspended. It returns
+// none for a request that a message between instances cannot carry; see ChoosePeer.
+func (c *Concentrator) UsablePeers(domain string, others []string, r *transporter.Request) []string {
+	if !utf8.Valid(r.Head()) {
+		return nil
+	}
+	names := c.peers.ConnectedIn(domain)
+	for _, other := range others {
+		if !slices.Contains(names, other) {
+			names = append(names, other)
+		}
+	}
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.DeleteFunc(names, func(name string) bool { return now.Before(c.suspendedUntil[name]) })
+}
+
 // Send sends the batch and delivers each result once. It returns when all results are delivered or the context has
 // ended. In the latter case, and if the call for the first results failed, the remaining results are delivered as lost, and
 // the peer is told to cancel their requests.
@@ -191,6 +227,9 @@
 	replyTimer := time.AfterFunc(batch.FlushAfter+replyMargin, func() { c.suspend(batch.Peer, errReplyOverdue) })
 	reply, err := messenger.Call[encoder.PartsRequest, encoder.PartsReply](ctx, c.messenger, batch.Peer, methodSendBatch, newPartsRequest(id, batch))
 	replyTimer.Stop()
+	if err == nil && reply.InProgress != nil {
+		c.recordWork(batch.Peer, *reply.InProgress)
+	}
 	if err != nil {
 		c.suspendUnlessCanceled(ctx, batch, err)
 		outcome := outcomeOf(err)
--- a/internal/target/concentrator/serve.go
+++ b/internal/target/concentrator/serve.go
@@ -77,10 +77,19 @@
 			defer finish()
 			c.sendLateResults(peer, message, results, remaining)
 		}()
-		return encoder.PartsReply{Parts: collector.encode()}, nil
+		return c.newReply(collector), nil
 	}
 	finish()
-	return encoder.PartsReply{Parts: collector.encode()}, nil
+	return c.newReply(collector), nil
+}
+
+func (c *Concentrator) newReply(collector *resultCollector) encoder.PartsReply {
+	reply := encoder.PartsReply{Parts: collector.encode()}
+	if c.inProgress != nil {
+		inProgress := c.inProgress()
+		reply.InProgress = &inProgress
+	}
+	return reply
 }
 
 // reachesAll reports whether this instance reaches the failure domains of all known targets.
