Assign the connections to the targets of sharded queries

A target accepts 108 connections, fewer than the 145 instances, of which each may open one; the others were reset. Where queries are placed by CPU capacity and instances outnumber the usable connections, all instances compute the same assignment: the large ones hold most, those in the domain of the target more, and small ones at most half, one each, in the domain of the target first. Together they never exceed 0.85 of the limit. An instance without a connection sends parts through one that holds some. For these targets, request limits, cold rates and the slack of the budget are divided by halves among the large and the small instances, since the large ones send nearly all requests.

--- a/internal/caller/assembler/relay.go
+++ b/internal/caller/assembler/relay.go
@@ -17,6 +17,7 @@
 	"apricotflow/internal/cluster/follower"
 	"apricotflow/internal/cluster/messenger"
 	"apricotflow/internal/cluster/registrar"
+	"apricotflow/internal/manifest/mapper"
 	"apricotflow/internal/operator/loader"
 	"apricotflow/internal/operator/logger"
 	"apricotflow/internal/operator/observer"
@@ -76,7 +77,7 @@
 		fx.Supply(settings, Version(version), platform, logWriter),
 		fx.Provide(newIncarnation, newClock, newRecorder, reporter.New, newScope, newRelayLogger),
 		fx.Provide(registrar.New, newDiscoverer, newFeeder, newRelayMessenger, newFollower),
-		fx.Provide(newPicker, newBudgeter, newThrottler, newTransporter, newProber, newOwnFailureDomain, sender.New, newConcentrator, newStandstillDetector, newQuarantiner, newSharer, newPlacer, newDelegator, newRelayer, newReceiver, newObserver, newRelayAdminServer),
+		fx.Provide(newPicker, newBudgeter, newThrottler, newTransporter, newProber, newOwnFailureDomain, sender.New, newConcentrator, newStandstillDetector, newQuarantiner, newSharer, newPlacer, newAssigner, newDelegator, newRelayer, newReceiver, newObserver, newRelayAdminServer),
 		fx.Invoke(registerRelayInstance),
 	)
 	return runApp(ctx, app)
@@ -170,6 +171,11 @@
 	})
 }
 
+func newAssigner(settings loader.Settings, d *discoverer.Discoverer, r *registrar.Registrar) *placer.Assigner {
+	own := enroller.Capacity{Instance: settings.Instance(), FailureDomain: settings.FailureDomain(), Thousandths: settings.Relay().CPUCapacity}
+	return placer.NewAssigner(own, d, func() *mapper.Table { return r.View().Table() })
+}
+
 func newDelegator(
 	settings loader.Settings, d *discoverer.Discoverer, m *messenger.Messenger, s *sender.Sender, l *log.Logger, scope tally.Scope,
 ) *delegator.Delegator {
@@ -184,24 +190,28 @@
 
 func newRelayer(
 	s *sender.Sender, c relayer.Concentrator, standstills *timekeeper.StandstillDetector, q *quarantiner.Quarantiner, d *delegator.Delegator,
-	p *placer.Placer, instances *discoverer.Discoverer, scope tally.Scope,
+	p *placer.Placer, a *placer.Assigner, instances *discoverer.Discoverer, scope tally.Scope,
 ) *relayer.Relayer {
 	return relayer.New(s, c, scope, relayer.WithStandstills(standstills.JustResumed), relayer.WithQuarantine(q), relayer.WithDelegator(d),
-		relayer.WithPlacement(p, instances, d))
+		relayer.WithPlacement(p, instances, d), relayer.WithHolders(a))
 }
 
-func newPicker(settings loader.Settings, d *discoverer.Discoverer, limits *throttler.Throttler) *picker.Picker {
+func newPicker(settings loader.Settings, d *discoverer.Discoverer, limits *throttler.Throttler, a *placer.Assigner) *picker.Picker {
 	relaySettings := settings.Relay()
 	return picker.New(picker.ColdLimits{Factor: relaySettings.ColdFactor, Slack: relaySettings.ColdSlack}, d, settings.FailureDomain(),
-		picker.WithLimits(limits))
+		picker.WithLimits(limits), picker.WithAssignment(a))
 }
 
-func newBudgeter(settings loader.Settings, d *discoverer.Discoverer) *budgeter.Budgeter {
-	return budgeter.New(extraLoadLimits(settings), d.InstanceEstimate, budgeter.WithGrowingSlack())
+func newBudgeter(settings loader.Settings, d *discoverer.Discoverer, a *placer.Assigner) *budgeter.Budgeter {
+	return budgeter.New(extraLoadLimits(settings), d.InstanceEstimate, budgeter.WithGrowingSlack(), budgeter.WithDivisor(a.Divisor))
 }
 
-func newThrottler(d *discoverer.Discoverer) *throttler.Throttler {
-	return throttler.New(d.InstanceEstimate)
+func newThrottler(d *discoverer.Discoverer, r *registrar.Registrar, a *placer.Assigner) *throttler.Throttler {
+	divisor := func(target string, instances int) int {
+		t, _ := r.View().Target(target)
+		return a.Divisor(t.Service, instances)
+	}
+	return throttler.New(d.InstanceEstimate, throttler.WithDivisor(divisor))
 }
 
 func extraLoadLimits(settings loader.Settings) budgeter.Limits {
--- a/internal/manifest/mapper/mapper.go
+++ b/internal/manifest/mapper/mapper.go
@@ -118,11 +118,14 @@
 	limits Limits
 	// tenants is nil if none are configured.
 	tenants *authenticator.Tenants
+	// sharded holds the sharded routes, and destinations the services that are destinations of other routes.
+	sharded      []*Route
+	destinations map[string]bool
 }
 
 // New creates a table from its encoded form, or returns every problem of its routes.
 func New(encoded encoder.RoutingTable) (*Table, []resolver.Problem) {
-	t := &Table{encoded: encoded, services: make(map[string]Service, len(encoded.Services)), hosts: make(map[string][]*Route)}
+	t := &Table{encoded: encoded, services: make(map[string]Service, len(encoded.Services)), hosts: make(map[string][]*Route), destinations: make(map[string]bool)}
 	t.limits = Limits{MaxBodyBytes: int64(encoded.Limits.BodyBytes), IdleTimeout: milliseconds(encoded.Limits.IdleMs)}
 	for _, s := range encoded.Services {
 		t.services[s.Name] = Service{Name: s.Name, MaxConnections: s.MaxConnections, WarmupRate: s.WarmupPerSecond}
@@ -135,6 +138,12 @@
 			continue
 		}
 		t.hosts[r.Host] = append(t.hosts[r.Host], r)
+		if r.IsSharded() {
+			t.sharded = append(t.sharded, r)
+		}
+		for _, d := range r.Destinations {
+			t.destinations[d.Service] = true
+		}
 	}
 	if list := encoded.Tenants; list != nil && list.Configured {
 		t.tenants = authenticator.New(list.Entries, func(path, message string) {
@@ -225,6 +234,12 @@
 	return Service{Name: name}
 }
 
+// ShardedRoutes returns the routes with shards. The slice must not be modified.
+func (t *Table) ShardedRoutes() []*Route { return t.sharded }
+
+// IsDestination reports whether a service is a destination of a route without shards.
+func (t *Table) IsDestination(service string) bool { return t.destinations[service] }
+
 // Match returns the route of the host with the longest matching path prefix.
 func (t *Table) Match(host, path string) (*Route, bool) {
 	for _, r := range t.routes(host) {
--- a/internal/query/placer/division.go
+++ b/internal/query/placer/division.go
@@ -85,6 +85,23 @@
 	return shares(loads[:used], q.Parts, (work+float64(q.Parts))/total)
 }
 
+// Best returns the instance with the shortest time for a number of parts.
+func (p *Placer) Best(parts int, available []enroller.Capacity, now time.Time) (best enroller.Capacity, found bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	shortest := time.Duration(math.MaxInt64)
+	for _, i := range rand.Perm(len(available)) {
+		c := available[i]
+		if c.Thousandths <= 0 || p.isSuspended(c.Instance, now) {
+			continue
+		}
+		if t := p.timeOn(c, parts, now) + p.tripTo(c); t < shortest {
+			best, shortest, found = c, t, true
+		}
+	}
+	return best, found
+}
+
 // shares returns the parts of each instance if all finish at the given time, in parts for each unit of capacity. It rounds
 // up, because what is left over by many instances would add up on this one.
 func shares(loads []load, parts int, finish float64) []Share {
--- a/internal/query/placer/placer.go
+++ b/internal/query/placer/placer.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"apricotflow/internal/cluster/enroller"
+	"apricotflow/internal/manifest/mapper"
 )
 
 const (
@@ -56,6 +57,15 @@
 	Limit time.Duration
 }
 
+// NewQuery returns what counts of the queries of a sharded route.
+func NewQuery(route *mapper.Route) Query {
+	limit := route.Objective
+	if limit <= 0 {
+		limit = route.Timeout
+	}
+	return Query{Route: route.Name, Parts: len(route.Shards), Limit: limit}
+}
+
 // Placer holds the work of other instances and decides on the placement of queries. It is safe for concurrent use.
 type Placer struct {
 	own enroller.Capacity
--- a/internal/query/relayer/fixture_test.go
+++ b/internal/query/relayer/fixture_test.go
@@ -77,6 +77,8 @@
 	delegator *fakeDelegator
 	// placement, if set, places queries by CPU capacity.
 	placement relayer.Option
+	// assignment, if set, assigns connections.
+	assignment picker.Assignment
 	// scope holds the counters of the relayer.
 	scope tally.TestScope
 }
@@ -150,7 +152,11 @@
 	connections := transporter.New(platform.TargetHeaders{}, transporter.WithDial(f.network.Dial))
 	f.t.Cleanup(func() { connections.Retain(func(string) bool { return false }) })
 	limits := throttler.New(singleInstance{}.InstanceEstimate)
-	s := sender.New(domain, f.registrar, picker.New(picker.ColdLimits{Factor: 1}, singleInstance{}, domain, picker.WithLimits(limits)), budgeter.New(f.limits, singleInstance{}.InstanceEstimate),
+	pickerOptions := []picker.Option{picker.WithLimits(limits)}
+	if f.assignment != nil {
+		pickerOptions = append(pickerOptions, picker.WithAssignment(f.assignment))
+	}
+	s := sender.New(domain, f.registrar, picker.New(picker.ColdLimits{Factor: 1}, singleInstance{}, domain, pickerOptions...), budgeter.New(f.limits, singleInstance{}.InstanceEstimate),
 		limits, connections, f.prober, log.New(io.Discard), tally.NoopScope)
 	opts := []relayer.Option{relayer.WithStandstills(func() bool { return f.justResumed }), relayer.WithQuarantine(f.quarantine), relayer.WithDelegator(f.delegator)}
 	if f.placement != nil {
--- a/internal/query/relayer/placement.go
+++ b/internal/query/relayer/placement.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"apricotflow/internal/cluster/enroller"
+	"apricotflow/internal/cluster/registrar"
 	"apricotflow/internal/manifest/mapper"
 	"apricotflow/internal/query/placer"
 	"apricotflow/internal/query/quarantiner"
@@ -54,6 +55,16 @@
 	placer  *placer.Placer
 	fleet   Fleet
 	helpers Helpers
+	// holders tells which instances hold the connections to a target; nil if all do.
+	holders Holders
+}
+
+// Holders tells which instances hold the connections to a target.
+type Holders interface {
+	// Holders returns those of the instances that hold one of the usable connections to a target.
+	Holders(t registrar.Target, usable int, instances []enroller.Capacity) []enroller.Capacity
+	// IsLarge reports whether an instance is one of the large ones, which hold connections to all targets.
+	IsLarge(c enroller.Capacity) bool
 }
 
 // isActive reports whether the query is placed by CPU capacity.
@@ -61,24 +72,16 @@
 	return p.placer != nil && p.placer.IsActive(q, p.fleet.Capacities())
 }
 
-func queryOf(route *mapper.Route) placer.Query {
-	limit := route.Objective
-	if limit <= 0 {
-		limit = route.Timeout
-	}
-	return placer.Query{Route: route.Name, Parts: len(route.Shards), Limit: limit}
-}
-
 // HasRoomFor reports whether this instance has the CPU capacity for a request of the route that another one lacks.
 func (r *Relayer) HasRoomFor(route *mapper.Route) bool {
-	return r.placement.placer == nil || r.placement.placer.HasRoom(queryOf(route), r.sender.InProgress())
+	return r.placement.placer == nil || r.placement.placer.HasRoom(placer.NewQuery(route), r.sender.InProgress())
 }
 
 // isTooWide reports whether the request is a query that may run elsewhere and is too wide for this instance. Queries under
 // which targets may end stay here, so that trials are not repeated.
 func (r *Relayer) isTooWide(request Request) bool {
 	route := request.Route
-	return r.placement.placer != nil && route.IsSharded() && route.Idempotent && r.placement.placer.IsTooWide(queryOf(route)) && !r.isSuspect(request)
+	return r.placement.placer != nil && route.IsSharded() && route.Idempotent && r.placement.placer.IsTooWide(placer.NewQuery(route)) && !r.isSuspect(request)
 }
 
 // isSuspect reports whether targets may end under the request.
@@ -130,7 +133,7 @@
 	runCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	q := &placedQuery{
-		relayer: r, request: request, query: queryOf(request.Route), ctx: runCtx, attempts: make(chan attempt, maxHelpers+1),
+		relayer: r, request: request, query: placer.NewQuery(request.Route), ctx: runCtx, attempts: make(chan attempt, maxHelpers+1),
 	}
 	if !q.startNext() {
 		r.count("kept")
--- a/internal/query/relayer/placement_test.go
+++ b/internal/query/relayer/placement_test.go
@@ -305,3 +305,60 @@
 		})
 	}
 }
+
+// largeHolders holds that only instances with at least 800 thousandths of a core have connections, to none of which this
+// instance belongs.
+type largeHolders struct{}
+
+func (largeHolders) Connections(registrar.Target, int, int) (int, bool) { return 0, true }
+
+func (largeHolders) Divisor(_ string, instances int) int { return instances }
+
+func (largeHolders) ColdAllowance(registrar.Target, int, int) (int, bool) { return 0, false }
+
+func (largeHolders) Holders(registrar.Target, int, []enroller.Capacity) []enroller.Capacity {
+	return nil
+}
+
+func (largeHolders) IsLarge(c enroller.Capacity) bool { return c.Thousandths >= 800 }
+
+// servingPeers answer each request of a batch.
+type servingPeers struct{ recordingPeers }
+
+func (p *servingPeers) Send(_ context.Context, batch concentrator.Batch, deliver func(concentrator.PartialResults)) {
+	p.mu.Lock()
+	p.parts[batch.Peer] += len(batch.Targets)
+	p.mu.Unlock()
+	parts := concentrator.PartialResults{Results: make(map[int]transporter.Result)}
+	for i, target := range batch.Targets {
+		parts.Results[i] = transporter.Result{Outcome: transporter.Answered, Reply: &transporter.Reply{Status: 200, Signature: target.ID}}
+	}
+	deliver(parts)
+}
+
+// Guards against connections of an instance to which none are assigned, and against its queries failing: all parts must go
+// through an instance that holds connections, also those that are few. Where there is none, nothing may be sent.
+func TestPartsGoThroughHoldersWhenNoConnectionIsAssigned(t *testing.T) {
+	for _, others := range []capacities{{{Instance: "west-large", FailureDomain: "west", Thousandths: 800}}, nil} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture(t, 2, "s0", "s1")
+			peers := &servingPeers{recordingPeers{parts: make(map[string]int)}}
+			f.peers, f.assignment = peers, largeHolders{}
+			own := enroller.Capacity{Instance: "a", FailureDomain: domain, Thousandths: 100}
+			f.placement = func(r *relayer.Relayer) {
+				relayer.WithPlacement(placer.New(own), others, &fakeHelpers{})(r)
+				relayer.WithHolders(largeHolders{})(r)
+			}
+			f.buildRelayer()
+			answer, _ := f.relay(shardedRoute(1, "s0", "s1"), "r1")
+			assert.Equal(t, f.runsOfS0(), 0)
+			if others == nil {
+				assert.Equal(t, answer.Outcome, relayer.NotRun)
+				return
+			}
+			assert.Equal(t, answer.Outcome, relayer.Merged)
+			assert.Equal(t, len(answer.Signatures), 2)
+			assert.DeepEqual(t, peers.parts, map[string]int{"west-large": 2})
+		})
+	}
+}
--- a/internal/query/relayer/relayer.go
+++ b/internal/query/relayer/relayer.go
@@ -207,7 +207,12 @@
 // WithPlacement sets what decides by CPU capacity which instance runs a sharded query, lists the other instances, and hands
 // queries over to them.
 func WithPlacement(p *placer.Placer, f Fleet, h Helpers) Option {
-	return func(r *Relayer) { r.placement = placement{placer: p, fleet: f, helpers: h} }
+	return func(r *Relayer) { r.placement.placer, r.placement.fleet, r.placement.helpers = p, f, h }
+}
+
+// WithHolders sets what tells which instances hold the connections to a target. It requires WithPlacement.
+func WithHolders(h Holders) Option {
+	return func(r *Relayer) { r.placement.holders = h }
 }
 
 // New creates a relayer.
--- a/internal/query/relayer/start.go
+++ b/internal/query/relayer/start.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"apricotflow/internal/cluster/registrar"
+	"apricotflow/internal/query/placer"
 	"apricotflow/internal/target/concentrator"
 	"apricotflow/internal/target/transporter"
 )
@@ -44,7 +45,7 @@
 		}
 		chosen[target.FailureDomain] = append(chosen[target.FailureDomain], choice{part: i, target: target})
 	}
-	divided := f.request.Route.IsSharded() && f.placement.isActive(queryOf(f.request.Route))
+	divided := f.request.Route.IsSharded() && f.placement.isActive(placer.NewQuery(f.request.Route))
 	for domain, choices := range chosen {
 		switch {
 		case !f.request.Route.IsSharded():
--- a/internal/query/relayer/steps.go
+++ b/internal/query/relayer/steps.go
@@ -81,9 +81,13 @@
 	return f.sender.AllowRetry(p.service.Name)
 }
 
-// sendTo sends a request for the part to the given target.
+// sendTo sends a request for the part to the given target, through a peer if this instance holds no connection to it.
 func (f *forwarder) sendTo(i int, target registrar.Target) {
 	p := f.parts[i]
+	if f.sendThroughHolder([]choice{{part: i, target: target}}) {
+		f.caution.trial = f.caution.active
+		return
+	}
 	p.recordRequest(target)
 	f.caution.trial = f.caution.active
 	f.sender.CountRequest(target)
--- a/internal/target/budgeter/budgeter.go
+++ b/internal/target/budgeter/budgeter.go
@@ -35,8 +35,10 @@
 	// instances returns the number of instances that share the slack. An estimate must not be too low, because the
 	// instances together would exceed the slack.
 	instances func() int
-	now       func() time.Time
-	start     time.Time
+	// divisor returns the number by which this instance divides the slack of a service, from the number of instances.
+	divisor func(service string, instances int) int
+	now     func() time.Time
+	start   time.Time
 	// growingSlack reports whether the slack grows over the first window.
 	growingSlack bool
 	// usages holds a *usage for each service.
@@ -57,9 +59,15 @@
 	return func(b *Budgeter) { b.growingSlack = true }
 }
 
+// WithDivisor sets the function that returns the number by which this instance divides the slack of a service. By default it
+// is the number of instances.
+func WithDivisor(divisor func(service string, instances int) int) Option {
+	return func(b *Budgeter) { b.divisor = divisor }
+}
+
 // New returns a Budgeter. The function instances returns the number of instances that share the slack.
 func New(limits Limits, instances func() int, opts ...Option) *Budgeter {
-	b := &Budgeter{instances: instances, now: time.Now}
+	b := &Budgeter{instances: instances, divisor: func(_ string, n int) int { return n }, now: time.Now}
 	for _, opt := range opts {
 		opt(b)
 	}
@@ -94,7 +102,7 @@
 // refused once the given fraction of the budget is used.
 func (b *Budgeter) TakeExtra(service string, fraction float64) bool {
 	u, bucket, limits := b.currentUsage(service)
-	slack := b.slackShare(limits)
+	slack := b.slackShare(service, limits)
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.advance(bucket, limits.Window)
@@ -110,9 +118,9 @@
 	return true
 }
 
-// slackShare returns the part of the slack that this instance may use now.
-func (b *Budgeter) slackShare(limits Limits) float64 {
-	share := limits.Slack / float64(max(b.instances(), 1))
+// slackShare returns the part of the slack of a service that this instance may use now.
+func (b *Budgeter) slackShare(service string, limits Limits) float64 {
+	share := limits.Slack / float64(max(b.divisor(service, b.instances()), 1))
 	if age := b.now().Sub(b.start); b.growingSlack && age < limits.Window {
 		share *= float64(age) / float64(limits.Window)
 	}
--- a/internal/target/budgeter/budgeter_test.go
+++ b/internal/target/budgeter/budgeter_test.go
@@ -124,3 +124,23 @@
 		assert.Equal(t, take(), first, "after the window of %s", window)
 	}
 }
+
+// Guards against a large instance that gets as little of the slack as the many small ones for which it sends.
+func TestSlackFollowsDivisorOfService(t *testing.T) {
+	divisor := func(service string, instances int) int {
+		if service == "shard" {
+			return 2
+		}
+		return instances
+	}
+	b := budgeter.New(budgeter.Limits{Slack: 40, Window: 10 * time.Second}, func() int { return 20 }, budgeter.WithDivisor(divisor))
+	taken := func(service string) int {
+		n := 0
+		for b.TakeExtra(service, 1) {
+			n++
+		}
+		return n
+	}
+	assert.Assert(t, taken("shard") > 10)
+	assert.Assert(t, taken("other") <= 2)
+}
--- a/internal/target/picker/picker.go
+++ b/internal/target/picker/picker.go
@@ -114,11 +114,17 @@
 	return func(p *Picker) { p.limits = limits }
 }
 
+// WithAssignment sets what divides connections and rates among instances of different CPU capacity.
+func WithAssignment(a Assignment) Option {
+	return func(p *Picker) { p.assignment = a }
+}
+
 // Picker holds the observations of each target and selects targets by them.
 type Picker struct {
 	coldLimits ColdLimits
 	fleet      Fleet
 	limits     Limits
+	assignment Assignment
 	// domain is the failure domain of this instance.
 	domain string
 	// byTarget holds an *observations for each target ID.
@@ -127,7 +133,7 @@
 
 // New returns a Picker for an instance in the given failure domain.
 func New(coldLimits ColdLimits, fleet Fleet, domain string, opts ...Option) *Picker {
-	p := &Picker{coldLimits: coldLimits, fleet: fleet, domain: domain, limits: noLimits{}}
+	p := &Picker{coldLimits: coldLimits, fleet: fleet, domain: domain, limits: noLimits{}, assignment: equalShares{}}
 	for _, opt := range opts {
 		opt(p)
 	}
@@ -192,33 +198,6 @@
 	})
 }
 
-// RequestLimit returns the maximum number of requests that this instance may have in flight to a target, each on a
-// connection of its own. Requests beyond the slots only queue at the target, and a target with a long queue accepts
-// fewer connections.
-func (p *Picker) RequestLimit(t registrar.Target, service mapper.Service) int {
-	useful := max(int(math.Ceil(requestsPerSlot*float64(slots(t))/float64(p.instances()))), minLimit)
-	return min(p.ConnectionLimit(t, service), useful)
-}
-
-// ConnectionLimit returns the maximum number of connections that this instance may have to a target of the service.
-// If there are not enough for all instances, each instance of another failure domain gets one. The instances in the
-// domain of the target share the rest, because they also send for peers in other domains; see package concentrator.
-func (p *Picker) ConnectionLimit(t registrar.Target, service mapper.Service) int {
-	if service.MaxConnections <= 0 {
-		return defaultConnectionLimit
-	}
-	usable := int(float64(service.MaxConnections) * usableConnectionShare)
-	instances := p.instances()
-	if evenShare := usable / instances; evenShare >= minEvenShare {
-		return evenShare
-	}
-	if t.FailureDomain != p.domain {
-		return 1
-	}
-	domainInstances := max(p.fleet.CountInstancesIn(p.domain), 1)
-	return max((usable-(instances-domainInstances))/domainInstances, 1)
-}
-
 func (p *Picker) instances() int { return max(p.fleet.InstanceEstimate(), 1) }
 
 func slots(t registrar.Target) int {
@@ -315,6 +294,9 @@
 		return unlimited
 	}
 	total := int(service.WarmupRate*p.coldLimits.Factor + p.coldLimits.Slack)
+	if allowance, assigned := p.assignment.ColdAllowance(t, total, p.instances()); assigned {
+		return allowance
+	}
 	if share := total / p.instances(); share >= 1 {
 		return share
 	}
--- a/internal/target/picker/picker_test.go
+++ b/internal/target/picker/picker_test.go
@@ -200,3 +200,34 @@
 	t.Service = "s"
 	return t
 }
+
+// fixedAssignment assigns the same connections and divisor for all targets.
+type fixedAssignment struct{ connections, divisor, cold int }
+
+func (a fixedAssignment) Connections(registrar.Target, int, int) (int, bool) {
+	return a.connections, true
+}
+
+func (a fixedAssignment) Divisor(string, int) int { return a.divisor }
+
+func (a fixedAssignment) ColdAllowance(registrar.Target, int, int) (int, bool) { return a.cold, true }
+
+// Guards against connections beyond those assigned, and against targets that get nothing from an instance which has to reach
+// them through others.
+func TestAssignedConnectionsReplaceEqualShares(t *testing.T) {
+	service, target := mapper.Service{MaxConnections: 108, WarmupRate: 10}, targets("east")[0]
+	target.Slots = 8
+	large := picker.New(picker.ColdLimits{Factor: 1}, instances(145), "east", picker.WithAssignment(fixedAssignment{connections: 13, divisor: 4, cold: 1}))
+	assert.Equal(t, large.ConnectionLimit(target, service), 13)
+	assert.Equal(t, large.RequestLimit(target, service), 5)
+	small := picker.New(picker.ColdLimits{Factor: 1}, instances(145), "east", picker.WithAssignment(fixedAssignment{divisor: 278}))
+	assert.Equal(t, small.ConnectionLimit(target, service), 0)
+	_, found := small.Pick([]registrar.Target{target}, service, medianLatency, "east", excludeNone)
+	assert.Assert(t, found)
+	cold := target
+	cold.ColdUntil = time.Now().Add(time.Minute)
+	_, found = small.Pick([]registrar.Target{cold}, service, medianLatency, "east", excludeNone)
+	assert.Assert(t, !found)
+	_, found = large.Pick([]registrar.Target{cold}, service, medianLatency, "east", excludeNone)
+	assert.Assert(t, found)
+}
--- a/internal/target/sender/sender.go
+++ b/internal/target/sender/sender.go
@@ -287,6 +287,11 @@
 	return false
 }
 
+// HoldsConnections reports whether this instance may have connections to the target. Otherwise requests go through a peer.
+func (s *Sender) HoldsConnections(target registrar.Target) bool {
+	return s.picker.ConnectionLimit(target, s.registrar.View().Table().Service(target.Service)) > 0
+}
+
 // InProgress returns the number of requests to targets that this instance has in progress, for its own queries and for
 // those of peers.
 func (s *Sender) InProgress() int { return int(s.inProgress.Load()) }
--- a/internal/target/throttler/throttler.go
+++ b/internal/target/throttler/throttler.go
@@ -76,8 +76,10 @@
 	// instances returns the number of instances that share a limit. An estimate must not be too low, because the
 	// instances together would exceed the limit.
 	instances func() int
-	now       func() time.Time
-	random    func() float64
+	// divisor returns the number by which this instance divides the limit of a target, from the number of instances.
+	divisor func(target string, instances int) int
+	now     func() time.Time
+	random  func() float64
 	// limited is the number of targets with a limit, so that nothing is locked while there are none.
 	limited atomic.Int64
 
@@ -107,9 +109,15 @@
 	return func(t *Throttler) { t.random = random }
 }
 
+// WithDivisor sets the function that returns the number by which this instance divides the limit of a target. By default it
+// is the number of instances.
+func WithDivisor(divisor func(target string, instances int) int) Option {
+	return func(t *Throttler) { t.divisor = divisor }
+}
+
 // New returns a Throttler. The function instances returns the number of instances that share the limits.
 func New(instances func() int, opts ...Option) *Throttler {
-	t := &Throttler{instances: instances, now: time.Now, random: rand.Float64, usages: make(map[string]*usage)}
+	t := &Throttler{instances: instances, divisor: func(_ string, n int) int { return n }, now: time.Now, random: rand.Float64, usages: make(map[string]*usage)}
 	for _, opt := range opts {
 		opt(t)
 	}
@@ -132,10 +140,10 @@
 		u = &usage{limit: max(*limit, minLimit), savedAt: t.now()}
 		// Instances with shares of less than one request per burst learn of the limit at about the same time; without the
 		// random number they would all send their next request at the same time too.
-		u.saved = max(u.share(t.instances())*burst.Seconds(), t.random())
+		u.saved = max(u.share(t.divisorOf(target))*burst.Seconds(), t.random())
 		t.usages[target] = u
 	default:
-		t.refill(u)
+		t.refill(target, u)
 		u.limit = max(*limit, minLimit)
 	}
 	t.limited.Store(int64(len(t.usages)))
@@ -155,7 +163,7 @@
 	if u == nil {
 		return Allowance{}
 	}
-	return t.refill(u)
+	return t.refill(target, u)
 }
 
 // Take counts a request to the target that is about to be sent.
@@ -166,7 +174,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if u := t.usages[target]; u != nil {
-		t.refill(u)
+		t.refill(target, u)
 		u.saved--
 	}
 }
@@ -186,9 +194,9 @@
 // refill saves up the requests of the time since savedAt. With many instances, a share may be less than one request per
 // burst. If each instance then kept its one request for as long as it has nothing to send, all of them together could
 // exceed the limit at once; so a request that is not sent within the burst is lost, and saving up starts again.
-func (t *Throttler) refill(u *usage) Allowance {
+func (t *Throttler) refill(target string, u *usage) Allowance {
 	now := t.now()
-	share := u.share(t.instances())
+	share := u.share(t.divisorOf(target))
 	perBurst := share * burst.Seconds()
 	u.saved += share * now.Sub(u.savedAt).Seconds()
 	u.savedAt = now
@@ -200,7 +208,9 @@
 	return Allowance{limited: true, saved: u.saved, capacity: max(perBurst, 1), share: share}
 }
 
+func (t *Throttler) divisorOf(target string) int { return t.divisor(target, t.instances()) }
+
 // share returns the share of one of the instances in the limit, in requests per second.
-func (u *usage) share(instances int) float64 {
-	return u.limit / float64(max(instances, 1))
+func (u *usage) share(divisor int) float64 {
+	return u.limit / float64(max(divisor, 1))
 }
--- a/internal/target/throttler/throttler_test.go
+++ b/internal/target/throttler/throttler_test.go
@@ -249,3 +249,25 @@
 	assert.Assert(t, !a.HasSpare() && a.Wait() == 0 && a.Scarcity() > 0.8, "%+v", a)
 	assert.Assert(t, limits.Allowance("other").HasSpare())
 }
+
+// Guards against a large instance that gets as little of a limit as the many small ones for which it sends.
+func TestShareFollowsDivisorOfTarget(t *testing.T) {
+	now, limit := time.Unix(1000, 0), 40.0
+	divisor := func(target string, instances int) int {
+		if target == "shard" {
+			return 2
+		}
+		return instances
+	}
+	th := throttler.New(func() int { return 20 }, throttler.WithDivisor(divisor), throttler.WithClock(func() time.Time { return now }))
+	allowed := func(target string) int {
+		th.Observe(target, &limit)
+		sent := 0
+		for ; th.Allowance(target).Wait() == 0; sent++ {
+			th.Take(target)
+		}
+		return sent
+	}
+	assert.Equal(t, allowed("shard"), 30)
+	assert.Equal(t, allowed("other"), 3)
+}
