Wait for the usual answer before a delegated query is repeated

The time in which nearly all answers arrive is now learned for each route, and a query is repeated no earlier, at the latest when its answer is due.

--- a/internal/query/placer/placer.go
+++ b/internal/query/placer/placer.go
@@ -42,6 +42,10 @@
 	// the fast instances, so that a slow one does not pass for usual.
 	fallWeight = 0.5
 	riseWeight = 0.02
+	// tailRiseWeight and tailFallWeight are those in the tail of the waits. It stays near the longest waits as long as more
+	// than a few in a hundred answers take that long.
+	tailRiseWeight = 0.3
+	tailFallWeight = 0.01
 	// maxRoutes is the maximum number of routes whose usual wait is held.
 	maxRoutes = 256
 	// thousandths is the number of units of CPU capacity in a core.
@@ -72,11 +76,14 @@
 
 	mu      sync.Mutex
 	entries map[string]*entry
-	// usualWaits holds the usual time in which an instance has answered a query of a route, without the processor time
-	// that its reported work explains. It is the wait for targets.
-	usualWaits map[string]time.Duration
+	// waits holds the time in which instances have answered the queries of a route, without the processor time that their
+	// reported work explains. It is the wait for targets.
+	waits map[string]wait
 }
 
+// wait is the usual wait for targets and its tail.
+type wait struct{ usual, tail time.Duration }
+
 // entry is what is known of the work of another instance.
 type entry struct {
 	// reported is the number of parts in progress that the instance reported at reportedAt.
@@ -92,7 +99,7 @@
 
 // New returns a Placer for this instance. If its capacity is unknown, nothing is placed.
 func New(own enroller.Capacity) *Placer {
-	return &Placer{own: own, entries: make(map[string]*entry), usualWaits: make(map[string]time.Duration)}
+	return &Placer{own: own, entries: make(map[string]*entry), waits: make(map[string]wait)}
 }
 
 // processorTime returns the processor time of a number of parts on an instance with the given capacity.
--- a/internal/query/placer/placer_test.go
+++ b/internal/query/placer/placer_test.go
@@ -130,6 +130,32 @@
 	assert.Equal(t, chosen, "b")
 }
 
+// Guards against queries that are all started twice because a few targets are slow: what nearly all answers take is expected.
+func TestExpectedTimeCoversAnswersThatWaitForSlowTargets(t *testing.T) {
+	p, now, c := newPlacer(small), start, instance("b", "east", large)
+	assert.Equal(t, p.Begin(c, query, now).Expected(), time.Duration(0))
+	p = newPlacer(small)
+	for i := range 100 {
+		run := p.Begin(c, query, now)
+		took := 16 * time.Millisecond
+		if i%10 == 9 {
+			took = 33 * time.Millisecond
+		}
+		now = now.Add(took)
+		run.Answered(now)
+	}
+	run := p.Begin(c, query, now)
+	assert.Assert(t, run.Expected() > 25*time.Millisecond && run.Expected() <= 33*time.Millisecond, run.Expected())
+	run.End()
+	for range 300 {
+		run := p.Begin(c, query, now)
+		now = now.Add(16 * time.Millisecond)
+		run.Answered(now)
+	}
+	run = p.Begin(c, query, now)
+	assert.Assert(t, run.Expected() < 18*time.Millisecond, run.Expected())
+}
+
 // Guards against parts that an instance gets although it has too little capacity or is busy, and against instances that
 // finish at different times.
 func TestPartsAreDividedSoThatAllFinishTogether(t *testing.T) {
--- a/internal/query/placer/run.go
+++ b/internal/query/placer/run.go
@@ -50,27 +50,45 @@
 		// Work of others that the instance had by the end explains the time as well, but only as much as it has reported.
 		explained = max(explained, processorTime(r.entry.reported+r.query.Parts, r.capacity))
 	}
-	wait := max(now.Sub(r.began)-explained, 0)
-	usual, found := p.usualWaits[r.query.Route]
-	if excess := wait - usual; found && excess > r.entry.currentExcess(now) {
+	w := max(now.Sub(r.began)-explained, 0)
+	known, found := p.waits[r.query.Route]
+	if excess := w - known.usual; found && excess > r.entry.currentExcess(now) {
 		r.entry.excess, r.entry.excessAt = excess, now
 	}
-	p.recordWait(r.query, wait, usual, found)
+	if !found && len(p.waits) >= maxRoutes {
+		clear(p.waits)
+	}
+	if !found {
+		known = wait{usual: w, tail: w}
+	}
+	p.waits[r.query.Route] = known.with(w, r.query.Limit)
+}
+
+// with returns the waits with another one. The usual one is at most maxLimitShare of the time limit: a longer one is never
+// usual.
+func (w wait) with(next, limit time.Duration) wait {
+	usualWeight, tailWeight := riseWeight, tailFallWeight
+	if next < w.usual {
+		usualWeight = fallWeight
+	}
+	if next > w.tail {
+		tailWeight = tailRiseWeight
+	}
+	w.usual += time.Duration(usualWeight * float64(next-w.usual))
+	w.tail += time.Duration(tailWeight * float64(next-w.tail))
+	w.usual = min(w.usual, time.Duration(maxLimitShare*float64(limit)))
+	return w
 }
 
-// recordWait adds the wait for targets in an answer to the usual one of the route, which is at most maxLimitShare of its
-// limit: a longer wait is never usual. The lock must be held.
-func (p *Placer) recordWait(q Query, wait, usual time.Duration, found bool) {
-	weight := riseWeight
-	switch {
-	case !found && len(p.usualWaits) >= maxRoutes:
-		clear(p.usualWaits)
-		weight = 1
-	case !found:
-		weight = 1
-	case wait < usual:
-		weight = fallWeight
+// Expected returns the time from the start in which nearly all answers arrive, if the instance is no slower than others; 0 if
+// no answer to a query of the route has arrived yet. Instances wait for the last targets of a query, so this may be more than
+// half of the time that a query has.
+func (r *Run) Expected() time.Duration {
+	r.placer.mu.Lock()
+	defer r.placer.mu.Unlock()
+	w, found := r.placer.waits[r.query.Route]
+	if !found {
+		return 0
 	}
-	next := usual + time.Duration(weight*float64(wait-usual))
-	p.usualWaits[q.Route] = min(next, time.Duration(maxLimitShare*float64(q.Limit)))
+	return r.explained + w.tail
 }
--- a/internal/query/relayer/placement.go
+++ b/internal/query/relayer/placement.go
@@ -118,6 +118,8 @@
 	running, runs int
 	// latest is the instance that runs the query since the latest start; empty for this one.
 	latest string
+	// expected is the time in which nearly all answers of that instance arrive; 0 if unknown.
+	expected time.Duration
 	// late reports whether the query was started once more because there was no answer by the hedge time.
 	late bool
 	// lost reports whether an instance that may have run the query was lost.
@@ -182,13 +184,14 @@
 }
 
 // timeUntilHedge returns the time until the query is started once more: half of the time that is left until the answer is
-// due, or until the deadline if it is late already.
+// due, or until the deadline if it is late already. It is longer if nearly all answers arrive only later, since a query that
+// waits for a few slow targets would otherwise be sent to all targets again and use up the budgets of all services.
 func (q *placedQuery) timeUntilHedge() time.Duration {
 	left := time.Until(q.request.Due)
 	if q.request.Due.IsZero() || left <= 0 {
 		left = time.Until(q.request.Deadline)
 	}
-	return time.Duration(hedgeTimeShare * float64(left))
+	return min(max(time.Duration(hedgeTimeShare*float64(left)), q.expected), left)
 }
 
 // startLate starts the query once more because the instance that runs it has not answered by the hedge time. That instance
@@ -245,8 +248,9 @@
 	q.relayer.count("delegated")
 	request.Wide = true
 	placement := q.relayer.placement
+	run := placement.placer.Begin(helper, q.query, time.Now())
+	q.expected = run.Expected()
 	go func() {
-		run := placement.placer.Begin(helper, q.query, time.Now())
 		answer, err := placement.helpers.HandTo(q.ctx, helper.Instance, request, func(inProgress int) {
 			placement.placer.RecordWork(helper.Instance, inProgress, time.Now())
 		})
--- a/internal/query/relayer/placement_test.go
+++ b/internal/query/relayer/placement_test.go
@@ -362,3 +362,20 @@
 		})
 	}
 }
+
+// Guards against queries that are all started twice because a few of their targets are slow, after the first one has shown how
+// long they take.
+func TestQueryIsNotRepeatedWhileItsAnswerIsExpected(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, h := newPlacedFixture(t, map[string]helper{"first": {delay: 100 * time.Millisecond, answer: placedAnswer}, "second": {delay: time.Hour}})
+		_, _ = f.relay(shardedRoute(1, wideServices...), "r1")
+		synctest.Wait()
+		assert.DeepEqual(t, h.asked, []string{"first", "second"})
+		time.Sleep(3 * time.Second)
+		h.helpers["first"] = helper{delay: 95 * time.Millisecond, answer: placedAnswer}
+		_, _ = f.relay(shardedRoute(1, wideServices...), "r2")
+		synctest.Wait()
+		assert.DeepEqual(t, h.asked, []string{"first", "second", "first"})
+		f.expectCounts(t, map[string]int64{"late": 1, "answered": 2})
+	})
+}
--- a/internal/standin/rehearser/deployment.go
+++ b/internal/standin/rehearser/deployment.go
@@ -96,6 +96,8 @@
 
 	// placements are the instances to start.
 	placements []placement
+	// processorShares are the shares of a core of the first instance and of each other one; 0 if they state none.
+	processorShares [2]float64
 
 	mu        sync.Mutex
 	instances []*instance
@@ -352,13 +354,17 @@
 			name: e.name, path: cmp.Or(d.previous, d.program), callerAddress: launcher.FreeAddress(), adminAddress: launcher.FreeAddress(), readyAddress: launcher.FreeAddress(),
 			settingsPath: filepath.Join(d.directory, e.name+".json"),
 		}
+		relay := map[string]any{
+			"ready-address": n.readyAddress, "grace-seconds": graceSeconds, "extra-load-ratio": 0.2, "extra-load-slack": 60, "cold-factor": 1.5, "cold-slack": 5,
+			"memory-mb": SmallestMemoryMB,
+		}
+		if share := d.processorShare(i); share > 0 {
+			relay["processor-share"] = share
+		}
 		settings, err := json.Marshal(map[string]any{
 			"instance": n.name, "failure-domain": e.domain, "caller-address": n.callerAddress, "peer-address": peers[i],
 			"admin-address": n.adminAddress, "platform-address": d.storeLinks[i].Address(), "seeds": peers[:3],
-			"relay": map[string]any{
-				"ready-address": n.readyAddress, "grace-seconds": graceSeconds, "extra-load-ratio": 0.2, "extra-load-slack": 60, "cold-factor": 1.5, "cold-slack": 5,
-				"memory-mb": SmallestMemoryMB,
-			},
+			"relay": relay,
 		})
 		if err != nil {
 			return err
