Skip the assignment where the own CPU capacity is unknown

Without the setting, the shares are equal, so that nothing needs to be looked up for each part. The test of outstanding work now also covers work that is handed over beside a report.

--- a/internal/query/placer/assignment.go
+++ b/internal/query/placer/assignment.go
@@ -127,6 +127,9 @@
 // may use. It returns false if they are not assigned, because each instance may have one or the target runs more than parts
 // of queries.
 func (a *Assigner) Connections(t registrar.Target, usable, instances int) (connections int, assigned bool) {
+	if a.own.Thousandths <= 0 {
+		return 0, false
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	current := a.assignment()
@@ -164,6 +167,9 @@
 // the large instances, which run most of the queries, share one half and the small ones the other. Each instance of unknown
 // capacity takes an equal share.
 func (a *Assigner) Divisor(service string, instances int) int {
+	if a.own.Thousandths <= 0 {
+		return instances
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	current := a.assignment()
--- a/internal/query/placer/assignment_test.go
+++ b/internal/query/placer/assignment_test.go
@@ -137,6 +137,10 @@
 	expect(active, shard, 145, false)
 	expect(newAssigners(t, all, 20)[0], shard, usable, false)
 	expect(placer.NewAssigner(all[0], capacities(all[1:]), func() *mapper.Table { return nil }), shard, usable, false)
+	unknown := slices.Clone(all)
+	unknown[0].Thousandths = 0
+	expect(newAssigners(t, unknown, 90)[0], shard, usable, false)
+	assert.Equal(t, newAssigners(t, unknown, 90)[0].Divisor("s0", 145), 145)
 	assert.Equal(t, active.Divisor("single", 145), 145)
 	assert.Equal(t, newAssigners(t, all, 20)[0].Divisor("s0", 145), 145)
 	_, assigned := active.ColdAllowance(single, 10, 145)
--- a/internal/query/placer/placer_test.go
+++ b/internal/query/placer/placer_test.go
@@ -86,7 +86,13 @@
 	p.RecordWork("b", 300, start)
 	assert.Assert(t, !choose(start))
 	assert.Assert(t, choose(start.Add(1100*time.Millisecond)))
-	// Work that this instance has handed over counts without a report, until it ends.
+	// Work that this instance has handed over counts in addition to what was reported.
+	p.RecordWork("b", 100, start)
+	assert.Assert(t, choose(start))
+	handedOver := p.Begin(others[0], query, start)
+	assert.Assert(t, !choose(start))
+	handedOver.End()
+	// It counts without a report too, until it ends.
 	first, second := p.Begin(others[0], query, start), p.Begin(others[0], query, start)
 	third := p.Begin(others[0], query, start)
 	later := start.Add(2 * time.Second)
