--- a/internal/caller/assembler/relay.go
+++ b/internal/caller/assembler/relay.go
@@ -12,10 +12,12 @@
 
 	"apricotflow/internal/caller/receiver"
 	"apricotflow/internal/cluster/discoverer"
+	"apricotflow/internal/cluster/enroller"
 	"apricotflow/internal/cluster/feeder"
 	"apricotflow/internal/cluster/follower"
 	"apricotflow/internal/cluster/messenger"
 	"apricotflow/internal/cluster/registrar"
+	"apricotflow/internal/manifest/mapper"
 	"apricotflow/internal/operator/loader"
 	"apricotflow/internal/operator/logger"
 	"apricotflow/internal/operator/observer"
@@ -24,6 +26,7 @@
 	admin "apricotflow/internal/operator/server"
 	"apricotflow/internal/operator/timekeeper"
 	"apricotflow/internal/query/delegator"
+	"apricotflow/internal/query/placer"
 	"apricotflow/internal/query/quarantiner"
 	"apricotflow/internal/query/relayer"
 	"apricotflow/internal/query/sharer"
@@ -87,7 +90,7 @@
 		fx.Supply(settings, Version(version), platform, logWriter),
 		fx.Provide(newIncarnation, newClock, newRecorder, reporter.New, newScope, newRelayLogger),
 		fx.Provide(registrar.New, newDiscoverer, newFeeder, newRelayMessenger, newFollower),
-		fx.Provide(newPicker, newBudgeter, newThrottler, newTransporter, newProber, newOwnFailureDomain, sender.New, newConcentrator, newStandstillDetector, newQuarantiner, newSharer, newDelegator, newRelayer, newReceiver, newObserver, newRelayAdminServer),
+		fx.Provide(newPicker, newBudgeter, newThrottler, newTransporter, newProber, newOwnFailureDomain, sender.New, newConcentrator, newStandstillDetector, newQuarantiner, newSharer, newPlacer, newAssigner, newDelegator, newRelayer, newReceiver, newObserver, newRelayAdminServer),
 		fx.Invoke(registerRelayInstance),
 	)
 	return runApp(ctx, app)
@@ -111,7 +114,10 @@
 }
 
 func identity(settings loader.Settings, incarnation Incarnation) messenger.Identity {
-	return messenger.Identity{Instance: settings.Instance(), Incarnation: string(incarnation), FailureDomain: settings.FailureDomain()}
+	return messenger.Identity{
+		Instance: settings.Instance(), Incarnation: string(incarnation), FailureDomain: settings.FailureDomain(),
+		CPUCapacity: settings.Relay().CPUCapacity,
+	}
 }
 
 func seedAddresses(settings loader.Settings) []string {
@@ -145,11 +151,17 @@
 }
 
 func newConcentrator(
-	platform PlatformAdapters, d *discoverer.Discoverer, m *messenger.Messenger, r *registrar.Registrar, s *sender.Sender, standstills *timekeeper.StandstillDetector,
-	l *log.Logger, scope tally.Scope,
+	settings loader.Settings, platform PlatformAdapters, d *discoverer.Discoverer, m *messenger.Messenger, r *registrar.Registrar, s *sender.Sender,
+	p *placer.Placer, standstills *timekeeper.StandstillDetector, l *log.Logger, scope tally.Scope,
 ) relayer.Concentrator {
-	c := concentrator.New(d, r, s, l, scope, concentrator.WithStandstills(standstills.JustResumed),
-		concentrator.WithTenantHeader(platform.CallerHeaders.TenantHeader()))
+	opts := []concentrator.Option{
+		concentrator.WithStandstills(standstills.JustResumed), concentrator.WithTenantHeader(platform.CallerHeaders.TenantHeader()),
+	}
+	if settings.Relay().CPUCapacity > 0 {
+		record := func(peer string, inProgress int) { p.RecordWork(peer, inProgress, time.Now()) }
+		opts = append(opts, concentrator.WithWork(s.InProgress), concentrator.WithWorkRecorder(record))
+	}
+	c := concentrator.New(d, r, s, l, scope, opts...)
 	c.Attach(m)
 	return c
 }
@@ -167,31 +179,54 @@
 	return s
 }
 
-func newDelegator(d *discoverer.Discoverer, m *messenger.Messenger, l *log.Logger, scope tally.Scope) *delegator.Delegator {
-	handover := delegator.New(d, l, scope)
+// newPlacer returns a Placer that places nothing if the settings do not state the CPU capacity of this instance.
+func newPlacer(settings loader.Settings) *placer.Placer {
+	return placer.New(enroller.Capacity{
+		Instance: settings.Instance(), FailureDomain: settings.FailureDomain(), Thousandths: settings.Relay().CPUCapacity,
+	})
+}
+
+func newAssigner(settings loader.Settings, d *discoverer.Discoverer, r *registrar.Registrar) *placer.Assigner {
+	own := enroller.Capacity{Instance: settings.Instance(), FailureDomain: settings.FailureDomain(), Thousandths: settings.Relay().CPUCapacity}
+	return placer.NewAssigner(own, d, func() *mapper.Table { return r.View().Table() })
+}
+
+func newDelegator(
+	settings loader.Settings, d *discoverer.Discoverer, m *messenger.Messenger, s *sender.Sender, l *log.Logger, scope tally.Scope,
+) *delegator.Delegator {
+	var opts []delegator.Option
+	if settings.Relay().CPUCapacity > 0 {
+		opts = append(opts, delegator.WithWork(s.InProgress))
+	}
+	handover := delegator.New(d, l, scope, opts...)
 	handover.Attach(m)
 	return handover
 }
 
 func newRelayer(
 	s *sender.Sender, c relayer.Concentrator, standstills *timekeeper.StandstillDetector, q *quarantiner.Quarantiner, d *delegator.Delegator,
-	scope tally.Scope,
+	p *placer.Placer, a *placer.Assigner, instances *discoverer.Discoverer, scope tally.Scope,
 ) *relayer.Relayer {
-	return relayer.New(s, c, scope, relayer.WithStandstills(standstills.JustResumed), relayer.WithQuarantine(q), relayer.WithDelegator(d))
+	return relayer.New(s, c, scope, relayer.WithStandstills(standstills.JustResumed), relayer.WithQuarantine(q), relayer.WithDelegator(d),
+		relayer.WithPlacement(p, instances, d), relayer.WithHolders(a))
 }
 
-func newPicker(settings loader.Settings, d *discoverer.Discoverer, limits *throttler.Throttler) *picker.Picker {
+func newPicker(settings loader.Settings, d *discoverer.Discoverer, limits *throttler.Throttler, a *placer.Assigner) *picker.Picker {
 	relaySettings := settings.Relay()
 	return picker.New(picker.ColdLimits{Factor: relaySettings.ColdFactor, Slack: relaySettings.ColdSlack}, d, settings.FailureDomain(),
-		picker.WithLimits(limits), picker.WithCosts(appraiser.New()))
+		picker.WithLimits(limits), picker.WithCosts(appraiser.New()), picker.WithAssignment(a))
 }
 
-func newBudgeter(settings loader.Settings, d *discoverer.Discoverer) *budgeter.Budgeter {
-	return budgeter.New(extraLoadLimits(settings), d.InstanceEstimate, budgeter.WithGrowingSlack())
+func newBudgeter(settings loader.Settings, d *discoverer.Discoverer, a *placer.Assigner) *budgeter.Budgeter {
+	return budgeter.New(extraLoadLimits(settings), d.InstanceEstimate, budgeter.WithGrowingSlack(), budgeter.WithDivisor(a.Divisor))
 }
 
-func newThrottler(d *discoverer.Discoverer) *throttler.Throttler {
-	return throttler.New(d.InstanceEstimate)
+func newThrottler(d *discoverer.Discoverer, r *registrar.Registrar, a *placer.Assigner) *throttler.Throttler {
+	divisor := func(target string, instances int) int {
+		t, _ := r.View().Target(target)
+		return a.Divisor(t.Service, instances)
+	}
+	return throttler.New(d.InstanceEstimate, throttler.WithDivisor(divisor))
 }
 
 func extraLoadLimits(settings loader.Settings) budgeter.Limits {
--- a/internal/query/delegator/serve.go
+++ b/internal/query/delegator/serve.go
@@ -18,6 +18,15 @@
 
 // serveRequest serves a request that another instance has handed over.
 func (d *Delegator) serveRequest(ctx context.Context, peer messenger.Peer, message encoder.DelegatedRequest) (encoder.DelegatedAnswer, error) {
+	answer, err := d.serveDecoded(ctx, peer, message)
+	if d.inProgress != nil {
+		inProgress := d.inProgress()
+		answer.InProgress = &inProgress
+	}
+	return answer, err
+}
+
+func (d *Delegator) serveDecoded(ctx context.Context, peer messenger.Peer, message encoder.DelegatedRequest) (encoder.DelegatedAnswer, error) {
 	delegation, err := decodeRequest(peer.Instance, message)
 	if err != nil {
 		return encoder.DelegatedAnswer{Outcome: err.Error()}, nil
@@ -28,6 +37,9 @@
 	if ctx.Err() != nil {
 		return encoder.DelegatedAnswer{Outcome: "canceled by the origin"}, nil
 	}
+	if delegation.Wide {
+		delegation.BeforeRepeat = func() { d.sendRepeatNotice(peer, message.Id) }
+	}
 	answer, err := d.server.ServeDelegated(ctx, delegation)
 	var notAccepted *relayer.NotAcceptedError
 	if errors.As(err, &notAccepted) {
--- a/internal/query/relayer/explain.go
+++ b/internal/query/relayer/explain.go
@@ -29,7 +29,7 @@
 // Explain returns what would be done with the request now, by the decisions that Relay takes. It sends nothing and
 // counts nothing.
 func (r *Relayer) Explain(request Request) Explanation {
-	f := newForwarder(r.sender, r.concentrator, r.gate, r.quarantine, request)
+	f := newForwarder(r.sender, r.concentrator, r.gate, r.quarantine, r.placement, request)
 	e := Explanation{Services: make([]encoder.ExplainedService, 0, len(f.parts))}
 	for _, p := range f.parts {
 		e.Services = append(e.Services, f.explainService(p))
--- a/internal/query/relayer/fixture_test.go
+++ b/internal/query/relayer/fixture_test.go
@@ -45,6 +45,8 @@
 
 func (noPeers) ChoosePeer(string, int, *transporter.Request) (string, bool) { return "", false }
 
+func (noPeers) UsablePeers(string, []string, *transporter.Request) []string { return nil }
+
 func (noPeers) Send(context.Context, concentrator.Batch, func(concentrator.PartialResults)) {}
 
 // singleInstance is a fleet with one instance.
@@ -77,6 +79,12 @@
 	delegator *fakeDelegator
 	// tenants holds the tenants of the requests, by the name of their route.
 	tenants map[string]*authenticator.Tenant
+	// placement, if set, places queries by CPU capacity.
+	placement relayer.Option
+	// assignment, if set, assigns connections.
+	assignment picker.Assignment
+	// scope holds the counters of the relayer.
+	scope tally.TestScope
 }
 
 // fakeDelegator records the requests that are handed over, and answers them if takes is set.
@@ -148,10 +156,18 @@
 	connections := transporter.New(platform.TargetHeaders{}, transporter.WithDial(f.network.Dial))
 	f.t.Cleanup(func() { connections.Retain(func(string) bool { return false }) })
 	limits := throttler.New(singleInstance{}.InstanceEstimate)
-	s := sender.New(domain, f.registrar, picker.New(picker.ColdLimits{Factor: 1}, singleInstance{}, domain, picker.WithLimits(limits), picker.WithCosts(appraiser.New())), budgeter.New(f.limits, singleInstance{}.InstanceEstimate),
+	pickerOptions := []picker.Option{picker.WithLimits(limits), picker.WithCosts(appraiser.New())}
+	if f.assignment != nil {
+		pickerOptions = append(pickerOptions, picker.WithAssignment(f.assignment))
+	}
+	s := sender.New(domain, f.registrar, picker.New(picker.ColdLimits{Factor: 1}, singleInstance{}, domain, pickerOptions...), budgeter.New(f.limits, singleInstance{}.InstanceEstimate),
 		limits, connections, f.prober, log.New(io.Discard), tally.NoopScope)
-	f.relayer = relayer.New(s, f.peers, tally.NoopScope, relayer.WithStandstills(func() bool { return f.justResumed }),
-		relayer.WithQuarantine(f.quarantine), relayer.WithDelegator(f.delegator))
+	opts := []relayer.Option{relayer.WithStandstills(func() bool { return f.justResumed }), relayer.WithQuarantine(f.quarantine), relayer.WithDelegator(f.delegator)}
+	if f.placement != nil {
+		opts = append(opts, f.placement)
+	}
+	f.scope = tally.NewTestScope("", nil)
+	f.relayer = relayer.New(s, f.peers, f.scope, opts...)
 }
 
 // shardedRoute returns the route of a query over the services, which are its shards.
--- a/internal/query/relayer/forwarder.go
+++ b/internal/query/relayer/forwarder.go
@@ -86,7 +86,9 @@
 	gate         *limitGate
 	sender       *sender.Sender
 	concentrator Concentrator
-	latency      sender.LatencyEstimate
+	// placement divides the parts of a query by CPU capacity where it is active.
+	placement placement
+	latency   sender.LatencyEstimate
 	// preferredDomain is the failure domain whose targets are preferred.
 	preferredDomain string
 	parts           []*part
@@ -113,6 +115,8 @@
 	roomAfter time.Duration
 	// nextOutlook is the earliest time at which the outlook of a waiting request is looked at again.
 	nextOutlook time.Time
+	// announcedRepeat reports whether request.BeforeRepeat was called.
+	announcedRepeat bool
 	// succeeded reports whether the answer is a success.
 	succeeded bool
 	// stranded reports whether the request ended without a success that another instance could have, and runsWhenStranded
@@ -123,14 +127,14 @@
 	answeredCaller bool
 }
 
-func newForwarder(s *sender.Sender, c Concentrator, gate *limitGate, q *quarantiner.Quarantiner, request Request) *forwarder {
+func newForwarder(s *sender.Sender, c Concentrator, gate *limitGate, q *quarantiner.Quarantiner, placed placement, request Request) *forwarder {
 	route := request.Route
 	services := route.Shards
 	if !route.IsSharded() {
 		services = []string{route.SelectService(request.Outbound.ID)}
 	}
 	f := &forwarder{
-		request: request, gate: gate, sender: s, concentrator: c, latency: s.LatencyEstimate(route.Name), preferredDomain: s.PreferredDomain(services[0]),
+		request: request, gate: gate, sender: s, concentrator: c, placement: placed, latency: s.LatencyEstimate(route.Name), preferredDomain: s.PreferredDomain(services[0]),
 		parts: make([]*part, len(services)), pendingParts: len(services),
 	}
 	for i, name := range services {
@@ -195,6 +199,13 @@
 		select {
 		case batch := <-f.resultBatches:
 			f.handleResults(batch)
+			// The time until the next check depends on all parts, so it is computed once for all results that have arrived.
+			for len(f.resultBatches) > 0 {
+				if answer, ended := f.answerIfEnded(); ended {
+					return answer
+				}
+				f.handleResults(<-f.resultBatches)
+			}
 		case check := <-f.caution.results:
 			f.handleEndCheck(check)
 		case <-ctx.Done():
--- a/internal/query/relayer/relayer.go
+++ b/internal/query/relayer/relayer.go
@@ -16,6 +16,7 @@
 	"apricotflow/internal/manifest/authenticator"
 	"apricotflow/internal/manifest/mapper"
 	"apricotflow/internal/operator/timekeeper"
+	"apricotflow/internal/query/placer"
 	"apricotflow/internal/query/quarantiner"
 	"apricotflow/internal/target/concentrator"
 	"apricotflow/internal/target/sender"
@@ -109,6 +110,11 @@
 	// PriorRuns is the number of targets of each service that may have run the request before it was handed over. Each
 	// request to a target is then a repetition.
 	PriorRuns int
+	// Wide reports whether the request is handed over because this instance lacks CPU capacity for it.
+	Wide bool
+	// BeforeRepeat is called once, before a target may get a part of the request that another one was sent; nil if nobody
+	// needs to know.
+	BeforeRepeat func()
 	// Tenant is the tenant that holds the caller's key; nil if tenants are not configured or the caller is anonymous.
 	Tenant *authenticator.Tenant
 	// KeyDigest is the digest of the caller's key; zero without a tenant.
@@ -180,6 +186,8 @@
 // Concentrator sends a request to several targets of one failure domain through an instance there.
 type Concentrator interface {
 	ChoosePeer(domain string, targets int, r *transporter.Request) (peer string, found bool)
+	// UsablePeers returns the connected peers in the failure domain, and the others given, that can take a batch.
+	UsablePeers(domain string, others []string, r *transporter.Request) []string
 	Send(ctx context.Context, batch concentrator.Batch, deliver func(concentrator.PartialResults))
 }
 
@@ -194,6 +202,7 @@
 	justResumed func() bool
 	quarantine  *quarantiner.Quarantiner
 	delegator   Delegator
+	placement   placement
 }
 
 // Option configures a Relayer.
@@ -214,6 +223,17 @@
 	return func(r *Relayer) { r.delegator = d }
 }
 
+// WithPlacement sets what decides by CPU capacity which instance runs a sharded query, lists the other instances, and hands
+// queries over to them.
+func WithPlacement(p *placer.Placer, f Fleet, h Helpers) Option {
+	return func(r *Relayer) { r.placement.placer, r.placement.fleet, r.placement.helpers = p, f, h }
+}
+
+// WithHolders sets what tells which instances hold the connections to a target. It requires WithPlacement.
+func WithHolders(h Holders) Option {
+	return func(r *Relayer) { r.placement.holders = h }
+}
+
 // New creates a relayer.
 func New(s *sender.Sender, c Concentrator, scope tally.Scope, opts ...Option) *Relayer {
 	r := &Relayer{
--- a/internal/query/relayer/steps.go
+++ b/internal/query/relayer/steps.go
@@ -36,6 +36,9 @@
 		f.giveUp(p)
 		return
 	}
+	if hedge || p.sentRequests > 0 || f.request.PriorRuns > 0 {
+		f.announceRepeat()
+	}
 	if !f.sender.MayTake(p.service.Name, f.rank(), p.waiter) {
 		if hedge {
 			f.postponeHedge(p)
@@ -73,6 +76,14 @@
 	f.sendTo(i, target)
 }
 
+// announceRepeat tells whoever wants to know it, once, that a target may get a part that another one was sent.
+func (f *forwarder) announceRepeat() {
+	if f.request.BeforeRepeat != nil && !f.announcedRepeat {
+		f.announcedRepeat = true
+		f.request.BeforeRepeat()
+	}
+}
+
 // takeBudget takes one unit of the retry or hedge budget, and reports whether there was one.
 func (f *forwarder) takeBudget(p *part, hedge bool) bool {
 	if hedge {
@@ -81,9 +92,13 @@
 	return f.sender.AllowRetry(p.service.Name, f.request.tenantName())
 }
 
-// sendTo sends a request for the part to the given target.
+// sendTo sends a request for the part to the given target, through a peer if this instance holds no connection to it.
 func (f *forwarder) sendTo(i int, target registrar.Target) {
 	p := f.parts[i]
+	if f.sendThroughHolder([]choice{{part: i, target: target}}) {
+		f.caution.trial = f.caution.active
+		return
+	}
 	p.recordRequest(target)
 	f.caution.trial = f.caution.active
 	f.sender.CountRequest(target, f.request.tenantName())
--- a/internal/query/relayer/tenants_test.go
+++ b/internal/query/relayer/tenants_test.go
@@ -43,6 +43,10 @@
 	return "b", true
 }
 
+func (p *refusingPeers) UsablePeers(string, []string, *transporter.Request) []string {
+	return []string{"b"}
+}
+
 func (p *refusingPeers) Send(_ context.Context, batch concentrator.Batch, deliver func(concentrator.PartialResults)) {
 	p.mu.Lock()
 	p.batches = append(p.batches, batch)
--- a/internal/target/concentrator/serve.go
+++ b/internal/target/concentrator/serve.go
@@ -89,10 +89,19 @@
 			defer finish()
 			c.sendLateResults(peer, message, results, remaining)
 		}()
-		return encoder.PartsReply{Parts: collector.encode()}, nil
+		return c.newReply(collector), nil
 	}
 	finish()
-	return encoder.PartsReply{Parts: collector.encode()}, nil
+	return c.newReply(collector), nil
+}
+
+func (c *Concentrator) newReply(collector *resultCollector) encoder.PartsReply {
+	reply := encoder.PartsReply{Parts: collector.encode()}
+	if c.inProgress != nil {
+		inProgress := c.inProgress()
+		reply.InProgress = &inProgress
+	}
+	return reply
 }
 
 // checkTenant returns why nothing may be sent for a batch by the routing table in force here: its head comes from an
--- a/internal/target/sender/sender.go
+++ b/internal/target/sender/sender.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -82,6 +83,8 @@
 	pauseLog intervalLog
 	// limitLog limits the log lines about request limits of targets.
 	limitLog intervalLog
+	// inProgress is the number of requests to targets that this instance sends itself.
+	inProgress atomic.Int64
 }
 
 // OwnDomain is the name of the failure domain of this instance. It is a type of its own for dependency injection.
@@ -349,6 +352,15 @@
 	return false
 }
 
+// HoldsConnections reports whether this instance may have connections to the target. Otherwise requests go through a peer.
+func (s *Sender) HoldsConnections(target registrar.Target) bool {
+	return s.picker.ConnectionLimit(target, s.registrar.View().Table().Service(target.Service)) > 0
+}
+
+// InProgress returns the number of requests to targets that this instance has in progress, for its own queries and for
+// those of peers.
+func (s *Sender) InProgress() int { return int(s.inProgress.Load()) }
+
 // Send sends the request to the target and waits for the outcome until the context ends.
 func (s *Sender) Send(ctx context.Context, target registrar.Target, service mapper.Service, route string, latency LatencyEstimate, r *transporter.Request, deadline time.Time) transporter.Result {
 	end := s.Track(target, route, latency, r.ID)
@@ -399,11 +411,17 @@
 		if result.Outcome == transporter.Answered && result.Reply.Success() {
 			s.window(route).Record(result.Latency)
 		}
-		s.scope.Counter("sender-" + result.Outcome.String()).Inc(1)
+		s.scope.Counter(outcomeCounters[result.Outcome]).Inc(1)
 		s.queue.Wake(target.Service, time.Now())
 	}
 }
 
+// outcomeCounters holds the names of the counters of outcomes. They are not put together for each request.
+var outcomeCounters = map[transporter.Outcome]string{
+	transporter.Unsent: "sender-unsent", transporter.Refused: "sender-refused", transporter.Misdirected: "sender-misdirected",
+	transporter.Answered: "sender-answered", transporter.Lost: "sender-lost",
+}
+
 // MarkLeaving records that a start of a target has stated, in a reply to the request, that it leaves.
 func (s *Sender) MarkLeaving(target string, started int, requestID string) {
 	if s.registrar.MarkLeaving(target, started) {
@@ -446,6 +464,9 @@
 
 // recordExcess counts a reply that exceeded a limit, and logs the first one of a target in each excessLogInterval.
 func (s *Sender) recordExcess(target registrar.Target, err error, requestID string) {
+	if err == nil {
+		return
+	}
 	var excess *transporter.ExcessError
 	if !errors.As(err, &excess) {
 		return
@@ -485,7 +506,7 @@
 
 // isUnconnectable reports whether no connection to the target could be opened, or a new one ended before any reply.
 func isUnconnectable(result transporter.Result) bool {
-	if errors.Is(result.Err, context.Canceled) {
+	if result.Err == nil || errors.Is(result.Err, context.Canceled) {
 		return false
 	}
 	var dial *transporter.DialError
@@ -502,12 +523,17 @@
 // givenUpHere reports whether the request was not tried, because all connections were in use, the target was no longer
 // serving or took no requests, or the peer to send it did not reach the target or refused the request.
 func givenUpHere(result transporter.Result) bool {
+	if result.Err == nil {
+		return false
+	}
 	var busy *transporter.BusyError
 	return errors.As(result.Err, &busy) || errors.Is(result.Err, errNotServing) || errors.Is(result.Err, errPaused) ||
 		errors.Is(result.Err, ErrPeerOutOfReach) || errors.Is(result.Err, ErrPeerRefused)
 }
 
 func (s *Sender) send(ctx context.Context, target registrar.Target, limit int, r *transporter.Request, deadline time.Time) transporter.Result {
+	s.inProgress.Add(1)
+	defer s.inProgress.Add(-1)
 	if !s.registrar.View().IsServing(target.ID) {
 		return transporter.Result{Outcome: transporter.Unsent, Err: errNotServing}
 	}
