--- a/internal/query/relayer/placement.go
+++ b/internal/query/relayer/placement.go
@@ -22,6 +22,9 @@
 	maxPlacedRuns = 2
 	// hedgeTimeShare is the share of the time left until the answer is due after which a query is started once more.
 	hedgeTimeShare = 0.5
+	// minHedgeTime is the least time until then, as far as the answer is not due before. A helper usually hedges its first
+	// parts within 40 ms, and its announcement takes up to 10 ms to be handled on a small instance.
+	minHedgeTime = 50 * time.Millisecond
 )
 
 // Fleet lists the other instances with their CPU capacities. The caller must not modify the slice.
@@ -210,7 +213,7 @@
 	if q.request.Due.IsZero() || left <= 0 {
 		left = time.Until(q.request.Deadline)
 	}
-	return min(max(time.Duration(hedgeTimeShare*float64(left)), q.expected), left)
+	return min(max(time.Duration(hedgeTimeShare*float64(left)), minHedgeTime, q.expected), left)
 }
 
 // startLate starts the query once more because the instance that runs it has neither answered nor stated that it repeats
