--- a/internal/operator/loader/loader.go
+++ b/internal/operator/loader/loader.go
@@ -17,7 +17,8 @@
 // fractions of all other numbers are refused.
 var settingsSchema = sync.OnceValue(func() *parser.Schema {
 	return parser.MustCompile("settings.json", parser.WithFractionPaths("$.relay.grace-seconds", "$.relay.configuration-ms", "$.relay.drain-ms", "$.relay.extra-load-ratio",
-		"$.relay.extra-load-slack", "$.relay.extra-load-window-seconds", "$.relay.cold-factor", "$.relay.cold-slack"))
+		"$.relay.extra-load-slack", "$.relay.extra-load-window-seconds", "$.relay.cold-factor", "$.relay.cold-slack",
+		"$.relay.quota.window-seconds", "$.relay.quota.overrun", "$.relay.quota.slack"))
 })
 
 // ReadError reports that a settings file could not be read.
--- a/internal/operator/loader/loader_test.go
+++ b/internal/operator/loader/loader_test.go
@@ -142,11 +142,16 @@
 	settings, err = loader.Parse(fmt.Appendf(nil, base, `{"ready-address": "127.0.0.1:7301", "configuration-ms": 5000, "drain-ms": 2500.5}`))
 	assert.NilError(t, err)
 	assert.Equal(t, settings.Relay().PropagationLimit, 2500500*time.Microsecond)
+	assert.Assert(t, settings.Relay().Quota == nil)
+	settings, err = loader.Parse(fmt.Appendf(nil, base, `{"ready-address": "127.0.0.1:7301", "quota": {"window-seconds": 2.5, "overrun": 0.25, "slack": 19.5}}`))
+	assert.NilError(t, err)
+	assert.Equal(t, *settings.Relay().Quota, loader.Quota{Window: 2500 * time.Millisecond, Overrun: 0.25, Slack: 19.5})
 	for section, path := range map[string]string{
 		`{}`: "$.relay", `{"ready-address": "127.0.0.1:7001"}`: "$.relay.ready-address",
 		`{"ready-address": "127.0.0.1:7301", "extra-load-ratio": 1.5}`: "$.relay.extra-load-ratio",
 		`{"ready-address": "127.0.0.1:7301", "memory-mb": 20.5}`:       "$.relay.memory-mb",
 		`{"ready-address": "127.0.0.1:7301", "drain-ms": 10}`:          "$.relay.drain-ms",
+		`{"ready-address": "127.0.0.1:7301", "quota": {"slack": -1}}`:  "$.relay.quota.slack",
 	} {
 		_, err := loader.Parse(fmt.Appendf(nil, base, section))
 		assert.ErrorContains(t, err, path)
--- a/internal/operator/loader/relay.go
+++ b/internal/operator/loader/relay.go
@@ -16,6 +16,7 @@
 	defaultColdFactor       = 1
 	defaultMemoryMB         = 256
 	defaultPropagationLimit = 3 * time.Second
+	defaultQuotaWindow      = 5 * time.Second
 )
 
 // Relay holds the settings of relay mode, in which an instance relays requests by the routes of a routing table.
@@ -40,6 +41,24 @@
 	PropagationLimit time.Duration
 	// MemoryBytes is the memory limit of the process.
 	MemoryBytes int64
+	// Quota bounds the requests of a tenant with a limit. It is nil if the settings have no such section; its overrun and
+	// slack are then 0.
+	Quota *Quota
+}
+
+// Quota is the bound on the requests of a tenant over all instances: in each window at most (rate x window + burst) x
+// (1 + overrun) + slack.
+type Quota struct {
+	Window  time.Duration
+	Overrun float64
+	Slack   float64
+}
+
+func newQuota(wire *encoder.Quota) *Quota {
+	if wire == nil {
+		return nil
+	}
+	return &Quota{Window: secondsOr(wire.WindowSeconds, defaultQuotaWindow), Overrun: valueOr(wire.Overrun, 0), Slack: valueOr(wire.Slack, 0)}
 }
 
 func newRelay(wire encoder.Relay, a *addressParser) *Relay {
@@ -54,6 +73,7 @@
 		ColdSlack:        valueOr(wire.ColdSlack, 0),
 		PropagationLimit: min(fractionalMillisecondsOr(wire.ConfigurationMs, defaultPropagationLimit), fractionalMillisecondsOr(wire.DrainMs, defaultPropagationLimit)),
 		MemoryBytes:      int64(valueOr(wire.MemoryMb, defaultMemoryMB)) << 20,
+		Quota:            newQuota(wire.Quota),
 	}
 }
 
--- a/internal/wire/encoder/types.go
+++ b/internal/wire/encoder/types.go
@@ -948,6 +948,73 @@
 	Ticket *string `json:"ticket,omitempty,omitzero"`
 }
 
+// Upper bound on the requests of a tenant with a limit: in each window (rate x
+// window + burst) x (1 + overrun) + slack over all instances.
+type Quota struct {
+	// Ratio by which the limit may be exceeded. Default 0.
+	Overrun *float64 `json:"overrun,omitempty,omitzero"`
+
+	// Number of requests in each window by which the limit may be exceeded in
+	// addition. Default 0.
+	Slack *float64 `json:"slack,omitempty,omitzero"`
+
+	// Length of the sliding window. Default 5.
+	WindowSeconds *float64 `json:"window-seconds,omitempty,omitzero"`
+}
+
+// Tokens that an instance has issued. They expire 0.5 s after they were requested,
+// by the clock of the requester.
+type QuotaReply struct {
+	// Number of tokens.
+	Granted int `json:"granted"`
+
+	// Time until the receiver of this reply may find the next token here; 0 if there
+	// is one now.
+	NextMs float64 `json:"next-ms"`
+}
+
+// Asks an instance for tokens of a tenant's limit; each token admits one request.
+type QuotaRequest struct {
+	// Number of requests that are allowed in addition to the rate, by the table of
+	// the sender.
+	Burst float64 `json:"burst"`
+
+	// Maximum number of requests per second over all instances, by the table of the
+	// sender.
+	Rate float64 `json:"rate"`
+
+	// Name of the tenant; empty if the message only tests whether the receiver can be
+	// reached.
+	Tenant string `json:"tenant"`
+
+	// Custodians of the tenant that the sender cannot reach.
+	Unreached []string `json:"unreached,omitempty,omitzero"`
+
+	// Version of the routing table of the sender.
+	Version int `json:"version"`
+
+	// Number of tokens.
+	Wanted int `json:"wanted"`
+}
+
+// Quota of a tenant as seen by one instance.
+type QuotaStatus struct {
+	// Number of requests of the tenant at this instance.
+	Asked int `json:"asked"`
+
+	// Instances that hold the portions of the limit, one entry for each portion.
+	Custodians []string `json:"custodians"`
+
+	// Number of those that were admitted.
+	Granted int `json:"granted"`
+
+	// Number of those that were refused.
+	Refused int `json:"refused"`
+
+	// Name of the tenant.
+	Tenant string `json:"tenant"`
+}
+
 type Reason string
 
 const (
@@ -1040,6 +1107,9 @@
 	// Memory limit of the process in mebibytes. Default 256.
 	MemoryMb *int `json:"memory-mb,omitempty,omitzero"`
 
+	// Quota corresponds to the JSON schema field "quota".
+	Quota *Quota `json:"quota,omitempty,omitzero"`
+
 	// Address that the instance listens on for readiness checks of the load balancer.
 	ReadyAddress string `json:"ready-address"`
 
@@ -1304,6 +1374,10 @@
 	// store was last known to be current.
 	PlatformAgeMs int `json:"platform-age-ms"`
 
+	// Tenants with a limit that had the most requests at this instance; relay mode
+	// only.
+	Quotas []QuotaStatus `json:"quotas,omitempty,omitzero"`
+
 	// Whether the readiness check of the load balancer succeeds.
 	Ready bool `json:"ready"`
 
