Share the limits of tenants among the instances

A limit is divided into portions, and the first instances in rendezvous order issue the tokens of one each; others ask them. The model test found orders of faults in which the planned mechanism broke the bound: new processes that know a part of the instances, portions that two lists give to different instances, and spares of large limits.

--- a/internal/caller/assembler/relay.go
+++ b/internal/caller/assembler/relay.go
@@ -23,8 +23,10 @@
 	"apricotflow/internal/operator/reporter"
 	admin "apricotflow/internal/operator/server"
 	"apricotflow/internal/operator/timekeeper"
+	"apricotflow/internal/query/allotter"
 	"apricotflow/internal/query/delegator"
 	"apricotflow/internal/query/quarantiner"
+	"apricotflow/internal/query/rationer"
 	"apricotflow/internal/query/relayer"
 	"apricotflow/internal/query/sharer"
 	"apricotflow/internal/target/budgeter"
@@ -74,7 +76,7 @@
 		fx.Supply(settings, Version(version), platform, logWriter),
 		fx.Provide(newIncarnation, newClock, newRecorder, reporter.New, newScope, newRelayLogger),
 		fx.Provide(registrar.New, newDiscoverer, newFeeder, newRelayMessenger, newFollower),
-		fx.Provide(newPicker, newBudgeter, newThrottler, newTransporter, newProber, newOwnFailureDomain, sender.New, newConcentrator, newStandstillDetector, newQuarantiner, newSharer, newDelegator, newRelayer, newReceiver, newObserver, newRelayAdminServer),
+		fx.Provide(newPicker, newBudgeter, newThrottler, newTransporter, newProber, newOwnFailureDomain, sender.New, newConcentrator, newStandstillDetector, newQuarantiner, newSharer, newDelegator, newRationer, newRelayer, newReceiver, newObserver, newRelayAdminServer),
 		fx.Invoke(registerRelayInstance),
 	)
 	return runApp(ctx, app)
@@ -159,6 +161,32 @@
 	return handover
 }
 
+// quotaTables tells the rationer what it needs to know of the routing table in force.
+type quotaTables struct{ registrar *registrar.Registrar }
+
+// TableVersion returns the version of the table.
+func (t quotaTables) TableVersion() int { return t.registrar.View().TableVersion() }
+
+// HasTenants reports whether the table has tenants.
+func (t quotaTables) HasTenants() bool {
+	table := t.registrar.View().Table()
+	return table != nil && table.Tenants().Len() > 0
+}
+
+func newRationer(
+	settings loader.Settings, d *discoverer.Discoverer, m *messenger.Messenger, p *prober.Prober, r *registrar.Registrar,
+	events *recorder.Recorder, l *log.Logger, scope tally.Scope,
+) *rationer.Rationer {
+	bounds := allotter.Bounds{Window: loader.DefaultQuotaWindow}
+	if quota := settings.Relay().Quota; quota != nil {
+		bounds = allotter.Bounds{Window: quota.Window, Overrun: quota.Overrun, Slack: quota.Slack}
+	}
+	identity := rationer.Identity{Instance: settings.Instance(), FailureDomain: settings.FailureDomain()}
+	rations := rationer.New(identity, bounds, d, p, quotaTables{r}, events, l, scope)
+	rations.Attach(m)
+	return rations
+}
+
 func newRelayer(
 	s *sender.Sender, c relayer.Concentrator, standstills *timekeeper.StandstillDetector, q *quarantiner.Quarantiner, d *delegator.Delegator,
 	scope tally.Scope,
@@ -204,13 +232,13 @@
 
 func newRelayAdminServer(
 	settings loader.Settings, incarnation Incarnation, version Version, events *recorder.Recorder, metrics *reporter.Reporter,
-	clock *timekeeper.HybridClock, o *observer.Observer, callerReceiver *receiver.Receiver,
+	clock *timekeeper.HybridClock, o *observer.Observer, callerReceiver *receiver.Receiver, rations *rationer.Rationer,
 ) *admin.Server {
 	identity := admin.Identity{
 		Instance: settings.Instance(), Incarnation: string(incarnation), FailureDomain: settings.FailureDomain(), Version: string(version),
 	}
 	return admin.New(identity, events, metrics, clock, admin.WithReady(callerReceiver.Ready), admin.WithConfiguration(o.Configuration),
-		admin.WithMembers(o.Members), admin.WithTargets(o.Targets))
+		admin.WithMembers(o.Members), admin.WithTargets(o.Targets), admin.WithQuotas(rations.Usage))
 }
 
 func newObserver(r *registrar.Registrar, p *picker.Picker, d *discoverer.Discoverer, f *feeder.Feeder, events *recorder.Recorder) *observer.Observer {
--- a/internal/caller/assembler/relay_lifecycle.go
+++ b/internal/caller/assembler/relay_lifecycle.go
@@ -26,6 +26,7 @@
 	"apricotflow/internal/operator/reporter"
 	admin "apricotflow/internal/operator/server"
 	"apricotflow/internal/operator/timekeeper"
+	"apricotflow/internal/query/rationer"
 	"apricotflow/internal/query/sharer"
 	"apricotflow/internal/target/budgeter"
 	"apricotflow/internal/target/picker"
@@ -72,6 +73,7 @@
 	Transporter *transporter.Transporter
 	Prober      *prober.Prober
 	Sharer      *sharer.Sharer
+	Rationer    *rationer.Rationer
 	Receiver    *receiver.Receiver
 	AdminServer *admin.Server
 	Events      *recorder.Recorder
@@ -145,6 +147,7 @@
 	n.background.Go(func() { n.Discoverer.Run(ctx) })
 	n.background.Go(func() { n.Prober.Run(ctx) })
 	n.background.Go(func() { n.Sharer.Run(ctx) })
+	n.background.Go(func() { n.Rationer.Run(ctx) })
 	n.background.Go(func() { n.Observer.Run(ctx) })
 	n.background.Go(func() { n.Standstills.Run(ctx) })
 	n.background.Go(func() { n.cleanUp(ctx) })
--- a/internal/cluster/discoverer/discoverer.go
+++ b/internal/cluster/discoverer/discoverer.go
@@ -134,6 +134,25 @@
 	return max(known, listed)
 }
 
+// SeedsReached returns how many of the seeds are this instance or known ones that are not suspected, and the number of
+// seeds.
+func (d *Discoverer) SeedsReached() (reached, total int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	live := map[string]bool{d.address: true}
+	for _, name := range d.roster.Names() {
+		if m, _ := d.roster.Member(name); !m.Suspected() {
+			live[m.Address] = true
+		}
+	}
+	for _, seed := range d.seeds {
+		if live[seed] {
+			reached++
+		}
+	}
+	return reached, len(d.seeds)
+}
+
 // CountInstancesIn returns the number of known instances in a failure domain, including this one.
 func (d *Discoverer) CountInstancesIn(domain string) int {
 	d.mu.Lock()
--- a/internal/operator/loader/relay.go
+++ b/internal/operator/loader/relay.go
@@ -16,9 +16,11 @@
 	defaultColdFactor       = 1
 	defaultMemoryMB         = 256
 	defaultPropagationLimit = 3 * time.Second
-	defaultQuotaWindow      = 5 * time.Second
 )
 
+// DefaultQuotaWindow is the window of the bound on the requests of a tenant if the settings name none.
+const DefaultQuotaWindow = 5 * time.Second
+
 // Relay holds the settings of relay mode, in which an instance relays requests by the routes of a routing table.
 type Relay struct {
 	// ReadyAddress is the address to listen on for readiness checks of the balancer, which requests ReadyPath.
@@ -58,7 +60,7 @@
 	if wire == nil {
 		return nil
 	}
-	return &Quota{Window: secondsOr(wire.WindowSeconds, defaultQuotaWindow), Overrun: valueOr(wire.Overrun, 0), Slack: valueOr(wire.Slack, 0)}
+	return &Quota{Window: secondsOr(wire.WindowSeconds, DefaultQuotaWindow), Overrun: valueOr(wire.Overrun, 0), Slack: valueOr(wire.Slack, 0)}
 }
 
 func newRelay(wire encoder.Relay, a *addressParser) *Relay {
--- a/internal/operator/recorder/recorder.go
+++ b/internal/operator/recorder/recorder.go
@@ -89,6 +89,12 @@
 	KindSheddingStarted Kind = "shedding-started"
 	// KindSheddingStopped: this instance has not shed a query for some time.
 	KindSheddingStopped Kind = "shedding-stopped"
+	// KindQuotaHolderChanged: this instance issues tokens of a tenant that another one may have issued before. The subject is
+	// the tenant.
+	KindQuotaHolderChanged Kind = "quota-holder-changed"
+	// KindQuotaCutOff: this instance issues tokens from its failure domain's part of the slack of a tenant, because it reaches
+	// half of the instances or fewer. The subject is the tenant.
+	KindQuotaCutOff Kind = "quota-cut-off"
 	// KindFailureDomainOpen: a closed failure domain is open again.
 	KindFailureDomainOpen Kind = "failure-domain-open"
 	// KindFailureDomainClosed: a failure domain has been closed.
@@ -108,7 +114,7 @@
 // frequentKinds holds the kinds of event that a fault can cause with every query.
 var frequentKinds = map[Kind]bool{
 	KindConnectionSilent: true, KindQueryPartial: true, KindQueryRefused: true, KindQueryRestarted: true,
-	KindQueryUnknown: true, KindReplyDropped: true, KindTargetShed: true, KindTicketUnknown: true,
+	KindQueryUnknown: true, KindQuotaCutOff: true, KindQuotaHolderChanged: true, KindReplyDropped: true, KindTargetShed: true, KindTicketUnknown: true,
 }
 
 // DefaultCapacity is the default number of events kept.
--- a/internal/operator/server/handlers.go
+++ b/internal/operator/server/handlers.go
@@ -24,6 +24,7 @@
 		PlatformAgeMs:      int(c.PlatformAge.Milliseconds()),
 		Members:            append([]encoder.MemberStatus{}, s.members()...),
 		Targets:            append([]encoder.TargetStatus{}, s.targets()...),
+		Quotas:             s.quotas(),
 		Counters:           s.counters(),
 	})
 }
--- a/internal/operator/server/server.go
+++ b/internal/operator/server/server.go
@@ -72,6 +72,7 @@
 	configuration func() Configuration
 	members       func() []encoder.MemberStatus
 	targets       func() []encoder.TargetStatus
+	quotas        func() []encoder.QuotaStatus
 	http          *http.Server
 }
 
@@ -98,6 +99,11 @@
 	return func(s *Server) { s.targets = targets }
 }
 
+// WithQuotas sets the function that returns the quotas of the busiest tenants.
+func WithQuotas(quotas func() []encoder.QuotaStatus) Option {
+	return func(s *Server) { s.quotas = quotas }
+}
+
 // New creates a server. Parts of the status without an option are empty, and the instance is then not ready.
 func New(identity Identity, events Events, totals Totals, clock Clock, opts ...Option) *Server {
 	s := &Server{
@@ -109,6 +115,7 @@
 		configuration: func() Configuration { return Configuration{} },
 		members:       func() []encoder.MemberStatus { return nil },
 		targets:       func() []encoder.TargetStatus { return nil },
+		quotas:        func() []encoder.QuotaStatus { return nil },
 	}
 	for _, o := range opts {
 		o(s)
--- a/internal/wire/encoder/types.go
+++ b/internal/wire/encoder/types.go
@@ -968,13 +968,25 @@
 	// Number of tokens.
 	Granted int `json:"granted"`
 
+	// Whether the sender has issued tokens of the tenant as a custodian within the
+	// window and is none any more.
+	Issued *bool `json:"issued,omitempty,omitzero"`
+
 	// Time until the receiver of this reply may find the next token here; 0 if there
 	// is one now.
 	NextMs float64 `json:"next-ms"`
+
+	// Whether the receiver of the reply is not a custodian of the tenant by the list
+	// of the sender.
+	Objects *bool `json:"objects,omitempty,omitzero"`
 }
 
 // Asks an instance for tokens of a tenant's limit; each token admits one request.
 type QuotaRequest struct {
+	// Whether the sender announces itself as a custodian of the tenant; it wants no
+	// tokens then.
+	Announces *bool `json:"announces,omitempty,omitzero"`
+
 	// Number of requests that are allowed in addition to the rate, by the table of
 	// the sender.
 	Burst float64 `json:"burst"`
