--- a/internal/query/allotter/asker.go
+++ b/internal/query/allotter/asker.go
@@ -25,9 +25,9 @@
 	// minPrefetchDemand is the number of requests in demandTime from which tokens are fetched in advance. Below, most tokens
 	// would expire unused.
 	minPrefetchDemand = 2
-	// scarcityTime is the time after a grant of fewer tokens than wanted during which none are fetched in advance, so that no
-	// scarce token expires unused.
-	scarcityTime = time.Second
+	// scarcityTime is the time after a refusal for lack of tokens during which none are fetched in advance, so that no scarce
+	// token expires unused.
+	scarcityTime = 5 * time.Second
 )
 
 // Waiter is a request that waits for a token.
@@ -56,8 +56,10 @@
 	call *Call
 	// emptyUntil is the time before which the instance has no token.
 	emptyUntil time.Duration
-	// hasTokens reports whether the latest call was granted as many tokens as wanted.
-	hasTokens bool
+	// left is the number of tokens that the instance had left at leftAt, if it is known.
+	left    float64
+	leftAt  time.Duration
+	isKnown bool
 }
 
 // Asker decides for the requests of one tenant at one instance which are admitted, and which instances are asked for tokens.
@@ -207,17 +209,16 @@
 		a.tokens = append(a.tokens, batch{n: r.Granted, expires: c.startedAt + TokenLifetime})
 		slices.SortStableFunc(a.tokens, func(x, y batch) int { return cmp.Compare(x.expires, y.expires) })
 	}
-	h.hasTokens = r.Granted >= c.Request.Wanted
+	h.left, h.leftAt, h.isKnown = r.Left, now, true
 	h.emptyUntil = 0
-	if !h.hasTokens {
+	if r.Granted < c.Request.Wanted {
 		h.emptyUntil = now + max(r.Next, time.Millisecond)
-		a.scarceUntil = now + scarcityTime
 	}
 }
 
 // Failed records that a call has got no answer.
 func (a *Asker) Failed(now time.Duration, c *Call) {
-	a.end(c).hasTokens = false
+	a.end(c).isKnown = false
 	a.peers.Suspend(c.Instance, now)
 }
 
@@ -250,6 +251,7 @@
 	if len(a.waiters) > 0 && !a.isAwaiting() {
 		// All instances were asked: the requests cannot be admitted now.
 		a.refuse(now, len(a.waiters))
+		a.scarceUntil = now + scarcityTime
 	}
 	overdue := 0
 	for overdue < len(a.waiters) && now-a.waiters[overdue].since >= DecisionTime {
@@ -291,7 +293,7 @@
 		if missing <= 0 {
 			break
 		}
-		wanted := min(missing, max(perCall, 1)*max(count(a.place.Custodians, func(c string) bool { return c == name }), 1))
+		wanted := min(missing, perCall*a.portionsOf(name))
 		missing -= wanted
 		c := &Call{Instance: name, startedAt: now, Request: Request{
 			Tenant: a.tenant, Limit: a.limit, Version: a.version, Wanted: wanted, Unreached: unreached,
@@ -302,8 +304,8 @@
 	return calls
 }
 
-// candidates returns the instances that may be asked now, those known to have tokens first but after this one, and the
-// custodians that cannot be reached.
+// candidates returns the instances that may be asked now, this one first and then those that are expected to have the most
+// tokens, and the custodians that cannot be reached.
 func (a *Asker) candidates(now time.Duration) (names, unreached []string) {
 	all := a.issuers
 	for _, name := range a.issuers {
@@ -326,16 +328,27 @@
 			names = append(names, name)
 		}
 	}
-	rank := func(name string) int {
-		if h := a.holders[name]; name == a.own || h != nil && h.hasTokens {
-			return a.rankOwn(name)
-		}
-		return 2
-	}
-	slices.SortStableFunc(names, func(x, y string) int { return cmp.Compare(rank(x), rank(y)) })
+	slices.SortStableFunc(names, func(x, y string) int {
+		return cmp.Or(cmp.Compare(a.rankOwn(x), a.rankOwn(y)), cmp.Compare(a.expected(y, now), a.expected(x, now)))
+	})
 	return names, unreached
 }
 
+// expected returns the number of tokens that an instance is expected to have, if no other one has asked it since its latest
+// reply. An instance that has not replied yet is expected to have half of what it can hold.
+func (a *Asker) expected(name string, now time.Duration) float64 {
+	portions := float64(a.portionsOf(name))
+	if h := a.holders[name]; h != nil && h.isKnown {
+		return min(h.left+portions*a.plan.Rate*(now-h.leftAt).Seconds(), portions*a.plan.Capacity)
+	}
+	return portions * a.plan.Capacity / 2
+}
+
+// portionsOf returns the number of portions that an instance holds, at least 1 for one that is asked in place of others.
+func (a *Asker) portionsOf(name string) int {
+	return max(count(a.place.Custodians, func(c string) bool { return c == name }), 1)
+}
+
 // isAwaiting reports whether a call is unanswered.
 func (a *Asker) isAwaiting() bool {
 	for _, h := range a.holders {
--- a/internal/query/allotter/issuer.go
+++ b/internal/query/allotter/issuer.go
@@ -55,6 +55,8 @@
 	Granted int
 	// Next is the time after which the asker may find a token; 0 if there is one now.
 	Next time.Duration
+	// Left is the number of tokens, with a fraction, that are left after this reply.
+	Left float64
 }
 
 // Inquiry is the question of an instance to a peer, before it issues tokens, whether the peer can be reached and agrees.
@@ -171,7 +173,7 @@
 	a := i.account(now, r)
 	a.usedAt = now
 	i.refresh(now, r.Tenant, a)
-	granted, next := 0, unknownWait
+	granted, next, left := 0, unknownWait, 0.0
 	var inquiries []Inquiry
 	if a.held > 0 && i.tracker.mayHold(now) {
 		if !a.confirmed {
@@ -184,7 +186,7 @@
 			if granted = a.portion.take(r.Wanted); granted > 0 {
 				a.issuedAt = now
 			}
-			next = a.portion.next(rate)
+			next, left = a.portion.next(rate), a.portion.tokens
 		}
 	}
 	if a.spares > 0 && len(r.Unreached) > 0 && granted < r.Wanted && i.tracker.mayHold(now) {
@@ -198,7 +200,7 @@
 	if granted < r.Wanted {
 		next += a.stagger(now)
 	}
-	return Reply{Granted: granted, Next: next}, inquiries
+	return Reply{Granted: granted, Next: next, Left: left}, inquiries
 }
 
 // stagger returns what is added to the time that is announced to an asker whose wish was not fulfilled.
--- a/internal/query/rationer/rationer.go
+++ b/internal/query/rationer/rationer.go
@@ -333,11 +333,15 @@
 		own = false
 		for _, c := range t.asker.Advance(now) {
 			if c.Instance == r.identity.Instance {
-				if reply, inquiries := r.take(c.Request); len(inquiries) == 0 {
-					own = true
-					t.asker.Replied(now, c, reply)
-				} else {
+				reply, inquiries := r.take(c.Request)
+				if len(inquiries) > 0 && reply.Granted == 0 {
 					go r.takeAfterInquiries(t, c, inquiries)
+					continue
+				}
+				own = true
+				t.asker.Replied(now, c, reply)
+				if len(inquiries) > 0 {
+					go r.inquire(inquiries)
 				}
 				continue
 			}
@@ -375,7 +379,7 @@
 		t.asker.Failed(now, c)
 	} else {
 		r.peers.Resume(c.Instance)
-		t.asker.Replied(now, c, allotter.Reply{Granted: min(max(reply.Granted, 0), c.Request.Wanted), Next: milliseconds(reply.NextMs)})
+		t.asker.Replied(now, c, decodeReply(reply, c.Request.Wanted))
 	}
 	r.advance(t, now)
 }
--- a/internal/query/rationer/serve.go
+++ b/internal/query/rationer/serve.go
@@ -27,11 +27,14 @@
 		return encoder.QuotaReply{}, nil
 	}
 	reply, inquiries := r.take(request)
-	if len(inquiries) > 0 {
+	switch {
+	case len(inquiries) > 0 && reply.Granted > 0:
+		go r.inquire(inquiries)
+	case len(inquiries) > 0:
 		r.inquire(inquiries)
 		reply, _ = r.take(request)
 	}
-	return encoder.QuotaReply{Granted: reply.Granted, NextMs: float64(reply.Next) / float64(time.Millisecond)}, nil
+	return encoder.QuotaReply{Granted: reply.Granted, NextMs: float64(reply.Next) / float64(time.Millisecond), Left: &reply.Left}, nil
 }
 
 // inquire makes the inquiries and waits for their results.
@@ -81,6 +84,14 @@
 	}
 }
 
+func decodeReply(m encoder.QuotaReply, wanted int) allotter.Reply {
+	r := allotter.Reply{Granted: min(max(m.Granted, 0), wanted), Next: milliseconds(m.NextMs)}
+	if m.Left != nil && *m.Left > 0 {
+		r.Left = *m.Left
+	}
+	return r
+}
+
 // milliseconds returns the duration of a number of milliseconds, at most an hour.
 func milliseconds(ms float64) time.Duration {
 	if !(ms > 0) {
--- a/internal/wire/encoder/types.go
+++ b/internal/wire/encoder/types.go
@@ -972,6 +972,9 @@
 	// window and is none any more.
 	Issued *bool `json:"issued,omitempty,omitzero"`
 
+	// Number of tokens, with a fraction, that are left after this reply. Default 0.
+	Left *float64 `json:"left,omitempty,omitzero"`
+
 	// Time until the receiver of this reply may find the next token here; 0 if there
 	// is one now.
 	NextMs float64 `json:"next-ms"`
