--- a/internal/query/allotter/fleet.go
+++ b/internal/query/allotter/fleet.go
@@ -186,7 +186,7 @@
 		}
 	}
 	minority := 2*t.reachable <= t.count() && t.count() > 1
-	if now-t.started < countMemory && 2*seeds.Reached <= seeds.Total {
+	if now-t.started < countMemory && seeds.Total > 0 && 2*seeds.Reached <= seeds.Total {
 		// A process that has started during a partition does not know how many instances there are. The seeds are the same
 		// for all, and two sides cannot both have more than half of them.
 		minority = true
--- a/internal/query/allotter/fleet_test.go
+++ b/internal/query/allotter/fleet_test.go
@@ -80,6 +80,8 @@
 	seeds int
 	// lag is the longest time until news of an instance have reached all others.
 	lag time.Duration
+	// startLag is the longest time until a new process knows an instance that has started before it.
+	startLag time.Duration
 	// static reports whether the lists are complete from the start and do not change.
 	static   bool
 	admitted []time.Duration
@@ -89,7 +91,7 @@
 }
 
 func newWorld(seed uint64, instances int, limit allotter.Limit, static bool) *world {
-	w := &world{static: static, random: rand.New(rand.NewPCG(seed, 7)), delay: 2 * time.Millisecond, lag: 3 * time.Second, now: time.Hour}
+	w := &world{static: static, startLag: 600 * time.Millisecond, random: rand.New(rand.NewPCG(seed, 7)), delay: 2 * time.Millisecond, lag: 3 * time.Second, now: time.Hour}
 	w.seeds = instances
 	for i := range instances {
 		w.instances = append(w.instances, w.newInstance(i, limit))
@@ -167,13 +169,13 @@
 		v := in.views[other.name]
 		reachable := w.responds(other) && other.group == in.group
 		if v == nil {
-			if !reachable {
+			if !reachable && !w.knownBeside(in, other) {
 				continue
 			}
 			lag := w.lag
 			if in.started >= other.started {
 				// A new process gets the list of another one.
-				lag = min(lag, 600*time.Millisecond)
+				lag = min(lag, w.startLag)
 			}
 			v = &view{knownAt: w.now + w.upTo(lag), silentSince: -1, suspectLag: w.upTo(w.lag)}
 			in.views[other.name] = v
@@ -211,6 +213,14 @@
 	}
 }
 
+// knownBeside reports whether an instance that in can reach has the other one in its list.
+func (w *world) knownBeside(in, other *instance) bool {
+	return slices.ContainsFunc(w.instances, func(peer *instance) bool {
+		v := peer.views[other.name]
+		return peer != in && w.responds(peer) && peer.group == in.group && v != nil && v.knownAt <= w.now && !v.forgotten
+	})
+}
+
 // learn records that another instance has connected to this one.
 func (in *instance) learn(other *instance) {
 	if v := in.views[other.name]; v != nil && v.knownAt <= in.w.now && !v.forgotten {
