--- a/internal/caller/assembler/relay.go
+++ b/internal/caller/assembler/relay.go
@@ -25,9 +25,11 @@
 	"apricotflow/internal/operator/reporter"
 	admin "apricotflow/internal/operator/server"
 	"apricotflow/internal/operator/timekeeper"
+	"apricotflow/internal/query/allotter"
 	"apricotflow/internal/query/delegator"
 	"apricotflow/internal/query/placer"
 	"apricotflow/internal/query/quarantiner"
+	"apricotflow/internal/query/rationer"
 	"apricotflow/internal/query/relayer"
 	"apricotflow/internal/query/sharer"
 	"apricotflow/internal/target/appraiser"
@@ -90,7 +92,7 @@
 		fx.Supply(settings, Version(version), platform, logWriter),
 		fx.Provide(newIncarnation, newClock, newRecorder, reporter.New, newScope, newRelayLogger),
 		fx.Provide(registrar.New, newDiscoverer, newFeeder, newRelayMessenger, newFollower),
-		fx.Provide(newPicker, newBudgeter, newThrottler, newTransporter, newProber, newOwnFailureDomain, sender.New, newConcentrator, newStandstillDetector, newQuarantiner, newSharer, newPlacer, newAssigner, newDelegator, newRelayer, newReceiver, newObserver, newRelayAdminServer),
+		fx.Provide(newPicker, newBudgeter, newThrottler, newTransporter, newProber, newOwnFailureDomain, sender.New, newConcentrator, newStandstillDetector, newQuarantiner, newSharer, newPlacer, newAssigner, newDelegator, newRationer, newRelayer, newReceiver, newObserver, newRelayAdminServer),
 		fx.Invoke(registerRelayInstance),
 	)
 	return runApp(ctx, app)
@@ -110,7 +112,8 @@
 }
 
 func newFeeder(settings loader.Settings, incarnation Incarnation, d *discoverer.Discoverer, r *registrar.Registrar, l *log.Logger) *feeder.Feeder {
-	return feeder.New(identity(settings, incarnation), d, r, settings.Relay().PropagationLimit, l)
+	return feeder.New(identity(settings, incarnation), d, r, settings.Relay().PropagationLimit, l,
+		feeder.WithTenantsRequired(settings.Relay().Quota != nil))
 }
 
 func identity(settings loader.Settings, incarnation Incarnation) messenger.Identity {
@@ -203,6 +206,32 @@
 	return handover
 }
 
+// quotaTables tells the rationer what it needs to know of the routing table in force.
+type quotaTables struct{ registrar *registrar.Registrar }
+
+// TableVersion returns the version of the table.
+func (t quotaTables) TableVersion() int { return t.registrar.View().TableVersion() }
+
+// HasTenants reports whether the table has tenants.
+func (t quotaTables) HasTenants() bool {
+	table := t.registrar.View().Table()
+	return table != nil && table.Tenants().Len() > 0
+}
+
+func newRationer(
+	settings loader.Settings, d *discoverer.Discoverer, m *messenger.Messenger, p *prober.Prober, r *registrar.Registrar,
+	events *recorder.Recorder, l *log.Logger, scope tally.Scope,
+) *rationer.Rationer {
+	bounds := allotter.Bounds{Window: loader.DefaultQuotaWindow}
+	if quota := settings.Relay().Quota; quota != nil {
+		bounds = allotter.Bounds{Window: quota.Window, Overrun: quota.Overrun, Slack: quota.Slack}
+	}
+	identity := rationer.Identity{Instance: settings.Instance(), FailureDomain: settings.FailureDomain()}
+	rations := rationer.New(identity, bounds, d, p, quotaTables{r}, events, l, scope)
+	rations.Attach(m)
+	return rations
+}
+
 func newRelayer(
 	s *sender.Sender, c relayer.Concentrator, standstills *timekeeper.StandstillDetector, q *quarantiner.Quarantiner, d *delegator.Delegator,
 	p *placer.Placer, a *placer.Assigner, instances *discoverer.Discoverer, scope tally.Scope,
@@ -244,22 +273,23 @@
 
 func newReceiver(
 	settings loader.Settings, platform PlatformAdapters, r *registrar.Registrar, relay *relayer.Relayer, f *feeder.Feeder, d *delegator.Delegator,
-	l *log.Logger, scope tally.Scope,
+	rations *rationer.Rationer, l *log.Logger, scope tally.Scope,
 ) *receiver.Receiver {
-	rc := receiver.New(platform.CallerHeaders, r, relay, settings.Concurrency(), l, scope, receiver.WithStateAge(f.Age), receiver.WithExplainer(relay))
+	rc := receiver.New(platform.CallerHeaders, r, relay, settings.Concurrency(), l, scope, receiver.WithStateAge(f.Age), receiver.WithExplainer(relay),
+		receiver.WithQuotas(rations))
 	d.SetServer(rc)
 	return rc
 }
 
 func newRelayAdminServer(
 	settings loader.Settings, incarnation Incarnation, version Version, events *recorder.Recorder, metrics *reporter.Reporter,
-	clock *timekeeper.HybridClock, o *observer.Observer, callerReceiver *receiver.Receiver,
+	clock *timekeeper.HybridClock, o *observer.Observer, callerReceiver *receiver.Receiver, rations *rationer.Rationer,
 ) *admin.Server {
 	identity := admin.Identity{
 		Instance: settings.Instance(), Incarnation: string(incarnation), FailureDomain: settings.FailureDomain(), Version: string(version),
 	}
 	return admin.New(identity, events, metrics, clock, admin.WithReady(callerReceiver.Ready), admin.WithConfiguration(o.Configuration),
-		admin.WithMembers(o.Members), admin.WithTargets(o.Targets), admin.WithExplain(callerReceiver.Explain))
+		admin.WithMembers(o.Members), admin.WithTargets(o.Targets), admin.WithExplain(callerReceiver.Explain), admin.WithQuotas(rations.Usage))
 }
 
 func newObserver(r *registrar.Registrar, p *picker.Picker, d *discoverer.Discoverer, f *feeder.Feeder, events *recorder.Recorder) *observer.Observer {
--- a/internal/operator/loader/relay.go
+++ b/internal/operator/loader/relay.go
@@ -19,6 +19,9 @@
 	defaultPropagationLimit = 3 * time.Second
 )
 
+// DefaultQuotaWindow is the window of the bound on the requests of a tenant if the settings name none.
+const DefaultQuotaWindow = 5 * time.Second
+
 // Relay holds the settings of relay mode, in which an instance relays requests by the routes of a routing table.
 type Relay struct {
 	// ReadyAddress is the address to listen on for readiness checks of the balancer, which requests ReadyPath.
@@ -44,6 +47,24 @@
 	// CPUCapacity is the CPU capacity of the instance in thousandths of a core, the share of a core times its speed; 0 if
 	// unknown.
 	CPUCapacity int
+	// Quota bounds the requests of a tenant with a limit. It is nil if the settings have no such section; its overrun and
+	// slack are then 0.
+	Quota *Quota
+}
+
+// Quota is the bound on the requests of a tenant over all instances: in each window at most (rate x window + burst) x
+// (1 + overrun) + slack.
+type Quota struct {
+	Window  time.Duration
+	Overrun float64
+	Slack   float64
+}
+
+func newQuota(wire *encoder.Quota) *Quota {
+	if wire == nil {
+		return nil
+	}
+	return &Quota{Window: secondsOr(wire.WindowSeconds, DefaultQuotaWindow), Overrun: valueOr(wire.Overrun, 0), Slack: valueOr(wire.Slack, 0)}
 }
 
 func newRelay(wire encoder.Relay, a *addressParser) *Relay {
@@ -59,6 +80,7 @@
 		PropagationLimit: min(fractionalMillisecondsOr(wire.ConfigurationMs, defaultPropagationLimit), fractionalMillisecondsOr(wire.DrainMs, defaultPropagationLimit)),
 		MemoryBytes:      int64(valueOr(wire.MemoryMb, defaultMemoryMB)) << 20,
 		CPUCapacity:      cpuCapacity(wire),
+		Quota:            newQuota(wire.Quota),
 	}
 }
 
--- a/internal/operator/server/server.go
+++ b/internal/operator/server/server.go
@@ -72,6 +72,7 @@
 	configuration func() Configuration
 	members       func() []encoder.MemberStatus
 	targets       func() []encoder.TargetStatus
+	quotas        func() []encoder.QuotaStatus
 	// explain is nil without explanations.
 	explain Explain
 	http    *http.Server
@@ -108,6 +109,11 @@
 	return func(s *Server) { s.explain = explain }
 }
 
+// WithQuotas sets the function that returns the quotas of the busiest tenants.
+func WithQuotas(quotas func() []encoder.QuotaStatus) Option {
+	return func(s *Server) { s.quotas = quotas }
+}
+
 // New creates a server. Parts of the status without an option are empty, and the instance is then not ready.
 func New(identity Identity, events Events, totals Totals, clock Clock, opts ...Option) *Server {
 	s := &Server{
@@ -119,6 +125,7 @@
 		configuration: func() Configuration { return Configuration{} },
 		members:       func() []encoder.MemberStatus { return nil },
 		targets:       func() []encoder.TargetStatus { return nil },
+		quotas:        func() []encoder.QuotaStatus { return nil },
 	}
 	for _, o := range opts {
 		o(s)
