--- a/internal/target/sender/sender.go
+++ b/internal/target/sender/sender.go
@@ -75,6 +75,8 @@
 	queue       *queuer.Queue
 	logger      *log.Logger
 	scope       tally.Scope
+	// outcomes holds the counter of each outcome.
+	outcomes map[transporter.Outcome]tally.Counter
 	// windows holds an *estimator.Window for each route.
 	windows sync.Map
 	// excessLog limits the log lines about replies that exceed a limit.
@@ -92,7 +94,7 @@
 
 // New returns a Sender for an instance in the given failure domain.
 func New(domain OwnDomain, r *registrar.Registrar, p *picker.Picker, b *budgeter.Budgeter, limits *throttler.Throttler, t *transporter.Transporter, probes *prober.Prober, logger *log.Logger, scope tally.Scope) *Sender {
-	return &Sender{domain: string(domain), registrar: r, picker: p, budget: b, throttler: limits, transporter: t, prober: probes, queue: queuer.New(), logger: logger, scope: scope}
+	return &Sender{domain: string(domain), registrar: r, picker: p, budget: b, throttler: limits, transporter: t, prober: probes, queue: queuer.New(), logger: logger, scope: scope, outcomes: newOutcomeCounters(scope)}
 }
 
 // LatencyEstimate holds the latency estimates for the requests of a route.
@@ -411,15 +413,19 @@
 		if result.Outcome == transporter.Answered && result.Reply.Success() {
 			s.window(route).Record(result.Latency)
 		}
-		s.scope.Counter(outcomeCounters[result.Outcome]).Inc(1)
+		s.outcomes[result.Outcome].Inc(1)
 		s.queue.Wake(target.Service, time.Now())
 	}
 }
 
-// outcomeCounters holds the names of the counters of outcomes. They are not put together for each request.
-var outcomeCounters = map[transporter.Outcome]string{
-	transporter.Unsent: "sender-unsent", transporter.Refused: "sender-refused", transporter.Misdirected: "sender-misdirected",
-	transporter.Answered: "sender-answered", transporter.Lost: "sender-lost",
+// newOutcomeCounters returns the counters of the results of requests. Looking them up for each request would cost more than
+// counting.
+func newOutcomeCounters(scope tally.Scope) map[transporter.Outcome]tally.Counter {
+	counters := make(map[transporter.Outcome]tally.Counter)
+	for outcome := transporter.Unsent; outcome <= transporter.Lost; outcome++ {
+		counters[outcome] = scope.Counter("sender-" + outcome.String())
+	}
+	return counters
 }
 
 // MarkLeaving records that a start of a target has stated, in a reply to the request, that it leaves.
