Mend what a deployment with few connections has shown

Nine processes with 6 usable connections for each target gave wrong answers and failures: - A hedge to a target without an own connection went through a peer like the first request. Both replies were merged, so records counted twice. Batches of one request now deliver its reply by itself. - Peers were suspended after two batches of one request without a result, whose target was paused.

--- a/internal/query/placer/placer_test.go
+++ b/internal/query/placer/placer_test.go
@@ -61,6 +61,12 @@
 	p.Suspend("d", start)
 	assert.Equal(t, choose(start.Add(1900*time.Millisecond)), "c")
 	assert.Equal(t, choose(start.Add(2100*time.Millisecond)), "d")
+	// One that answers all the same is neither lost nor frozen.
+	run := p.Begin(others[2], query, start)
+	p.Suspend("d", start)
+	assert.Equal(t, choose(start), "c")
+	run.Answered(start.Add(20 * time.Millisecond))
+	assert.Equal(t, choose(start.Add(20*time.Millisecond)), "d")
 }
 
 // Guards against instances that all send to the same one: equal ones must take turns by chance.
@@ -160,6 +166,14 @@
 	}
 	run = p.Begin(c, query, now)
 	assert.Assert(t, run.Expected() < 18*time.Millisecond, run.Expected())
+	// Queries that another instance has answered first count too.
+	for range 5 {
+		run := p.Begin(c, query, now)
+		now = now.Add(33 * time.Millisecond)
+		run.Canceled(now)
+	}
+	run = p.Begin(c, query, now)
+	assert.Assert(t, run.Expected() > 25*time.Millisecond && run.Expected() <= 33*time.Millisecond, run.Expected())
 }
 
 // Guards against parts that an instance gets although it has too little capacity or is busy, and against instances that
--- a/internal/query/placer/run.go
+++ b/internal/query/placer/run.go
@@ -38,13 +38,28 @@
 	r.entry.handedOver -= r.query.Parts
 }
 
+// Canceled records the end of a query that is no longer needed. Its answer would have taken longer than the time until now,
+// which counts in the tail of the waits: if only answers counted, the slow ones among them would be missing.
+func (r *Run) Canceled(now time.Time) {
+	r.placer.mu.Lock()
+	defer r.placer.mu.Unlock()
+	r.entry.handedOver -= r.query.Parts
+	w := now.Sub(r.began) - r.explained
+	if known, found := r.placer.waits[r.query.Route]; found && w > known.tail {
+		known.tail += time.Duration(tailRiseWeight * float64(w-known.tail))
+		r.placer.waits[r.query.Route] = known
+	}
+}
+
 // Answered records the end of the query by an answer. The time that neither the work nor the usual wait for targets explains
-// is charged to the instance, so that one that reports too little work is not preferred for long.
+// is charged to the instance, so that one that reports too little work is not preferred for long. An instance that answers is
+// neither lost nor frozen, so it no longer rests.
 func (r *Run) Answered(now time.Time) {
 	p := r.placer
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r.entry.handedOver -= r.query.Parts
+	r.entry.suspendedUntil = time.Time{}
 	explained := r.explained
 	if now.Sub(r.entry.reportedAt) <= maxReportAge && r.capacity > 0 {
 		// Work of others that the instance had by the end explains the time as well, but only as much as it has reported.
--- a/internal/query/relayer/placement.go
+++ b/internal/query/relayer/placement.go
@@ -254,9 +254,12 @@
 		answer, err := placement.helpers.HandTo(q.ctx, helper.Instance, request, func(inProgress int) {
 			placement.placer.RecordWork(helper.Instance, inProgress, time.Now())
 		})
-		if err == nil && isSuccess(answer) {
+		switch {
+		case err == nil && isSuccess(answer):
 			run.Answered(time.Now())
-		} else {
+		case q.ctx.Err() != nil:
+			run.Canceled(time.Now())
+		default:
 			run.End()
 		}
 		q.attempts <- attempt{helper: helper.Instance, answer: answer, err: err}
--- a/internal/query/relayer/start.go
+++ b/internal/query/relayer/start.go
@@ -119,7 +119,14 @@
 	go f.concentrator.Send(f.sendCtx, batch, func(parts concentrator.PartialResults) {
 		replied()
 		received := resultBatch{merged: true, records: parts.Records}
+		if len(choices) == 1 {
+			// The records are those of one reply. A part may be sent in several such batches, and only one reply counts.
+			received = resultBatch{}
+		}
 		for n, result := range parts.Results {
+			if !received.merged && result.CanBeMerged() {
+				result.Reply.Body = parts.Records
+			}
 			ends[n](result)
 			received.results = append(received.results, partResult{part: choices[n].part, target: choices[n].target, result: result})
 		}
--- a/internal/standin/httpresponder/httpresponder.go
+++ b/internal/standin/httpresponder/httpresponder.go
@@ -124,7 +124,9 @@
 	received      []*ReceivedRequest
 	conns         map[net.Conn]bool
 	acceptedCount int
-	hasEnded      bool
+	// mostConns is the largest number of connections at the same time since ResetMostConnections.
+	mostConns int
+	hasEnded  bool
 }
 
 // Option configures a Target.
@@ -230,6 +232,20 @@
 	return t.hasEnded
 }
 
+// MostConnections returns the largest number of connections at the same time since ResetMostConnections.
+func (t *Target) MostConnections() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.mostConns
+}
+
+// ResetMostConnections counts anew from the connections that are open now.
+func (t *Target) ResetMostConnections() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.mostConns = len(t.conns)
+}
+
 func (t *Target) accept() {
 	for {
 		conn, err := t.listener.Accept()
@@ -239,6 +255,7 @@
 		t.mu.Lock()
 		t.conns[conn] = true
 		t.acceptedCount++
+		t.mostConns = max(t.mostConns, len(t.conns))
 		t.mu.Unlock()
 		go t.serve(conn)
 	}
--- a/internal/target/concentrator/concentrator.go
+++ b/internal/target/concentrator/concentrator.go
@@ -245,7 +245,10 @@
 		return
 	}
 	deliver(results.decode(reply.Parts))
-	c.countEmptyReply(batch.Peer, results.remaining == len(batch.Targets))
+	if len(batch.Targets) >= minTargets {
+		// Of a few targets, all may be paused.
+		c.countEmptyReply(batch.Peer, results.remaining == len(batch.Targets))
+	}
 	for results.remaining > 0 {
 		select {
 		case parts := <-late:
--- a/internal/target/concentrator/concentrator_test.go
+++ b/internal/target/concentrator/concentrator_test.go
@@ -481,3 +481,16 @@
 	invalid := transporter.NewRequest("r1", http.MethodGet, "/", "h", http.Header{"X-Other": {"caf\xe9"}}, nil)
 	assert.Equal(t, len(p.requester.UsablePeers("east", []string{"c"}, invalid)), 0)
 }
+
+// Guards against a peer that gets no batches because the only target of two small ones was paused.
+func TestPeerIsNotSuspendedWhenBatchesOfOneStayEmpty(t *testing.T) {
+	p := startPair(t, 1)
+	p.fakeSender.delays[p.targets[0].ID] = 100 * time.Millisecond
+	for range 3 {
+		batch := p.batch(time.Second)
+		batch.FlushAfter = 20 * time.Millisecond
+		_ = p.send(t.Context(), batch)
+	}
+	_, found := p.requester.ChoosePeer("east", 3, p.batch(0).Request)
+	assert.Assert(t, found)
+}
