--- a/internal/query/relayer/placement.go
+++ b/internal/query/relayer/placement.go
@@ -294,9 +294,12 @@
 	go func() {
 		defer cancel()
 		answer, err := placement.helpers.HandTo(ctx, helper.Instance, request, events)
-		if err == nil && isSuccess(answer) {
+		switch {
+		case err == nil && isSuccess(answer):
 			run.Answered(time.Now())
-		} else {
+		case ctx.Err() != nil:
+			run.Canceled(time.Now())
+		default:
 			run.End()
 		}
 		q.attempts <- attempt{helper: helper.Instance, answer: answer, err: err}
