--- a/internal/caller/receiver/delegation.go
+++ b/internal/caller/receiver/delegation.go
@@ -45,6 +45,9 @@
 		return refuse(reason)
 	case !rc.relay.CanServeRoute(route, d.Outbound.ID):
 		return refuse("too few serving and reachable targets")
+	case d.Wide && table.Version() != d.Version:
+		// The origin would show its caller a newer configuration, and then its own again.
+		return refuse("newer configuration")
 	case d.Wide && !rc.relay.HasRoomFor(route):
 		return refuse("too little CPU capacity left")
 	case d.PriorRuns >= route.MaxRuns:
@@ -55,7 +58,7 @@
 		d.Outbound = d.Outbound.WithCredentials(d.KeyDigest.String())
 	}
 	request := relayer.Request{
-		Route: route, Table: table, Outbound: d.Outbound, Tenant: sender.tenant, KeyDigest: sender.digest, Arrived: arrived, Delegated: true, BeforeRepeat: d.BeforeRepeat, PriorRuns: d.PriorRuns,
+		Route: route, Table: table, Outbound: d.Outbound, Tenant: sender.tenant, KeyDigest: sender.digest, Arrived: arrived, Delegated: true, MayRepeat: d.MayRepeat, PriorRuns: d.PriorRuns,
 		Deadline: rc.limitToService(arrived.Add(d.TimeLeft)),
 	}
 	if d.DueIn != nil {
--- a/internal/query/delegator/delegator.go
+++ b/internal/query/delegator/delegator.go
@@ -31,6 +31,7 @@
 	methodReadBody   = "relay-body"
 	methodEnd        = "relay-end"
 	methodRepeats    = "relay-repeats"
+	methodHold       = "relay-hold"
 	// maxDelegates is the maximum number of instances to which one request is handed over. The next one gets it only if the
 	// one before has not taken it.
 	maxDelegates = 3
@@ -95,6 +96,8 @@
 
 	// handedOver holds what to call, by handedOverKey, when another instance repeats parts of a query of this one.
 	handedOver sync.Map
+	// repetitions holds the *repetition of each query that this instance runs for another one, by delegationKey.
+	repetitions sync.Map
 
 	mu sync.Mutex
 	// round is the latest round of questions; nil before the first.
@@ -132,6 +135,7 @@
 	messenger.Handle(m, methodReadBody, d.serveBody)
 	messenger.Handle(m, methodEnd, d.cancelRequest)
 	messenger.Handle(m, methodRepeats, d.receiveRepeatNotice)
+	messenger.Handle(m, methodHold, d.holdRepetition)
 }
 
 // SetServer sets what serves the requests of other instances. It must be called before the messenger starts.
@@ -271,6 +275,7 @@
 	id := strconv.FormatInt(d.lastID.Add(1), 36)
 	callCtx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
+	events.Begun(func(ctx context.Context) (bool, error) { return d.askToHold(ctx, peer, id) })
 	d.handedOver.Store(handedOverKey{peer: peer, id: id}, events.Repeats)
 	defer d.handedOver.Delete(handedOverKey{peer: peer, id: id})
 	reply, err := messenger.Call[encoder.DelegatedRequest, encoder.DelegatedAnswer](callCtx, d.messenger, peer, methodDelegate, encodeRequest(id, request))
@@ -359,23 +364,3 @@
 		d.logger.Debug("end of request not sent to peer", "peer", peer, "error", err)
 	}
 }
-
-// handedOverKey identifies a query that another instance runs for this one.
-type handedOverKey struct{ peer, id string }
-
-// receiveRepeatNotice takes the statement of another instance that it repeats parts of a query of this one.
-func (d *Delegator) receiveRepeatNotice(_ context.Context, peer messenger.Peer, message encoder.RepeatNotice) (struct{}, error) {
-	if notify, found := d.handedOver.Load(handedOverKey{peer: peer.Instance, id: message.Id}); found {
-		notify.(func())()
-	}
-	return struct{}{}, nil
-}
-
-// sendRepeatNotice tells the origin of a query that this instance repeats parts of it.
-func (d *Delegator) sendRepeatNotice(peer messenger.Peer, id string) {
-	ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
-	defer cancel()
-	if err := messenger.NotifyIncarnation(ctx, d.messenger, peer, methodRepeats, encoder.RepeatNotice{Id: id}); err != nil {
-		d.logger.Debug("repetition of a query not announced to its origin", "peer", peer.Instance, "error", err)
-	}
-}
--- a/internal/query/delegator/delegator_test.go
+++ b/internal/query/delegator/delegator_test.go
@@ -316,18 +316,21 @@
 	assert.Equal(t, served[1].KeyDigest, authenticator.NewDigest("k"))
 }
 
-// Guards against a query that is taken for not run although it may have run, or the reverse, against work that is not
-// reported, and against a query that the other instance cannot tell from one of a stranded instance.
+// Guards against a query that is taken for not run although it may have run, or the reverse, against repetitions by both
+// instances, against work that is not reported, and against a query that the other instance cannot tell from one of a stranded instance.
 func TestQueryIsHandedToAnInstanceWithoutAskingFirst(t *testing.T) {
 	origin, delegates := startInstances(t, "b", "c")
 	b, c := delegates["b"], delegates["c"]
 	b.server.able = false
 	reported := 0
 	var repeats atomic.Int64
+	var hold func(context.Context) (bool, error)
 	handTo := func(ctx context.Context, peer string) (relayer.Answer, error) {
 		request := newRequest(t, 2*time.Second)
 		request.Wide = true
-		return origin.HandTo(ctx, peer, request, relayer.HelperEvents{Work: func(inProgress int) { reported = inProgress }, Repeats: func() { repeats.Add(1) }})
+		return origin.HandTo(ctx, peer, request, relayer.HelperEvents{
+			Begun: func(h func(context.Context) (bool, error)) { hold = h }, Work: func(inProgress int) { reported = inProgress }, Repeats: func() { repeats.Add(1) },
+		})
 	}
 	answer, err := handTo(t.Context(), "b")
 	assert.NilError(t, err)
@@ -346,13 +349,22 @@
 	assert.Equal(t, reported, workInProgress)
 
 	b.server.serve = func(_ context.Context, d relayer.Delegation) (relayer.Answer, error) {
-		d.BeforeRepeat()
-		time.Sleep(50 * time.Millisecond)
+		assert.Check(t, d.MayRepeat() && d.MayRepeat())
+		held, err := hold(t.Context())
+		assert.Check(t, err == nil && !held)
 		return relayer.Answer{Outcome: relayer.Merged}, nil
 	}
 	_, err = handTo(t.Context(), "b")
 	assert.NilError(t, err)
 	assert.Equal(t, repeats.Load(), int64(1))
+	b.server.serve = func(_ context.Context, d relayer.Delegation) (relayer.Answer, error) {
+		held, err := hold(t.Context())
+		assert.Check(t, err == nil && held)
+		assert.Check(t, !d.MayRepeat())
+		return relayer.Answer{Outcome: relayer.Merged}, nil
+	}
+	_, err = handTo(t.Context(), "b")
+	assert.NilError(t, err)
 
 	canceled := make(chan struct{})
 	c.server.serve = func(ctx context.Context, _ relayer.Delegation) (relayer.Answer, error) {
--- a/internal/query/delegator/serve.go
+++ b/internal/query/delegator/serve.go
@@ -38,7 +38,10 @@
 		return encoder.DelegatedAnswer{Outcome: "canceled by the origin"}, nil
 	}
 	if delegation.Wide {
-		delegation.BeforeRepeat = func() { d.sendRepeatNotice(peer, message.Id) }
+		r := &repetition{announce: func() { d.sendRepeatNotice(peer, message.Id) }}
+		d.repetitions.Store(key, r)
+		defer d.repetitions.Delete(key)
+		delegation.MayRepeat = r.begin
 	}
 	answer, err := d.server.ServeDelegated(ctx, delegation)
 	var notAccepted *relayer.NotAcceptedError
--- a/internal/query/relayer/delegation.go
+++ b/internal/query/relayer/delegation.go
@@ -42,8 +42,8 @@
 	PriorRuns int
 	// Wide reports whether the origin has handed the request over because it lacks CPU capacity.
 	Wide bool
-	// BeforeRepeat is as in Request.
-	BeforeRepeat func()
+	// MayRepeat is as in Request.
+	MayRepeat func() bool
 }
 
 // NotAcceptedError reports a delegated request that was not sent to any target and never will be.
--- a/internal/query/relayer/forwarder.go
+++ b/internal/query/relayer/forwarder.go
@@ -115,8 +115,6 @@
 	roomAfter time.Duration
 	// nextOutlook is the earliest time at which the outlook of a waiting request is looked at again.
 	nextOutlook time.Time
-	// announcedRepeat reports whether request.BeforeRepeat was called.
-	announcedRepeat bool
 	// succeeded reports whether the answer is a success.
 	succeeded bool
 	// stranded reports whether the request ended without a success that another instance could have, and runsWhenStranded
--- a/internal/query/relayer/placement.go
+++ b/internal/query/relayer/placement.go
@@ -42,6 +42,9 @@
 
 // HelperEvents receives what another instance states while it runs a query. The functions must not block.
 type HelperEvents struct {
+	// Begun gets a function that asks the instance to leave repetitions of parts to this one, and reports whether it does. It
+	// is called before the query is sent.
+	Begun func(hold func(ctx context.Context) (held bool, err error))
 	// Work gets the number of parts that the instance has in progress.
 	Work func(inProgress int)
 	// Repeats is called before the instance sends parts of the query to a second target.
@@ -130,9 +133,13 @@
 	tried   []string
 	// running is the number of runs that have not ended, and runs the number of those that targets may have seen.
 	running, runs int
-	// latest is the instance that runs the query since the latest start; empty for this one. cancelLatest ends that run.
+	// holds receives the results of requests to leave repetitions to this instance.
+	holds chan holdResult
+	// latest is the instance that runs the query since the latest start; empty for this one. cancelLatest ends that run, and
+	// holdLatest asks the instance to leave repetitions to this one.
 	latest       string
 	cancelLatest context.CancelFunc
+	holdLatest   func(ctx context.Context) (held bool, err error)
 	// repeated is the number of instances that may have sent parts to a second target.
 	repeated int
 	// expected is the time in which nearly all answers of that instance arrive; 0 if unknown.
@@ -152,7 +159,7 @@
 	runCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	q := &placedQuery{
-		relayer: r, request: request, query: placer.NewQuery(request.Route), ctx: runCtx, attempts: make(chan attempt, maxHelpers+1), repeats: make(chan string, maxHelpers),
+		relayer: r, request: request, query: placer.NewQuery(request.Route), ctx: runCtx, attempts: make(chan attempt, maxHelpers+1), repeats: make(chan string, maxHelpers), holds: make(chan holdResult, maxHelpers),
 	}
 	if !q.startNext() {
 		r.count("kept")
@@ -196,9 +203,11 @@
 				hedge.Stop()
 			}
 		case <-hedge.C:
-			if q.latest != "" && q.running > 0 {
-				q.startLate()
+			if q.latest != "" && q.running > 0 && q.mayStartAgain() {
+				q.askToHold()
 			}
+		case result := <-q.holds:
+			q.endHold(result)
 		case <-q.ctx.Done():
 			return Answer{Outcome: Abandoned, Decisions: q.decisions}, true
 		}
@@ -216,14 +225,38 @@
 	return min(max(time.Duration(hedgeTimeShare*float64(left)), minHedgeTime, q.expected), left)
 }
 
-// startLate starts the query once more because the instance that runs it has neither answered nor stated that it repeats
-// parts by the hedge time. That instance gets no queries for a while, and must not repeat parts of this one any more: a
-// part would run on more targets than the route allows.
-func (q *placedQuery) startLate() {
-	if !q.mayStartAgain() {
+// holdTimeout limits the wait for an instance that has not answered by the hedge time. One that answers no message for so
+// long is lost or frozen.
+const holdTimeout = 30 * time.Millisecond
+
+// holdResult is the result of a request to leave the repetitions of a query to this instance.
+type holdResult struct {
+	helper string
+	held   bool
+	err    error
+}
+
+// askToHold asks the instance that runs the query, and has neither answered nor announced repetitions by the hedge time, to
+// leave them to this one.
+func (q *placedQuery) askToHold() {
+	helper, hold := q.latest, q.holdLatest
+	go func() {
+		ctx, cancel := context.WithTimeout(q.ctx, holdTimeout)
+		defer cancel()
+		held, err := hold(ctx)
+		q.holds <- holdResult{helper: helper, held: held, err: err}
+	}()
+}
+
+// endHold starts the query once more if the instance that runs it leaves repetitions to this one, or does not answer. That
+// instance gets no queries for a while. One that does not answer is cancelled, for the case that it wakes up.
+func (q *placedQuery) endHold(result holdResult) {
+	if result.helper != q.latest || q.running == 0 || !q.mayStartAgain() || result.err == nil && !result.held {
 		return
 	}
-	q.cancelLatest()
+	if result.err != nil {
+		q.cancelLatest()
+	}
 	q.late = q.latest
 	q.relayer.count("late")
 	q.relayer.placement.placer.Suspend(q.latest, time.Now())
@@ -287,7 +320,17 @@
 	q.expected = run.Expected()
 	ctx, cancel := context.WithCancel(q.ctx)
 	q.cancelLatest = cancel
+	begun := make(chan func(context.Context) (bool, error), 1)
+	q.holdLatest = func(ctx context.Context) (bool, error) {
+		select {
+		case hold := <-begun:
+			return hold(ctx)
+		case <-ctx.Done():
+			return false, ctx.Err()
+		}
+	}
 	events := HelperEvents{
+		Begun:   func(hold func(context.Context) (bool, error)) { begun <- hold },
 		Work:    func(inProgress int) { placement.placer.RecordWork(helper.Instance, inProgress, time.Now()) },
 		Repeats: sync.OnceFunc(func() { q.repeats <- helper.Instance }),
 	}
@@ -323,7 +366,7 @@
 		q.runs--
 		q.relayer.count("refused")
 	case a.helper == q.late:
-		// It was cancelled.
+		// It was cancelled, or has failed since.
 		q.lost = true
 		return Answer{}, false
 	default:
--- a/internal/query/relayer/placement_test.go
+++ b/internal/query/relayer/placement_test.go
@@ -26,8 +26,8 @@
 	delay  time.Duration
 	err    error
 	answer relayer.Answer
-	// repeats reports whether it announces that it repeats parts.
-	repeats bool
+	// repeats reports whether it announces that it repeats parts, and frozen whether it answers no messages.
+	repeats, frozen bool
 }
 
 // fakeHelpers records the queries that are handed over. The instances are in another failure domain the more, the later
@@ -54,6 +54,13 @@
 	h.asked, h.requests = append(h.asked, instance), append(h.requests, request)
 	h.mu.Unlock()
 	events.Work(0)
+	events.Begun(func(ctx context.Context) (bool, error) {
+		if h.helpers[instance].frozen {
+			<-ctx.Done()
+			return false, ctx.Err()
+		}
+		return !h.helpers[instance].repeats, nil
+	})
 	if h.helpers[instance].repeats {
 		events.Repeats()
 	}
@@ -144,7 +151,9 @@
 		{"refused", map[string]helper{"first": {err: errNotAccepted}, "second": {answer: placedAnswer}}, []string{"first", "second"}, 0, map[string]int64{"refused": 1, "answered": 1}, false, 0},
 		{"unreached", map[string]helper{"first": {err: errNotReceived}, "second": {answer: placedAnswer}}, []string{"first", "second"}, 0, map[string]int64{"unreached": 1, "answered": 1}, false, 0},
 		{"lost", map[string]helper{"first": {err: errLost}, "second": {answer: placedAnswer}}, []string{"first", "second"}, 1, map[string]int64{"lost": 1, "repeated-elsewhere": 1, "answered-by-second": 1}, false, 0},
-		{"frozen", map[string]helper{"first": {delay: time.Hour}, "second": {answer: placedAnswer}}, []string{"first", "second"}, 1, map[string]int64{"late": 1, "answered-by-second": 1}, false, 70 * time.Millisecond},
+		{"frozen", map[string]helper{"first": {delay: time.Hour, frozen: true}, "second": {answer: placedAnswer}}, []string{"first", "second"}, 1, map[string]int64{"late": 1, "answered-by-second": 1}, false, 100 * time.Millisecond},
+		{"slow", map[string]helper{"first": {delay: time.Hour}, "second": {answer: placedAnswer}}, []string{"first", "second"}, 1, map[string]int64{"late": 1, "canceled": 1, "answered-by-second": 1}, false, 70 * time.Millisecond},
+		{"slow, but first", map[string]helper{"first": {delay: 80 * time.Millisecond, answer: placedAnswer}, "second": {delay: time.Hour}}, []string{"first", "second"}, 1, map[string]int64{"late": 1, "canceled": 1, "answered": 1}, false, 80 * time.Millisecond},
 		{"slow, but repeating", map[string]helper{"first": {delay: 80 * time.Millisecond, answer: placedAnswer, repeats: true}}, []string{"first"}, 0, map[string]int64{"answered": 1}, false, 80 * time.Millisecond},
 		{"late, then refused", map[string]helper{"first": {delay: time.Hour}, "second": {err: errNotAccepted}}, []string{"first", "second"}, 1, map[string]int64{"late": 1, "refused": 1, "repeated-here": 1, "answered-by-second": 1}, true, 70 * time.Millisecond},
 		{"all refuse", map[string]helper{"first": {err: errNotAccepted}, "second": {err: errNotAccepted}}, []string{"first", "second"}, 0, map[string]int64{"refused": 2, "kept": 1}, true, 0},
--- a/internal/query/relayer/relayer.go
+++ b/internal/query/relayer/relayer.go
@@ -112,9 +112,9 @@
 	PriorRuns int
 	// Wide reports whether the request is handed over because this instance lacks CPU capacity for it.
 	Wide bool
-	// BeforeRepeat is called once, before a target may get a part of the request that another one was sent; nil if nobody
-	// needs to know.
-	BeforeRepeat func()
+	// MayRepeat reports whether a target may get a part of the request that another one was sent; nil if it may as far as the
+	// route allows.
+	MayRepeat func() bool
 	// Tenant is the tenant that holds the caller's key; nil if tenants are not configured or the caller is anonymous.
 	Tenant *authenticator.Tenant
 	// KeyDigest is the digest of the caller's key; zero without a tenant.
--- a/internal/query/relayer/steps.go
+++ b/internal/query/relayer/steps.go
@@ -36,8 +36,14 @@
 		f.giveUp(p)
 		return
 	}
-	if hedge || p.sentRequests > 0 || f.request.PriorRuns > 0 {
-		f.announceRepeat()
+	if (hedge || p.sentRequests > 0) && !f.mayRepeat() {
+		if hedge {
+			f.postponeHedge(p)
+			return
+		}
+		f.addDecision(p, "", "repetition left to the origin")
+		f.giveUp(p)
+		return
 	}
 	if !f.sender.MayTake(p.service.Name, f.rank(), p.waiter) {
 		if hedge {
@@ -76,13 +82,8 @@
 	f.sendTo(i, target)
 }
 
-// announceRepeat tells whoever wants to know it, once, that a target may get a part that another one was sent.
-func (f *forwarder) announceRepeat() {
-	if f.request.BeforeRepeat != nil && !f.announcedRepeat {
-		f.announcedRepeat = true
-		f.request.BeforeRepeat()
-	}
-}
+// mayRepeat reports whether a target may get a part that another one was sent.
+func (f *forwarder) mayRepeat() bool { return f.request.MayRepeat == nil || f.request.MayRepeat() }
 
 // takeBudget takes one unit of the retry or hedge budget, and reports whether there was one.
 func (f *forwarder) takeBudget(p *part, hedge bool) bool {
--- a/internal/wire/encoder/types.go
+++ b/internal/wire/encoder/types.go
@@ -712,6 +712,25 @@
 	Shard string `json:"shard"`
 }
 
+// Reply to a HoldRequest.
+type HoldReply struct {
+	// Hybrid logical clock of the sender.
+	Clock int `json:"clock"`
+
+	// True if the instance has sent no part once more and will not.
+	Held bool `json:"held"`
+}
+
+// Asks an instance not to send parts of a delegated query once more, unless it has
+// done so already.
+type HoldRequest struct {
+	// Hybrid logical clock of the sender.
+	Clock int `json:"clock"`
+
+	// Id of the delegation.
+	Id string `json:"id"`
+}
+
 // An index with the versions that may be queried.
 type Index struct {
 	// Unique name.
