Read the list of instances before the first tokens are issued

An instance without a table was asked for tokens with only itself in its list and issued the whole limit: 30 instead of 0 tokens in TestInstanceWithoutTenantsIssuesOnlyItsPortions.

--- a/internal/query/rationer/rationer.go
+++ b/internal/query/rationer/rationer.go
@@ -68,7 +68,8 @@
 // Tables tells what this package needs to know of the routing table in force.
 type Tables interface {
 	TableVersion() int
-	// HasTenants reports whether the table has tenants. Without them, the list of instances is not followed.
+	// HasTenants reports whether the table has tenants. Without them, the list of instances is followed only from the first
+	// request on.
 	HasTenants() bool
 }
 
@@ -101,6 +102,8 @@
 	counters  counters
 	// list is the latest list of the tracker.
 	list atomic.Pointer[allotter.Fleet]
+	// follows reports whether the list has been read. Before, this instance would take itself for the only one.
+	follows atomic.Bool
 
 	// issuerMu guards tracker, issuer and ignorant. It may be locked while the lock of a tenant is held, never the reverse.
 	issuerMu sync.Mutex
@@ -158,7 +161,7 @@
 	defer ticker.Stop()
 	droppedAt, recheckedAt := r.now(), r.now()
 	for {
-		if r.tables.HasTenants() {
+		if r.follows.Load() || r.tables.HasTenants() {
 			r.update()
 		}
 		r.report()
@@ -193,6 +196,7 @@
 	}
 	r.tracker.Update(r.now(), members, allotter.Seeds{Total: total, Reached: reached})
 	r.list.Store(r.tracker.Fleet())
+	r.follows.Store(true)
 }
 
 // report logs and records what has changed.
@@ -271,6 +275,9 @@
 	if rate <= 0 {
 		return true, 0
 	}
+	if !r.follows.Load() {
+		r.update()
+	}
 	t := r.tenant(tenantName)
 	r.counters.asked.Inc(1)
 	t.mu.Lock()
--- a/internal/query/rationer/rationer_test.go
+++ b/internal/query/rationer/rationer_test.go
@@ -27,6 +27,8 @@
 type fleet struct {
 	own       string
 	addresses map[string]string
+	// hasNoTenants reports whether the instance has no table with tenants.
+	hasNoTenants bool
 }
 
 func (f fleet) Statuses() []encoder.MemberStatus {
@@ -42,7 +44,7 @@
 func (f fleet) SeedsReached() (reached, total int) { return 0, 0 }
 func (f fleet) Reachable(string) bool              { return true }
 func (f fleet) TableVersion() int                  { return 1 }
-func (f fleet) HasTenants() bool                   { return true }
+func (f fleet) HasTenants() bool                   { return !f.hasNoTenants }
 
 func (f fleet) PeerAddress(name string) (string, bool) {
 	address, found := f.addresses[name]
@@ -83,7 +85,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var rationers []*rationer.Rationer
 	for _, name := range names {
-		f := fleet{own: name, addresses: addresses}
+		f := fleet{own: name, addresses: addresses, hasNoTenants: name == "without-tenants"}
 		m := newMessenger(t, f)
 		r := rationer.New(rationer.Identity{Instance: name, FailureDomain: "east"}, bounds, f, f, f, recorder.New(name, timekeeper.NewHybridClock(time.Now), 10),
 			log.New(io.Discard), tally.NoopScope)
@@ -125,6 +127,23 @@
 	assert.Equal(t, len(usage[0].Custodians), 12)
 }
 
+// Guards against an instance without a table that is asked for tokens and takes itself for the only custodian, since it has
+// not followed the list of instances.
+func TestInstanceWithoutTenantsIssuesOnlyItsPortions(t *testing.T) {
+	addresses := newAddresses(t, "a", "without-tenants")
+	other := newMessenger(t, fleet{own: "a", addresses: addresses})
+	messenger.Handle(other, "quota-take", func(context.Context, messenger.Peer, encoder.QuotaRequest) (encoder.QuotaReply, error) {
+		objects := true
+		return encoder.QuotaReply{Objects: &objects}, nil
+	})
+	assert.NilError(t, other.Start())
+	start(t, addresses, "without-tenants")
+	request := encoder.QuotaRequest{Tenant: "t", Rate: 20, Burst: 100, Wanted: 100}
+	reply, err := messenger.Call[encoder.QuotaRequest, encoder.QuotaReply](t.Context(), other, "without-tenants", "quota-take", request)
+	assert.NilError(t, err)
+	assert.Equal(t, reply.Granted, 0)
+}
+
 // Guards against requests that wait for instances that never answer, beyond the time for a decision or after their callers
 // have left.
 func TestAdmitDecidesInTimeWhenNoInstanceAnswers(t *testing.T) {
--- a/internal/query/rationer/serve.go
+++ b/internal/query/rationer/serve.go
@@ -26,6 +26,9 @@
 	if request.Tenant == "" || request.Wanted == 0 || !isLimit(request.Limit) {
 		return encoder.QuotaReply{}, nil
 	}
+	if !r.follows.Load() {
+		r.update()
+	}
 	reply, inquiries := r.take(request)
 	switch {
 	case len(inquiries) > 0 && reply.Granted > 0:
