--- a/internal/query/allotter/issuer.go
+++ b/internal/query/allotter/issuer.go
@@ -134,6 +134,8 @@
 	portion, spare, cutOff bucket
 	// spareActive and cutOffActive report whether the bucket issues tokens.
 	spareActive, cutOffActive bool
+	// wasCutOff reports whether the bucket for a domain that is cut off has issued tokens before.
+	wasCutOff bool
 	// evidence holds what is known of the reachability of custodians, by name.
 	evidence map[string]evidence
 	// refusals counts the refused askers, to stagger their return. pressure is their number per second, decaying, at
@@ -417,7 +419,12 @@
 		return 0, unknownWait
 	}
 	if !a.cutOffActive {
-		a.cutOffActive, a.cutOff = true, bucket{at: now}
+		// The bucket has a capacity of 1, which the bound has room for in any window, so that it may have earned a token before
+		// the domain was cut off: the first request of each tenant is admitted then.
+		if a.cutOffActive = true; !a.wasCutOff {
+			a.wasCutOff, a.cutOff = true, bucket{at: i.tracker.started}
+		}
+		a.cutOff.fill(now, rate, 1)
 		i.notify(CutOffStarted, tenant, i.tracker.ownDomain)
 	}
 	a.cutOff.fill(now, rate, 1)
--- a/internal/query/relayer/placement.go
+++ b/internal/query/relayer/placement.go
@@ -203,6 +203,7 @@
 				hedge.Stop()
 			}
 		case <-hedge.C:
+			q.takeAnnouncements()
 			if q.latest != "" && q.running > 0 && q.mayStartAgain() {
 				q.askToHold()
 			}
@@ -226,8 +227,9 @@
 }
 
 // holdTimeout limits the wait for an instance that has not answered by the hedge time. One that answers no message for so
-// long is lost or frozen.
-const holdTimeout = 30 * time.Millisecond
+// long is lost or frozen. It is longer than a small instance waits for its processor at times, which then handles the
+// messages of a sound one late.
+const holdTimeout = 100 * time.Millisecond
 
 // holdResult is the result of a request to leave the repetitions of a query to this instance.
 type holdResult struct {
@@ -248,9 +250,22 @@
 	}()
 }
 
+// takeAnnouncements counts the announcements of repetitions that have arrived.
+func (q *placedQuery) takeAnnouncements() {
+	for {
+		select {
+		case <-q.repeats:
+			q.repeated++
+		default:
+			return
+		}
+	}
+}
+
 // endHold starts the query once more if the instance that runs it leaves repetitions to this one, or does not answer. That
 // instance gets no queries for a while. One that does not answer is cancelled, for the case that it wakes up.
 func (q *placedQuery) endHold(result holdResult) {
+	q.takeAnnouncements()
 	if result.helper != q.latest || q.running == 0 || !q.mayStartAgain() || result.err == nil && !result.held {
 		return
 	}
