--- a/internal/query/allotter/model_test.go
+++ b/internal/query/allotter/model_test.go
@@ -30,10 +30,10 @@
 	start := w.now
 	steps := rapid.IntRange(1, 8).Draw(t, "steps")
 	lowered, loweredFrom := limit, time.Duration(-1)
-	w.load(limit.Rate, start+10*time.Minute, w.pickAny)
-	w.load(2, start+10*time.Minute, func() *instance {
+	w.load(min(4*limit.Rate, limit.Rate+60), start+10*time.Minute, w.pickAny)
+	w.load(min(limit.Rate, 10), start+10*time.Minute, func() *instance {
 		// A burst shows what is saved up.
-		for range int(limit.Rate) + 3 {
+		for range int(limit.Rate/4) + 3 {
 			w.pickAny().request()
 		}
 		return w.pickAny()
