--- a/internal/caller/assembler/relay.go
+++ b/internal/caller/assembler/relay.go
@@ -191,7 +191,7 @@
 
 func newAssigner(settings loader.Settings, d *discoverer.Discoverer, r *registrar.Registrar) *placer.Assigner {
 	own := enroller.Capacity{Instance: settings.Instance(), FailureDomain: settings.FailureDomain(), Thousandths: settings.Relay().CPUCapacity}
-	return placer.NewAssigner(own, d, func() *mapper.Table { return r.View().Table() })
+	return placer.NewAssigner(own, d, func() *mapper.Table { return r.View().Table() }, placer.WithJoining(d.Joining))
 }
 
 func newDelegator(
--- a/internal/cluster/discoverer/discoverer.go
+++ b/internal/cluster/discoverer/discoverer.go
@@ -226,12 +226,15 @@
 	switch {
 	case len(d.OtherInstances()) == 0:
 		return searchInterval
-	case time.Since(d.started) < joinPeriod:
+	case d.Joining():
 		return joinInterval
 	}
 	return exchangeInterval
 }
 
+// Joining reports whether this instance has started so recently that it may not know most of the others.
+func (d *Discoverer) Joining() bool { return time.Since(d.started) < joinPeriod }
+
 // connectSeeds connects to the seeds that are not known as instances, to find the other instances at the start or after
 // a partition.
 func (d *Discoverer) connectSeeds(ctx context.Context) {
--- a/internal/query/placer/assignment.go
+++ b/internal/query/placer/assignment.go
@@ -34,6 +34,8 @@
 	own   enroller.Capacity
 	fleet Fleet
 	table func() *mapper.Table
+	// joining reports whether this instance may not know most of the others yet.
+	joining func() bool
 
 	mu      sync.Mutex
 	current *assignment
@@ -47,8 +49,8 @@
 	shards map[string]bool
 	// large and small are the numbers of large instances and of others with a known capacity, including this one.
 	large, small int
-	// isLarge reports whether this instance is large.
-	isLarge bool
+	// isLarge reports whether this instance is large, and isTooSmall whether a query is too wide for it.
+	isLarge, isTooSmall bool
 	// connections caches the connections of this instance.
 	connections map[connectionsKey]int
 }
@@ -59,8 +61,20 @@
 }
 
 // NewAssigner returns an Assigner for this instance. The function table returns the routing table in force, or nil.
-func NewAssigner(own enroller.Capacity, fleet Fleet, table func() *mapper.Table) *Assigner {
-	return &Assigner{own: own, fleet: fleet, table: table}
+func NewAssigner(own enroller.Capacity, fleet Fleet, table func() *mapper.Table, opts ...Option) *Assigner {
+	a := &Assigner{own: own, fleet: fleet, table: table, joining: func() bool { return false }}
+	for _, opt := range opts {
+		opt(a)
+	}
+	return a
+}
+
+// Option configures an Assigner.
+type Option func(*Assigner)
+
+// WithJoining sets the function that reports whether this instance may not know most of the others yet.
+func WithJoining(joining func() bool) Option {
+	return func(a *Assigner) { a.joining = joining }
 }
 
 // assignment returns the current assignment. The lock must be held.
@@ -76,7 +90,7 @@
 	}
 	next.shards = shardsOf(table)
 	threshold := largeThreshold(append(slices.Clone(others), a.own))
-	next.isLarge = isLarge(a.own, threshold)
+	next.isLarge, next.isTooSmall = isLarge(a.own, threshold), isAnyTooWide(table, []enroller.Capacity{a.own})
 	for _, c := range append(slices.Clone(others), a.own) {
 		switch {
 		case isLarge(c, threshold):
@@ -133,6 +147,10 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	current := a.assignment()
+	if current.isTooSmall && current.shards[t.Service] && a.joining() {
+		// After a start of all instances, each one would divide the connections by the few others that it knows.
+		return 1, true
+	}
 	if usable >= instances || !current.shards[t.Service] {
 		return 0, false
 	}
--- a/internal/query/placer/assignment_test.go
+++ b/internal/query/placer/assignment_test.go
@@ -98,7 +98,7 @@
 
 // newAssigners returns the assigners of all instances under a table with a query over the given number of shards and a route
 // to the service "single".
-func newAssigners(t testing.TB, all []enroller.Capacity, shards int) []*placer.Assigner {
+func newAssigners(t testing.TB, all []enroller.Capacity, shards int, opts ...placer.Option) []*placer.Assigner {
 	t.Helper()
 	share, top, list := 0.9, 50, []string{}
 	for i := range shards {
@@ -112,7 +112,7 @@
 	var assigners []*placer.Assigner
 	for i, c := range all {
 		others := without(all, i)
-		assigners = append(assigners, placer.NewAssigner(c, capacities(others), func() *mapper.Table { return table }))
+		assigners = append(assigners, placer.NewAssigner(c, capacities(others), func() *mapper.Table { return table }, opts...))
 	}
 	return assigners
 }
@@ -192,3 +192,17 @@
 	assert.DeepEqual(t, a.Holders(target, usable, all[1:]), want)
 	assert.Assert(t, a.IsLarge(all[1]) && !a.IsLarge(all[10]))
 }
+
+// Guards against instances that start together and each take the connections of a target that all should share.
+func TestSmallInstanceHoldsOneConnectionWhileItJoins(t *testing.T) {
+	joining := true
+	alone := []enroller.Capacity{instance("n", "d0", small)}
+	a := newAssigners(t, alone, 90, placer.WithJoining(func() bool { return joining }))[0]
+	target := registrar.Target{ID: "t", Service: "s0", FailureDomain: "d0"}
+	connections, assigned := a.Connections(target, usable, 3)
+	assert.Assert(t, assigned)
+	assert.Equal(t, connections, 1)
+	joining = false
+	_, assigned = a.Connections(target, usable, 3)
+	assert.Assert(t, !assigned)
+}
