Issue a few initial tokens of each tenant while instances join

The seeds, which all instances know alike, now issue up to four tokens of each tenant until then. The bound has room for two such starts in a window, and the model of the quotas has them too.

--- a/internal/cluster/discoverer/discoverer.go
+++ b/internal/cluster/discoverer/discoverer.go
@@ -157,6 +157,22 @@
 	return reached, len(d.seeds)
 }
 
+// Seeds returns the addresses of the seeds with the names of the instances there, as far as these are known.
+func (d *Discoverer) Seeds() map[string]string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	names := map[string]string{d.address: d.identity.Instance}
+	for _, name := range d.roster.Names() {
+		m, _ := d.roster.Member(name)
+		names[m.Address] = name
+	}
+	seeds := make(map[string]string, len(d.seeds))
+	for _, seed := range d.seeds {
+		seeds[seed] = names[seed]
+	}
+	return seeds
+}
+
 // CountInstancesIn returns the number of known instances in a failure domain, including this one.
 func (d *Discoverer) CountInstancesIn(domain string) int {
 	d.mu.Lock()
--- a/internal/query/allotter/asker.go
+++ b/internal/query/allotter/asker.go
@@ -78,6 +78,8 @@
 	// issuers holds the distinct names of place.Custodians, the own one first and the others from a place that depends on
 	// this instance, so that the askers do not all ask the same one first.
 	issuers []string
+	// initialIssuer is the initial issuer of the tenant while this instance joins; empty otherwise or if it is unknown.
+	initialIssuer string
 
 	tokens  []batch
 	waiters []*Waiter
@@ -124,6 +126,9 @@
 	return 1
 }
 
+// SetInitialIssuer sets the initial issuer of the tenant; empty if this instance does not join or does not know it.
+func (a *Asker) SetInitialIssuer(name string) { a.initialIssuer = name }
+
 // Admit admits a request with a token of this instance, if there is one and no other request waits.
 func (a *Asker) Admit(now time.Duration) bool {
 	a.count(now)
@@ -296,7 +301,7 @@
 		wanted := min(missing, perCall*a.portionsOf(name))
 		missing -= wanted
 		c := &Call{Instance: name, startedAt: now, Request: Request{
-			Tenant: a.tenant, Limit: a.limit, Version: a.version, Wanted: wanted, Unreached: unreached,
+			Tenant: a.tenant, Limit: a.limit, Version: a.version, Wanted: wanted, Unreached: unreached, Initial: name == a.initialIssuer,
 		}}
 		a.holder(name).call = c
 		calls = append(calls, c)
@@ -321,6 +326,9 @@
 			}
 		}
 	}
+	if name := a.initialIssuer; name != "" && !slices.Contains(all, name) {
+		all = append(slices.Clone(all), name)
+	}
 	for _, name := range all {
 		_, suspended := a.peers.SuspendedUntil(name, now)
 		h := a.holders[name]
--- a/internal/query/allotter/custody_test.go
+++ b/internal/query/allotter/custody_test.go
@@ -1,6 +1,7 @@
 package allotter_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -101,3 +102,28 @@
 	assert.Equal(t, granted, 0)
 	assert.Equal(t, len(inquiries), 1)
 }
+
+// Guards against initial tokens that an instance issues without end, after it has joined, or to askers that know the others.
+func TestInitialTokensAreIssuedOnlyWhileJoining(t *testing.T) {
+	limit := allotter.Limit{Rate: 5, Burst: 5}
+	take := func(c *custody, initial bool) int {
+		reply, _ := c.issuer.Take(c.now, allotter.Request{Tenant: "t", Limit: limit, Version: 1, Wanted: 10, Initial: initial})
+		return reply.Granted
+	}
+	c := newCustody("a", "b", "c", "d", "e", "f", "g", "h")
+	assert.Equal(t, take(c, false), 0)
+	assert.Equal(t, take(c, true), 4)
+	assert.Equal(t, take(c, true), 0)
+	late := newCustody("a", "b", "c", "d", "e", "f", "g", "h")
+	late.run(allotter.JoinTime + time.Second)
+	before := take(late, false)
+	assert.Equal(t, take(late, true), 0, "%d tokens were issued before", before)
+
+	seeds := map[string]string{"10.0.0.1:1": "a", "10.0.0.2:1": "b", "10.0.0.3:1": ""}
+	chosen := make(map[string]int)
+	for i := range 300 {
+		chosen[allotter.InitialIssuer(fmt.Sprint("t", i), seeds)]++
+	}
+	assert.Equal(t, len(chosen), 3)
+	assert.Equal(t, allotter.InitialIssuer("t", nil), "")
+}
--- a/internal/query/allotter/fleet.go
+++ b/internal/query/allotter/fleet.go
@@ -1,12 +1,16 @@
 package allotter
 
 import (
+	"maps"
 	"slices"
 	"time"
 
 	"apricotflow/internal/cluster/owner"
 )
 
+// JoinTime is the age of a process from which it is expected to know all instances.
+const JoinTime = 8 * time.Second
+
 const (
 	// countMemory is the time for which the largest number of instances is remembered, so that a side of a partition does
 	// not take itself for the whole after it has forgotten the other side.
@@ -17,9 +21,7 @@
 	// standstillTime is the time without an update after which the instance counts as frozen meanwhile. Updates are at most
 	// a fraction of a second apart.
 	standstillTime = 2 * time.Second
-	// joinTime is the age of a process below which its list may still grow; listSettleTime is how long the list must have
-	// been the same before such a process issues tokens.
-	joinTime       = 8 * time.Second
+	// listSettleTime is how long the list must have been the same before a process below JoinTime issues tokens.
 	listSettleTime = time.Second
 	// maxHistory is the number of earlier lists from which the start of a custody is found.
 	maxHistory = 8
@@ -220,7 +222,19 @@
 	if t.minoritySince >= 0 && (!t.hadMajority || now-t.minoritySince > minorityGrace) {
 		return false
 	}
-	return now-t.started > joinTime || now-t.fleet.since >= listSettleTime
+	return !t.isJoining(now) || now-t.fleet.since >= listSettleTime
+}
+
+// isJoining reports whether this process may not know all instances yet.
+func (t *Tracker) isJoining(now time.Duration) bool { return now-t.started <= JoinTime }
+
+// InitialIssuer returns the instance that issues the initial tokens of a tenant, of the instances at the addresses of the
+// seeds: after a start of all instances, the seeds are all that each of them knows alike. It is empty if it is not known yet.
+func InitialIssuer(tenant string, seeds map[string]string) string {
+	if len(seeds) == 0 {
+		return ""
+	}
+	return seeds[owner.RendezvousOrder(tenant, slices.Sorted(maps.Keys(seeds)))[0]]
 }
 
 // custodySince returns the time since which this instance is a custodian without interruption, as far as it is known. The
--- a/internal/query/allotter/fleet_test.go
+++ b/internal/query/allotter/fleet_test.go
@@ -253,6 +253,18 @@
 	return s
 }
 
+// seedNames returns the names of the seeds, which are their addresses too. The instance knows those that respond.
+func (w *world) seedNames(in *instance) map[string]string {
+	names := make(map[string]string)
+	for _, other := range w.instances[:w.seeds] {
+		names[other.name] = ""
+		if w.responds(other) && other.group == in.group {
+			names[other.name] = other.name
+		}
+	}
+	return names
+}
+
 func (w *world) upTo(d time.Duration) time.Duration {
 	return time.Duration(w.random.Int64N(int64(d) + 1))
 }
@@ -269,6 +281,10 @@
 		return
 	}
 	in.asker.Configure(in.limit, in.version, in.tracker.Fleet(), in.domain)
+	in.asker.SetInitialIssuer("")
+	if w.now-in.started <= allotter.JoinTime {
+		in.asker.SetInitialIssuer(allotter.InitialIssuer(tenant, w.seedNames(in)))
+	}
 	if in.asker.Admit(w.now) {
 		w.admit(0)
 		in.advance()
--- a/internal/query/allotter/issuer.go
+++ b/internal/query/allotter/issuer.go
@@ -46,6 +46,8 @@
 	// Version is the version of the routing table that the limit is from.
 	Version int
 	Wanted  int
+	// Initial reports whether the asker joins and the receiver is the initial issuer of the tenant.
+	Initial bool
 	// Unreached holds the custodians that the asker cannot reach, without duplicates.
 	Unreached []string
 }
@@ -134,6 +136,8 @@
 	portion, spare, cutOff bucket
 	// spareActive and cutOffActive report whether the bucket issues tokens.
 	spareActive, cutOffActive bool
+	// initial is the number of initial tokens that were issued.
+	initial int
 	// wasCutOff reports whether the bucket for a domain that is cut off has issued tokens before.
 	wasCutOff bool
 	// evidence holds what is known of the reachability of custodians, by name.
@@ -199,6 +203,11 @@
 		more, wait := i.takeCutOff(now, r.Tenant, a, r.Wanted-granted)
 		granted, next = granted+more, min(next, wait)
 	}
+	if r.Initial && granted < r.Wanted && i.tracker.isJoining(now) && i.droppedAt < 0 {
+		more := min(r.Wanted-granted, max(a.plan.Initial-a.initial, 0))
+		a.initial += more
+		granted += more
+	}
 	if granted < r.Wanted {
 		next += a.stagger(now)
 	}
--- a/internal/query/allotter/plan.go
+++ b/internal/query/allotter/plan.go
@@ -26,6 +26,11 @@
 	// capacityTime is the time whose tokens a bucket can hold in addition to one, so that an asker of a high rate does not
 	// have to call for each token.
 	capacityTime = 200 * time.Millisecond
+	// initialTokens is the number of tokens of a tenant that an instance issues in all while it joins, without regard to
+	// portions. Until the instances know each other, about two seconds after a start of all of them, there are no others. The
+	// bound has room for initialRestarts such starts in a window.
+	initialTokens   = 4
+	initialRestarts = 2
 )
 
 // Bounds is the upper bound on the requests of a tenant over all instances: in each window at most (rate x window + burst) x
@@ -52,7 +57,9 @@
 	Spares int
 	// CutOff is the number of tokens per window that all failure domains that are cut off issue together.
 	CutOff float64
-	window float64
+	// Initial is the number of tokens that the initial issuer issues while it joins.
+	Initial int
+	window  float64
 }
 
 // Divide returns the plan for a limit. All buckets together, with the tokens that askers may still hold from before the
@@ -72,6 +79,8 @@
 		p.Spares = 1
 	}
 	p.CutOff = max(0, room-float64(p.Spares)*perPortion)
+	p.Initial = int(min(initialTokens, p.CutOff/initialRestarts))
+	p.CutOff -= initialRestarts * float64(p.Initial)
 	return p
 }
 
--- a/internal/query/rationer/rationer.go
+++ b/internal/query/rationer/rationer.go
@@ -53,6 +53,8 @@
 	// SeedsReached returns how many of the seeds are this instance or known ones that are not suspected, and the number of
 	// seeds.
 	SeedsReached() (reached, total int)
+	// Seeds returns the addresses of the seeds with the names of the instances there, as far as these are known.
+	Seeds() map[string]string
 }
 
 // Domains tells which failure domains can be reached.
@@ -88,15 +90,17 @@
 
 // Rationer admits requests within the limits of their tenants. It is safe for concurrent use.
 type Rationer struct {
-	identity  Identity
-	bounds    allotter.Bounds
-	fleet     Fleet
-	domains   Domains
-	tables    Tables
-	events    Events
-	logger    *log.Logger
-	scope     tally.Scope
-	now       func() time.Duration
+	identity Identity
+	bounds   allotter.Bounds
+	fleet    Fleet
+	domains  Domains
+	tables   Tables
+	events   Events
+	logger   *log.Logger
+	scope    tally.Scope
+	now      func() time.Duration
+	// started is the start of the process.
+	started   time.Duration
 	messenger *messenger.Messenger
 	peers     *allotter.Peers
 	counters  counters
@@ -143,7 +147,8 @@
 	for _, option := range options {
 		option(r)
 	}
-	r.tracker = allotter.NewTracker(identity.Instance, identity.FailureDomain, r.now())
+	r.started = r.now()
+	r.tracker = allotter.NewTracker(identity.Instance, identity.FailureDomain, r.started)
 	r.issuer = allotter.NewIssuer(bounds, r.tracker)
 	r.list.Store(r.tracker.Fleet())
 	return r
@@ -283,6 +288,7 @@
 	t.mu.Lock()
 	now := r.now()
 	t.asker.Configure(allotter.Limit{Rate: rate, Burst: burst}, r.tables.TableVersion(), r.list.Load(), r.identity.FailureDomain)
+	t.asker.SetInitialIssuer(r.initialIssuer(tenantName, now))
 	if t.asker.Admit(now) {
 		r.advance(t, now)
 		t.mu.Unlock()
@@ -302,6 +308,14 @@
 	return d.admitted, d.retryAfter
 }
 
+// initialIssuer returns the initial issuer of the tenant while this instance joins.
+func (r *Rationer) initialIssuer(tenant string, now time.Duration) string {
+	if now-r.started > allotter.JoinTime {
+		return ""
+	}
+	return allotter.InitialIssuer(tenant, r.fleet.Seeds())
+}
+
 // await waits for the decision on a request. If the context ends before, the request is refused.
 func (r *Rationer) await(ctx context.Context, t *tenant, waiter *allotter.Waiter, decided chan decision) decision {
 	select {
--- a/internal/query/rationer/rationer_test.go
+++ b/internal/query/rationer/rationer_test.go
@@ -42,9 +42,11 @@
 }
 
 func (f fleet) SeedsReached() (reached, total int) { return 0, 0 }
-func (f fleet) Reachable(string) bool              { return true }
-func (f fleet) TableVersion() int                  { return 1 }
-func (f fleet) HasTenants() bool                   { return !f.hasNoTenants }
+
+func (f fleet) Seeds() map[string]string { return nil }
+func (f fleet) Reachable(string) bool    { return true }
+func (f fleet) TableVersion() int        { return 1 }
+func (f fleet) HasTenants() bool         { return !f.hasNoTenants }
 
 func (f fleet) PeerAddress(name string) (string, bool) {
 	address, found := f.addresses[name]
--- a/internal/query/rationer/serve.go
+++ b/internal/query/rationer/serve.go
@@ -75,15 +75,19 @@
 }
 
 func encodeRequest(r allotter.Request) encoder.QuotaRequest {
-	return encoder.QuotaRequest{
+	m := encoder.QuotaRequest{
 		Tenant: r.Tenant, Rate: r.Limit.Rate, Burst: r.Limit.Burst, Version: r.Version, Wanted: r.Wanted, Unreached: r.Unreached,
 	}
+	if r.Initial {
+		m.Initial = &r.Initial
+	}
+	return m
 }
 
 func decodeRequest(m encoder.QuotaRequest) allotter.Request {
 	return allotter.Request{
 		Tenant: m.Tenant, Limit: allotter.Limit{Rate: m.Rate, Burst: m.Burst}, Version: m.Version, Wanted: min(max(m.Wanted, 0), maxWanted),
-		Unreached: m.Unreached[:min(len(m.Unreached), maxUnreached)],
+		Unreached: m.Unreached[:min(len(m.Unreached), maxUnreached)], Initial: isTrue(m.Initial),
 	}
 }
 
--- a/internal/wire/encoder/types.go
+++ b/internal/wire/encoder/types.go
@@ -1241,6 +1241,10 @@
 	// the sender.
 	Burst float64 `json:"burst"`
 
+	// True if the sender has just started and asks the instance as the one that
+	// issues the initial tokens of the tenant.
+	Initial *bool `json:"initial,omitempty,omitzero"`
+
 	// Maximum number of requests per second over all instances, by the table of the
 	// sender.
 	Rate float64 `json:"rate"`
