--- a/internal/query/allotter/issuer_test.go
+++ b/internal/query/allotter/issuer_test.go
@@ -83,7 +83,7 @@
 			p := allotter.Divide(limit, bounds)
 			total := rate*5 + burst
 			portion := p.Rate*5 + p.Capacity
-			used := float64(p.Portions+p.Spares)*portion + p.CutOff + rate*allotter.TokenLifetime.Seconds()
+			used := float64(p.Portions+p.Spares)*portion + p.CutOff + 2*float64(p.Initial) + rate*allotter.TokenLifetime.Seconds()
 			assert.Assert(t, used <= total*1.25+20+1e-9, "%v: %v of %v", limit, used, total*1.25+20)
 			assert.Assert(t, p.Spares > 0, "%v has no spare", limit)
 			assert.Equal(t, allotter.Divide(limit, allotter.Bounds{Window: 5 * time.Second}).Spares, 0)
