--- a/internal/caller/receiver/delegation_test.go
+++ b/internal/caller/receiver/delegation_test.go
@@ -40,8 +40,9 @@
 func TestDelegatedRequestIsNotAcceptedWhenItCannotBeServed(t *testing.T) {
 	newer, exhausted := newDelegation("a.example"), newDelegation("a.example")
 	newer.Version, exhausted.PriorRuns = 2, 100
-	wide := newDelegation("a.example")
-	wide.Wide = true
+	wide, wideOlder := newDelegation("a.example"), newDelegation("a.example")
+	wide.Wide, wideOlder.Wide = true, true
+	wideOlder.Version--
 	for _, c := range []struct {
 		reason     string
 		relay      *fakeRelay
@@ -52,6 +53,7 @@
 		{"older configuration", &fakeRelay{}, newer, true},
 		{"no route", &fakeRelay{}, newDelegation("unknown.example"), true},
 		{"too few serving and reachable targets", &fakeRelay{cannotServe: true}, newDelegation("a.example"), true},
+		{"newer configuration", &fakeRelay{}, wideOlder, true},
 		{"too little CPU capacity left", &fakeRelay{hasNoRoom: true}, wide, true},
 		{"no further run allowed", &fakeRelay{}, exhausted, true},
 	} {
