--- a/internal/query/placer/assignment.go
+++ b/internal/query/placer/assignment.go
@@ -147,11 +147,13 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	current := a.assignment()
-	if current.isTooSmall && current.shards[t.Service] && a.joining() {
+	switch {
+	case !current.shards[t.Service]:
+		return 0, false
+	case usable >= instances && current.isTooSmall && a.joining():
 		// After a start of all instances, each one would divide the connections by the few others that it knows.
 		return 1, true
-	}
-	if usable >= instances || !current.shards[t.Service] {
+	case usable >= instances:
 		return 0, false
 	}
 	key := connectionsKey{target: t.ID, domain: t.FailureDomain, usable: usable}
