--- a/internal/query/relayer/explain.go
+++ b/internal/query/relayer/explain.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"apricotflow/internal/query/placer"
 	"apricotflow/internal/query/quarantiner"
 	"apricotflow/internal/target/picker"
 	"apricotflow/internal/wire/encoder"
@@ -41,6 +42,9 @@
 	case !r.sender.CanServe(request.Route, request.Outbound.ID):
 		e.refuse(f, f.answerCannotServe())
 	}
+	if r.isTooWide(request) {
+		e.Notes = append(e.Notes, r.explainPlacement(request))
+	}
 	if r.sender.AnyLimited() {
 		if wait := f.limitWait(); f.exceedsWait(wait) {
 			e.refuse(f, f.answerLimited(wait))
@@ -58,6 +62,16 @@
 	return e
 }
 
+// explainPlacement returns where a query would run that is too wide for this instance.
+func (r *Relayer) explainPlacement(request Request) string {
+	placement := r.placement
+	helper, found := placement.placer.Choose(placer.NewQuery(request.Route), r.sender.InProgress(), placement.fleet.Capacities(), nil, time.Now())
+	if !found {
+		return "too wide for the CPU capacity here, but no other instance would be faster"
+	}
+	return "too wide for the CPU capacity here: instance " + helper + " would run it"
+}
+
 // refuse adds the reason of an answer that refuses the request.
 func (e *Explanation) refuse(f *forwarder, answer Answer) {
 	e.Refusals = append(e.Refusals, Refusal{Reason: f.decisions[len(f.decisions)-1].Event, RetryAfter: answer.RetryAfter})
--- a/internal/query/relayer/placement_test.go
+++ b/internal/query/relayer/placement_test.go
@@ -469,3 +469,14 @@
 		assert.Equal(t, len(answer.Records), 3*recordBytes)
 	})
 }
+
+// Guards against an explanation that does not say that another instance would run the query, or that hands it over.
+func TestExplanationNamesInstanceThatWouldRunTheQuery(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, h := newPlacedFixture(t, map[string]helper{"first": {answer: placedAnswer}})
+		e := f.relayer.Explain(f.request(shardedRoute(1, wideServices...), "r1"))
+		assert.DeepEqual(t, e.Notes, []string{"too wide for the CPU capacity here: instance first would run it"})
+		assert.Equal(t, len(h.asked), 0)
+		assert.Equal(t, len(f.relayer.Explain(f.request(singleRoute(true), "r2")).Notes), 0)
+	})
+}
