--- a/internal/caller/receiver/delegation.go
+++ b/internal/caller/receiver/delegation.go
@@ -39,7 +39,7 @@
 	if !found {
 		return refuse("no route")
 	}
-	sender, reason := identifyDelegated(table, route, d, rc.codec.TenantHeader())
+	keyHolder, reason := identifyDelegated(table, route, d, rc.codec.TenantHeader())
 	switch {
 	case reason != "":
 		return refuse(reason)
@@ -58,8 +58,8 @@
 		d.Outbound = d.Outbound.WithCredentials(d.KeyDigest.String())
 	}
 	request := relayer.Request{
-		Route: route, Table: table, Outbound: d.Outbound, Tenant: sender.tenant, KeyDigest: sender.digest, Arrived: arrived, Delegated: true, MayRepeat: d.MayRepeat, PriorRuns: d.PriorRuns,
-		Deadline: rc.limitToService(arrived.Add(d.TimeLeft)),
+		Route: route, Table: table, Outbound: d.Outbound, Tenant: keyHolder.tenant, KeyDigest: keyHolder.digest, Arrived: arrived,
+		Delegated: true, MayRepeat: d.MayRepeat, PriorRuns: d.PriorRuns, Deadline: rc.limitToService(arrived.Add(d.TimeLeft)),
 	}
 	if d.DueIn != nil {
 		request.Due = arrived.Add(*d.DueIn)
--- a/internal/caller/receiver/receiver.go
+++ b/internal/caller/receiver/receiver.go
@@ -237,7 +237,7 @@
 		rc.writeEmpty(w, http.StatusNotFound)
 		return false
 	}
-	sender, admitted := rc.authenticate(w, r, table, route)
+	keyHolder, admitted := rc.authenticate(w, r, table, route)
 	if !admitted {
 		return true
 	}
@@ -250,18 +250,18 @@
 		return false
 	}
 	header := rc.forwardedHeaders(r.Header, table.Tenants() != nil)
-	if sender.tenant != nil {
-		header.Set(rc.codec.TenantHeader(), sender.tenant.Name)
+	if keyHolder.tenant != nil {
+		header.Set(rc.codec.TenantHeader(), keyHolder.tenant.Name)
 	}
 	outbound := transporter.NewRequest(caller.RequestID, r.Method, requestURI(r), r.Host, header, body)
-	if sender.tenant != nil {
-		outbound = outbound.WithCredentials(sender.digest.String())
+	if keyHolder.tenant != nil {
+		outbound = outbound.WithCredentials(keyHolder.digest.String())
 	}
 	outbound.RequireFreshConnection = !route.Idempotent
 	request := relayer.Request{
 		Route: route, Table: table, Outbound: outbound, Arrived: arrived,
 		Due: answerDue(started, route.Objective), Deadline: deadline,
-		Tenant: sender.tenant, KeyDigest: sender.digest,
+		Tenant: keyHolder.tenant, KeyDigest: keyHolder.digest,
 	}
 	answer := rc.relayInTurn(r.Context(), request)
 	rc.latency.RecordDuration(time.Since(arrived))
--- a/internal/query/relayer/start.go
+++ b/internal/query/relayer/start.go
@@ -17,8 +17,8 @@
 }
 
 // sendFirst sends the first request of every part. Requests to another failure domain go through an instance there if
-// that saves bytes; many requests to targets in the own failure domain are divided among its instances. Where queries are placed by CPU
-// capacity, it decides on the instances.
+// that saves bytes; many requests to targets in the own failure domain are divided among its instances. Where queries are
+// placed by CPU capacity, the capacities decide on the instances.
 func (f *forwarder) sendFirst() {
 	f.caution.trial = f.caution.active
 	if f.request.PriorRuns > 0 {
--- a/internal/target/sender/sender.go
+++ b/internal/target/sender/sender.go
@@ -307,9 +307,9 @@
 	return s.takeBudget(service, tenant, 1)
 }
 
-// AllowHedge takes one hedge of the tenant from the budget of the service and reports whether the budget allowed it. A fraction of
-// the budget is reserved for retries: a hedged request may still get a reply, but without a retry the answer is certain
-// to lack a part.
+// AllowHedge takes one hedge of the tenant from the budget of the service and reports whether the budget allowed it. A
+// fraction of the budget is reserved for retries: a hedged request may still get a reply, but without a retry the answer is
+// certain to lack a part.
 func (s *Sender) AllowHedge(service, tenant string) bool {
 	return s.takeBudget(service, tenant, hedgeBudgetFraction)
 }
