Place wide queries by CPU capacity also while an instance is cut off

An instance that is cut off from targets handed its queries to any able instance. Wide queries now go to the instances with room in other failure domains first.

TestWideQueryOfCutOffInstanceRunsInOtherDomain gets the answer of the small instance without the change.

--- a/internal/query/relayer/delegation.go
+++ b/internal/query/relayer/delegation.go
@@ -69,16 +69,18 @@
 // A request that was handed over to this instance goes no further.
 func (r *Relayer) serve(ctx context.Context, request Request) Answer {
 	mayDelegate := !request.Delegated
-	if mayDelegate && isCutOff(r.sender, request) {
-		if answer, taken := r.delegate(ctx, request); taken {
+	cutOff := mayDelegate && isCutOff(r.sender, request)
+	if mayDelegate && r.isTooWide(request) {
+		// Also while this instance is cut off: an able instance that is too small would answer too late.
+		if answer, served := r.serveElsewhere(ctx, request, cutOff); served {
 			return answer
 		}
-		mayDelegate = false
 	}
-	if mayDelegate && r.isTooWide(request) {
-		if answer, served := r.serveElsewhere(ctx, request); served {
+	if cutOff {
+		if answer, taken := r.delegate(ctx, request); taken {
 			return answer
 		}
+		mayDelegate = false
 	}
 	return r.serveHere(ctx, request, mayDelegate)
 }
--- a/internal/query/relayer/placement.go
+++ b/internal/query/relayer/placement.go
@@ -131,6 +131,8 @@
 	// as many targets as the route allows without a further start of the query.
 	repeats chan string
 	tried   []string
+	// leftOut is the failure domain whose instances do not get the query; empty if all may.
+	leftOut string
 	// running is the number of runs that have not ended, and runs the number of those that targets may have seen.
 	running, runs int
 	// holds receives the results of requests to leave repetitions to this instance.
@@ -153,14 +155,18 @@
 	failure Answer
 }
 
-// serveElsewhere serves a query that is too wide for this instance on another one. It returns false if it should run here
+// serveElsewhere serves a query that is too wide for this instance on another one. While this instance is cut off from
+// targets, those of its failure domain probably are too, so they are left out. It returns false if the query should run here
 // and has not run elsewhere.
-func (r *Relayer) serveElsewhere(ctx context.Context, request Request) (Answer, bool) {
+func (r *Relayer) serveElsewhere(ctx context.Context, request Request, cutOff bool) (Answer, bool) {
 	runCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	q := &placedQuery{
 		relayer: r, request: request, query: placer.NewQuery(request.Route), ctx: runCtx, attempts: make(chan attempt, maxHelpers+1), repeats: make(chan string, maxHelpers), holds: make(chan holdResult, maxHelpers),
 	}
+	if cutOff {
+		q.leftOut = r.sender.OwnDomain()
+	}
 	if !q.startNext() {
 		r.count("kept")
 		return Answer{}, false
@@ -288,6 +294,9 @@
 	}
 	request := q.request.WithPriorRuns(q.priorRuns())
 	others := placement.fleet.Capacities()
+	if q.leftOut != "" {
+		others = slices.DeleteFunc(slices.Clone(others), func(c enroller.Capacity) bool { return c.FailureDomain == q.leftOut })
+	}
 	if len(q.tried) < maxHelpers {
 		helper, found := placement.placer.Choose(q.query, q.relayer.sender.InProgress(), others, q.tried, time.Now())
 		if i := slices.IndexFunc(others, func(c enroller.Capacity) bool { return c.Instance == helper }); found && i >= 0 {
--- a/internal/query/relayer/placement_test.go
+++ b/internal/query/relayer/placement_test.go
@@ -480,3 +480,17 @@
 		assert.Equal(t, len(f.relayer.Explain(f.request(singleRoute(true), "r2")).Notes), 0)
 	})
 }
+
+// Guards against a wide query of an instance that is cut off from targets which goes to a large instance of its own failure
+// domain, cut off too, or to an able one that is too small for it.
+func TestWideQueryOfCutOffInstanceRunsInOtherDomain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, h := newPlacedFixture(t, map[string]helper{"first": {err: errNotAccepted}, "second": {answer: placedAnswer}})
+		f.delegator.takes = true
+		f.strandNoticed(t)
+		h.asked = nil
+		answer, _ := f.relay(shardedRoute(1, wideServices...), "r1")
+		assert.DeepEqual(t, answer.Signatures, []string{"placed"})
+		assert.DeepEqual(t, h.asked, []string{"second"})
+	})
+}
