--- a/internal/caller/server/server.go
+++ b/internal/caller/server/server.go
@@ -1,6 +1,7 @@
 // Package server serves the HTTP interface for callers in native mode: queries, tickets and the readiness check of the
-// load balancer. It determines the tenants of requests by their API keys, validates requests and maps results and errors to HTTP statuses. Package executor runs the queries,
-// and package ticketer ensures that a ticketed query runs at most once. In relay mode, package receiver serves callers.
+// load balancer. It determines the tenants of requests by their API keys, validates requests and maps results and errors
+// to HTTP statuses. Package executor runs the queries, and package ticketer ensures that a ticketed query runs at most
+// once. In relay mode, package receiver serves callers.
 package server
 
 import (
