--- a/review/scenario-2/main.go
+++ b/review/scenario-2/main.go
@@ -27,6 +27,7 @@
 var scenarios = map[string]func(*world) error{
 	"restarted-target": runRestartedTarget,
 	"cut-watches":      runCutWatches,
+	"hot-request":      runHotRequest,
 }
 
 // errBroken is returned by a scenario whose rule was broken.
--- a/review/scenario-2/world.go
+++ b/review/scenario-2/world.go
@@ -152,7 +152,7 @@
 	if err := os.WriteFile(file, raw, 0o600); err != nil {
 		return err
 	}
-	output, err := os.Create(filepath.Join(w.dir, n.name+".log"))
+	output, err := os.OpenFile(filepath.Join(w.dir, n.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
@@ -170,13 +170,18 @@
 		close(n.exited)
 	}()
 	w.onClose(func() {
-		_ = n.cmd.Process.Kill()
-		<-n.exited
+		n.kill()
 		w.copyLog(n)
 	})
 	return nil
 }
 
+// kill ends the process of the instance and waits for its end.
+func (n *node) kill() {
+	_ = n.cmd.Process.Kill()
+	<-n.exited
+}
+
 // copyLog keeps the log of an instance if the environment names a folder for it.
 func (w *world) copyLog(n *node) {
 	keep := os.Getenv("KEEP_LOGS")
