Add review case 10: a caller that has sent its next request is not seen to leave

Cause: the end of a connection is noticed only by the context of net/http, which stops looking for it when further bytes arrive.

--- a/review/scenario-2/leaf.go
+++ b/review/scenario-2/leaf.go
@@ -35,10 +35,12 @@
 	seq      int
 	born     int64
 	arrivals []arrival
+	// ended holds when the target has ended the work on a request, by its id.
+	ended map[string]time.Time
 }
 
 func newLeaf(w *world, id, service, zone string, work time.Duration) (*leaf, error) {
-	l := &leaf{w: w, id: id, service: service, zone: zone, work: work}
+	l := &leaf{w: w, id: id, service: service, zone: zone, work: work, ended: make(map[string]time.Time)}
 	address, err := freeAddress()
 	l.address = address
 	return l, err
@@ -114,6 +116,7 @@
 	}
 	l.mu.Lock()
 	l.running--
+	l.ended[id] = time.Now()
 	l.mu.Unlock()
 	w.Header().Set("X-Server-Load", fmt.Sprintf("%d,0,3", running))
 	w.Header().Set("X-Server-Stamp", "s."+l.id+"."+id)
@@ -134,3 +137,10 @@
 	}
 	return late
 }
+
+// endOf returns when the target has ended the work on a request; zero if it has not.
+func (l *leaf) endOf(id string) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.ended[id]
+}
--- a/review/scenario-2/main.go
+++ b/review/scenario-2/main.go
@@ -28,6 +28,7 @@
 	"restarted-target": runRestartedTarget,
 	"cut-watches":      runCutWatches,
 	"hot-request":      runHotRequest,
+	"departures":       runDepartures,
 }
 
 // errBroken is returned by a scenario whose rule was broken.
