Keep the disturbed share of targets in review cases 6 and 7 within the site's limits

Cause: one target of three was disturbed; the site file names shares of 0.15 and 0.125. Change: eight targets, one of which is disturbed.

--- a/review/scenario-2/drain.go
+++ b/review/scenario-2/drain.go
@@ -11,6 +11,8 @@
 const (
 	orderService = "orders"
 	orderPath    = "/orders/"
+	// orderTargets is the number of targets, of which one is disturbed: a share of 0.125.
+	orderTargets = 8
 	// lingerTime is how long a target serves beyond the drain time before it exits.
 	lingerTime = 4 * time.Second
 	// workTime is the time that a target takes for a request.
@@ -39,14 +41,14 @@
 	}
 }
 
-// startDeployment starts a store with the configuration, three targets and one instance in each zone.
+// startDeployment starts a store with the configuration, the targets and one instance in each zone.
 func startDeployment(w *world) (*store, []*leaf, error) {
 	s := newStore()
 	w.onClose(s.close)
 	s.put("op/config", orderConfig(1))
 	var leafs []*leaf
-	for i, zone := range zones {
-		l, err := newLeaf(w, fmt.Sprintf("i-%08x", 0x7f3a9000+i), orderService, zone, workTime)
+	for i := range orderTargets {
+		l, err := newLeaf(w, fmt.Sprintf("i-%08x", 0x7f3a9000+i), orderService, zones[i%len(zones)], workTime)
 		if err != nil {
 			return nil, nil, err
 		}
@@ -102,7 +104,7 @@
 	}
 	l := leafs[0]
 	key := "servers/" + l.id
-	calls := startLoad(w, 5, http.MethodPost, orderPath, 300*time.Millisecond)
+	calls := startLoad(w, 7, http.MethodPost, orderPath, 300*time.Millisecond)
 	time.Sleep(contactTime)
 	// The target starts, crashes and starts again. While the clock of its machine is ahead, so is the first start time.
 	l.stop()
@@ -144,7 +146,7 @@
 		return err
 	}
 	l := leafs[0]
-	calls := startLoad(w, 5, http.MethodPost, orderPath, 300*time.Millisecond)
+	calls := startLoad(w, 7, http.MethodPost, orderPath, 300*time.Millisecond)
 	time.Sleep(contactTime + 2*time.Second)
 	if w.trouble {
 		w.log("the store cuts each watch that has waited for %v", cutTime)
